--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims on the platform's log.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet configuration, plans and their certification, keys, and node settings.
--- /dev/null
+++ b/crates/core/src/newtype.rs
@@ -0,0 +1,78 @@
+//! Macros that define the project's newtypes, so that each has the same traits.
+
+/// Defines an identifier that wraps a `String`, with `Display`, `FromStr` and serde as plain text.
+///
+/// Parsing accepts 1 to 128 characters out of letters, digits, `-`, `_` and `.`.
+#[macro_export]
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, ::serde::Serialize, ::serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl ::std::str::FromStr for $name {
+            type Err = $crate::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                $crate::check_text_id($what, text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = $crate::ParseError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                $crate::check_text_id($what, &text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0
+            }
+        }
+    };
+}
+
+/// Defines a copyable newtype over an unsigned integer, with `Display` and `FromStr`.
+#[macro_export]
+macro_rules! number_newtype {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, ::serde::Serialize, ::serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                ::std::fmt::Display::fmt(&self.0, formatter)
+            }
+        }
+
+        impl ::std::str::FromStr for $name {
+            type Err = $crate::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self).map_err(|_| $crate::ParseError::not_a($what, text))
+            }
+        }
+    };
+}
--- /dev/null
+++ b/src/bin/fulmartrestled.rs
@@ -0,0 +1,2 @@
+//! The node daemon.
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' command.
+fn main() {}
