--- /dev/null
+++ b/crates/node/src/entry/caller.rs
@@ -0,0 +1,117 @@
+//! Requests of callers from outside: key, route, rate, then the call.
+
+use std::sync::Arc;
+
+use fulmartrestle_config::FleetConfig;
+use fulmartrestle_config::fleet::{KeyHash, RouteRow};
+use fulmartrestle_core::{Reason, Refusal, Tenant};
+use fulmartrestle_policy::RetryAllowance;
+
+use super::fingerprint::fingerprint;
+use super::request::{ReceivedRequest, read_body};
+use crate::call::{CallSpec, Dispatched, check_door, dispatch};
+use crate::replay_body::ReplayBody;
+use crate::state::NodeState;
+
+/// Retries that one request may cause over its whole chain. With three, one lost answer at each of
+/// two hops is still made good, and no request causes more than four times its first attempts.
+const RETRIES_PER_REQUEST: u32 = 3;
+
+/// When to come back to a node without a configuration, in milliseconds.
+const NOT_READY_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Weight of calls on routes open to all.
+const OPEN_WEIGHT: u32 = 1;
+
+/// Who a request runs for.
+struct Caller {
+    tenant: Option<Tenant>,
+    key_hash: Option<KeyHash>,
+    weight: u32,
+}
+
+/// Answers one request of a caller.
+///
+/// # Errors
+///
+/// Returns the final refusal.
+pub async fn answer_caller(
+    state: &Arc<NodeState>,
+    request: ReceivedRequest,
+    key_hash: Option<KeyHash>,
+    request_id: u64,
+) -> Result<Dispatched, Refusal> {
+    let config = state.config.get();
+    let route = find_route(&config, &request.path)?;
+    let caller = authenticate(&config, route, key_hash)?;
+    let ReceivedRequest { method, path, headers, timeout_ms, idempotency_key, body } = request;
+    if route.at_most_once && idempotency_key.is_none() {
+        return Err(Refusal::not_run(Reason::BadRequest, None));
+    }
+    let body = read_body(body, state.settings.limits.max_body_bytes as u64).await?;
+    let fingerprint = fingerprint(&method, &path, caller.tenant.as_ref(), body.leading_bytes());
+    let wait_ms = timeout_ms.map_or(route.timeout_ms, |timeout_ms| timeout_ms.min(route.timeout_ms));
+    let spec = CallSpec {
+        request_id,
+        service: route.service.clone(),
+        chain: chain_of(route),
+        route: route.route.clone(),
+        tenant: caller.tenant,
+        key_hash: caller.key_hash,
+        weight: caller.weight,
+        class: route.class,
+        deadline: state.clock.now().plus_ms(wait_ms),
+        depth: 0,
+        at_most_once: route.at_most_once,
+        retryable: route.retryable,
+        fingerprint,
+        method,
+        path,
+        headers,
+    };
+    run(state, &spec, body).await
+}
+
+/// Lets the request in and runs it.
+async fn run(state: &NodeState, spec: &CallSpec, mut body: ReplayBody) -> Result<Dispatched, Refusal> {
+    // The door comes first: a request that is shed must not cost its tenant a token.
+    check_door(state, spec)?;
+    if let Some(tenant) = &spec.tenant {
+        state.rates.admit(tenant).await?;
+    }
+    let mut allowance = RetryAllowance::new(RETRIES_PER_REQUEST);
+    dispatch(state, spec, &mut body, &mut allowance).await
+}
+
+/// Returns the services that a route's calls reach, the first one included.
+pub fn chain_of(route: &RouteRow) -> Vec<fulmartrestle_core::Service> {
+    let mut chain = vec![route.service.clone()];
+    chain.extend(route.chain.iter().cloned());
+    chain
+}
+
+/// Returns the route of a path.
+///
+/// # Errors
+///
+/// Returns a refusal when there is none, or no configuration yet.
+pub fn find_route<'c>(config: &'c FleetConfig, path: &str) -> Result<&'c RouteRow, Refusal> {
+    if config.version().0 == 0 {
+        return Err(Refusal::not_run(Reason::NotReady, Some(NOT_READY_RETRY_AFTER_MS)));
+    }
+    config.route_for(path).ok_or(Refusal::not_run(Reason::NoRoute, None))
+}
+
+fn authenticate(config: &FleetConfig, route: &RouteRow, key_hash: Option<KeyHash>) -> Result<Caller, Refusal> {
+    if route.open_to_all {
+        return Ok(Caller { tenant: None, key_hash: None, weight: OPEN_WEIGHT });
+    }
+    let unauthorized = Refusal::not_run(Reason::Unauthorized, None);
+    let key_hash = key_hash.ok_or(unauthorized)?;
+    let found = config.tenant_for_hash(&key_hash).ok_or(unauthorized)?;
+    if !route.allows(found.tenant) {
+        return Err(Refusal::not_run(Reason::Forbidden, None));
+    }
+    let weight = config.tenants().get(found.tenant).map_or(OPEN_WEIGHT, |row| row.weight.0);
+    Ok(Caller { tenant: Some(found.tenant.clone()), key_hash: Some(key_hash), weight })
+}
--- /dev/null
+++ b/crates/node/src/entry/service.rs
@@ -0,0 +1,78 @@
+//! The node as callers and peers see it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use fulmartrestle_core::{CallId, Reason, Refusal};
+use hyper::Request;
+use hyper::body::Incoming;
+
+use super::answer::caller_answer;
+use super::caller::answer_caller;
+use super::request::ReceivedRequest;
+use super::sidecar::answer_child;
+use crate::body::ByteBody;
+use crate::call::Dispatched;
+use crate::context::CONTEXT_HEADER;
+use crate::control::receive_control;
+use crate::http::{CallerAnswer, CallerService};
+use crate::keys::take_key;
+use crate::peer::{ControlEnvelope, PeerAnswer, PeerService};
+use crate::state::NodeState;
+use crate::wire::CallHead;
+
+/// Answers callers, the own target's child calls, and peers.
+pub struct EntryService {
+    state: Arc<NodeState>,
+}
+
+impl EntryService {
+    /// Returns the service of one node.
+    pub fn new(state: Arc<NodeState>) -> Self {
+        Self { state }
+    }
+
+    async fn decide(&self, mut request: Request<Incoming>, request_id: u64) -> Result<Dispatched, Refusal> {
+        let key_hash = take_key(request.headers_mut());
+        match self.context_of(&request)? {
+            Some(parent) => {
+                self.state.counters.child_calls.add(1);
+                answer_child(&self.state, ReceivedRequest::new(request)?, parent).await
+            }
+            None => {
+                self.state.counters.requests.add(1);
+                answer_caller(&self.state, ReceivedRequest::new(request)?, key_hash, request_id).await
+            }
+        }
+    }
+
+    /// Returns the running call whose context a request carries. A wrong context is refused, and
+    /// never taken for a call from outside.
+    fn context_of(&self, request: &Request<Incoming>) -> Result<Option<CallId>, Refusal> {
+        let Some(value) = request.headers().get(CONTEXT_HEADER) else { return Ok(None) };
+        let text = value.to_str().unwrap_or_default();
+        let call = self.state.gate.sealer().open(text);
+        call.map(Some).map_err(|_| Refusal::not_run(Reason::Unauthorized, None))
+    }
+}
+
+#[async_trait]
+impl CallerService for EntryService {
+    async fn answer(&self, _caller: SocketAddr, request: Request<Incoming>) -> CallerAnswer {
+        let request_id = self.state.draw_u64();
+        let result = self.decide(request, request_id).await;
+        caller_answer(&self.state, result, request_id)
+    }
+}
+
+#[async_trait]
+impl PeerService for EntryService {
+    async fn call(&self, head: CallHead, body: ByteBody) -> PeerAnswer {
+        self.state.gate.run(head, body).await
+    }
+
+    fn control(&self, envelope: ControlEnvelope) {
+        receive_control(&self.state, envelope, None);
+    }
+}
--- /dev/null
+++ b/crates/node/src/explain.rs
@@ -0,0 +1,45 @@
+//! Why a request was refused, or which target it went to, kept for a short time.
+
+use std::collections::VecDeque;
+
+use fulmartrestle_derive::record;
+
+/// Decisions kept. At 400 bytes each this is 1.6 MB, a twentieth of the node's memory.
+const MAX_DECISIONS: usize = 4_096;
+
+/// One decision about one request.
+#[record]
+pub struct Decision {
+    /// The request.
+    pub request_id: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// What was decided and why.
+    pub text: String,
+}
+
+/// The latest decisions, oldest first.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    rows: VecDeque<Decision>,
+}
+
+impl DecisionLog {
+    /// Adds a decision and drops the oldest beyond the bound.
+    pub fn push(&mut self, decision: Decision) {
+        if self.rows.len() == MAX_DECISIONS {
+            self.rows.pop_front();
+        }
+        self.rows.push_back(decision);
+    }
+
+    /// Returns the decisions about one request.
+    pub fn of(&self, request_id: &str) -> Vec<Decision> {
+        self.rows.iter().filter(|row| row.request_id == request_id).cloned().collect()
+    }
+
+    /// Returns the latest decisions, newest first.
+    pub fn latest(&self, count: usize) -> Vec<Decision> {
+        self.rows.iter().rev().take(count).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate/runner.rs
@@ -0,0 +1,383 @@
+//! Runs calls on the own target, within what the gate admits.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs};
+use fulmartrestle_policy::{
+    Admission, AdmissionLevel, Completion, CrashTable, CrashVerdict, Gate, GateEvent, GateSettings, Offer, Permille, RetryAllowance,
+    TargetHints,
+};
+use http::{HeaderName, HeaderValue, Method, Request, Uri};
+use tokio::sync::oneshot;
+
+use super::own_target::{OwnTarget, TargetAnnouncement, TargetProtocol};
+use super::place::{Place, PlacedBody};
+use super::target_client::{TargetClient, TargetError, probe};
+use crate::body::{ByteBody, empty_body, incoming_body};
+use crate::call::{RunningCall, RunningCalls};
+use crate::clock::Clock;
+use crate::context::{CONTEXT_HEADER, ContextSealer};
+use crate::keys::KeyCheck;
+use crate::lock::lock;
+use crate::peer::PeerAnswer;
+use crate::wire::{AnswerHead, CallHead, Reply, headers_from_pairs, headers_to_pairs};
+
+/// When a caller should come back after a target went away: by then its replacement is known.
+const NO_TARGET_RETRY_AFTER_MS: u64 = 1_000;
+
+/// The gate of one node.
+pub struct GateRunner {
+    clock: Clock,
+    table: Mutex<GateTable>,
+    running: Mutex<RunningCalls>,
+    client: Mutex<Arc<TargetClient>>,
+    sealer: ContextSealer,
+    keys: Arc<dyn KeyCheck>,
+    crashes: Arc<Mutex<CrashTable>>,
+}
+
+/// The gate's decisions and the calls that wait for them.
+struct GateTable {
+    target: Option<OwnTarget>,
+    gate: Gate,
+    waiting: HashMap<CallId, oneshot::Sender<Result<(), Refusal>>>,
+    next_call: u64,
+    stopping: bool,
+}
+
+/// How an offer to the gate went.
+enum Entered {
+    /// The call may run now.
+    Run,
+    /// The call waits for its turn.
+    Wait(oneshot::Receiver<Result<(), Refusal>>),
+}
+
+impl GateRunner {
+    /// Returns a gate without a target.
+    pub fn new(clock: Clock, sealer: ContextSealer, keys: Arc<dyn KeyCheck>, crashes: Arc<Mutex<CrashTable>>) -> Self {
+        let table = GateTable {
+            target: None,
+            gate: Gate::new(GateSettings::default()),
+            waiting: HashMap::new(),
+            next_call: 0,
+            stopping: false,
+        };
+        Self {
+            clock,
+            table: Mutex::new(table),
+            running: Mutex::default(),
+            client: Mutex::new(Arc::new(TargetClient::new(TargetProtocol::default()))),
+            sealer,
+            keys,
+            crashes,
+        }
+    }
+
+    /// Takes an announcement of the own target.
+    pub fn announce(&self, announcement: TargetAnnouncement) {
+        let now = self.clock.now();
+        if lock(&self.client).protocol() != announcement.protocol {
+            *lock(&self.client) = Arc::new(TargetClient::new(announcement.protocol));
+        }
+        let mut table = lock(&self.table);
+        let hints = TargetHints {
+            slots: Some(announcement.slots),
+            connections: Some(announcement.connections),
+            warm_up_ms: Some(u64::from(announcement.warm_up_ms)),
+            reported_load: announcement.load.map(|load| Permille::from_fraction(f64::from(load))),
+        };
+        let is_new = table.target.as_ref().is_none_or(|old| old.announcement.address != announcement.address);
+        if is_new {
+            table.gate = Gate::new(GateSettings::default());
+        }
+        if announcement.leaving {
+            table.gate.begin_drain(now);
+        }
+        table.gate.set_hints(hints, now);
+        match &mut table.target {
+            Some(target) => target.renew(announcement, now),
+            None => table.target = Some(OwnTarget::new(announcement, now)),
+        }
+    }
+
+    /// Takes no new calls from now on, because the node is stopping or the target was told to leave.
+    pub fn begin_drain(&self) {
+        let now = self.clock.now();
+        let mut table = lock(&self.table);
+        table.stopping = true;
+        table.gate.begin_drain(now);
+    }
+
+    /// Tells whether the gate drains and nothing runs or waits any more.
+    pub fn is_drained(&self) -> bool {
+        lock(&self.table).gate.is_drained() && lock(&self.running).is_empty()
+    }
+
+    /// Returns the own target's row as other nodes should see it; `None` when it is not usable.
+    pub fn usable_target(&self) -> Option<OwnTarget> {
+        let now = self.clock.now();
+        let table = lock(&self.table);
+        let mut target = table.target.clone().filter(|target| target.is_usable(now))?;
+        target.announcement.leaving |= table.stopping;
+        Some(target)
+    }
+
+    /// Returns the context sealer, which the sidecar checks child calls with.
+    pub fn sealer(&self) -> &ContextSealer {
+        &self.sealer
+    }
+
+    /// Runs `change` on a running call's row, or returns `None` when the call has ended.
+    pub fn with_running<T>(&self, call: CallId, change: impl FnOnce(&mut RunningCall) -> T) -> Option<T> {
+        lock(&self.running).get_mut(call).map(change)
+    }
+
+    /// Notes that a running call sends a child call, and runs `change` on its row. Time spent in child
+    /// calls says nothing about the own target's load.
+    pub fn child_started<T>(&self, call: CallId, change: impl FnOnce(&mut RunningCall) -> T) -> Option<T> {
+        let now = self.clock.now();
+        lock(&self.table).gate.child_started(call, now);
+        self.with_running(call, change)
+    }
+
+    /// Notes that a child call ended, and runs `change` on its parent's row if that still runs.
+    pub fn child_ended(&self, call: CallId, change: impl FnOnce(&mut RunningCall)) {
+        let now = self.clock.now();
+        lock(&self.table).gate.child_ended(call, now);
+        self.with_running(call, change);
+    }
+
+    /// Returns the number of calls that run.
+    pub fn in_flight(&self) -> usize {
+        lock(&self.running).len()
+    }
+
+    /// Drops what waited too long and starts what may run. Called on each tick.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.pump(&mut lock(&self.table), now);
+    }
+
+    /// Makes a new connection to a target that could not be reached, and notes the result.
+    pub async fn probe_target(&self) {
+        let address = lock(&self.table).target.as_ref().map(|target| target.announcement.address);
+        let Some(address) = address else { return };
+        let reachable = probe(address).await;
+        self.set_reachable(reachable);
+    }
+
+    /// Runs one call, or refuses it. Dropping the future cancels the call.
+    pub async fn run(self: &Arc<Self>, head: CallHead, body: ByteBody) -> PeerAnswer {
+        let allowance = head.retry_allowance;
+        match self.admit(&head).await {
+            Ok((call, place)) => self.forward(call, place, head, body).await,
+            Err(refusal) => self.refused(refusal, allowance, false),
+        }
+    }
+
+    /// Gives back the place of a call that ended.
+    pub fn complete(&self, call: CallId, completion: Completion) {
+        let now = self.clock.now();
+        lock(&self.running).remove(call);
+        let mut table = lock(&self.table);
+        table.gate.complete(call, completion, now);
+        self.pump(&mut table, now);
+    }
+
+    /// Gives back the place of a call that its sender gave up.
+    pub fn cancel(&self, call: CallId) {
+        let now = self.clock.now();
+        lock(&self.running).remove(call);
+        let mut table = lock(&self.table);
+        table.waiting.remove(&call);
+        table.gate.cancel(call, now);
+        self.pump(&mut table, now);
+    }
+
+    /// Waits for a place. A call that waited is checked again, because its key may have been
+    /// withdrawn meanwhile.
+    async fn admit(self: &Arc<Self>, head: &CallHead) -> Result<(CallId, Place), Refusal> {
+        self.check_head(head)?;
+        let now = self.clock.now();
+        let deadline = now.plus_us(head.deadline_left_us);
+        let (call, entered) = self.enter(head, deadline, now)?;
+        let place = Place::new(Arc::clone(self), call);
+        if let Entered::Wait(turn) = entered {
+            let turn = turn.await.unwrap_or(Err(Refusal::not_run(Reason::Draining, None)));
+            turn?;
+            self.check_head(head)?;
+        }
+        self.insert_running(call, head, deadline);
+        Ok((call, place))
+    }
+
+    fn check_head(&self, head: &CallHead) -> Result<(), Refusal> {
+        if head.key_hash.is_some_and(|hash| !self.keys.is_active(&hash)) {
+            return Err(Refusal::not_run(Reason::Unauthorized, None));
+        }
+        let now = self.clock.now();
+        match lock(&self.crashes).check(head.fingerprint, now) {
+            CrashVerdict::Blocked { until } => Err(Refusal::not_run(Reason::Blocked, Some(until.ms_since(now)))),
+            CrashVerdict::Clear | CrashVerdict::Marked => Ok(()),
+        }
+    }
+
+    fn enter(&self, head: &CallHead, deadline: TimeUs, now: TimeUs) -> Result<(CallId, Entered), Refusal> {
+        let mut table = lock(&self.table);
+        if table.stopping {
+            return Err(Refusal::not_run(Reason::Draining, None));
+        }
+        let target = table.target.as_ref().filter(|target| target.is_usable(now));
+        let no_target = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
+        let target = target.ok_or(no_target)?;
+        if target.announcement.service != head.service {
+            return Err(no_target);
+        }
+        let call = CallId(table.next_call);
+        table.next_call += 1;
+        let tenant = head.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
+        let offer = Offer { call, tenant, weight: head.weight, class: head.class, deadline };
+        match table.gate.offer(offer, now) {
+            Admission::Run => Ok((call, Entered::Run)),
+            Admission::Refused(refusal) => Err(refusal),
+            Admission::Queued => {
+                let (sender, receiver) = oneshot::channel();
+                table.waiting.insert(call, sender);
+                // The queued call may have taken the place of a less important one.
+                self.pump(&mut table, now);
+                Ok((call, Entered::Wait(receiver)))
+            }
+        }
+    }
+
+    fn insert_running(&self, call: CallId, head: &CallHead, deadline: TimeUs) {
+        let row = RunningCall {
+            request_id: head.request_id,
+            route: head.route.clone(),
+            tenant: head.tenant.clone(),
+            key_hash: head.key_hash,
+            weight: head.weight,
+            class: head.class,
+            deadline,
+            depth: head.depth,
+            at_most_once: head.at_most_once,
+            allowance: RetryAllowance::new(head.retry_allowance),
+        };
+        lock(&self.running).insert(call, row);
+    }
+
+    /// Hands a call to the target and returns the head of its answer.
+    async fn forward(&self, call: CallId, place: Place, head: CallHead, body: ByteBody) -> PeerAnswer {
+        let deadline_left = Duration::from_micros(head.deadline_left_us);
+        let request = match self.target_request(call, &head, body) {
+            Ok(request) => request,
+            Err(refusal) => {
+                place.finish(Completion::Cancelled);
+                return self.refused(refusal, head.retry_allowance, false);
+            }
+        };
+        let client = Arc::clone(&lock(&self.client));
+        let answered = tokio::time::timeout(deadline_left, client.send(request)).await;
+        match answered {
+            Ok(Ok(response)) => self.answered(call, place, response),
+            Ok(Err(error)) => self.target_failed(call, place, &head, &error),
+            Err(_) => {
+                // The connection may have gone silent; new calls get new connections.
+                client.replace_connections();
+                let unspent = lock(&self.running).close_allowance(call);
+                place.finish(Completion::TimedOut);
+                self.refused(Refusal::unknown(Reason::Deadline), unspent, false)
+            }
+        }
+    }
+
+    fn target_request(&self, call: CallId, head: &CallHead, body: ByteBody) -> Result<Request<ByteBody>, Refusal> {
+        let bad_request = Refusal::not_run(Reason::BadRequest, None);
+        let address = lock(&self.table).target.as_ref().map(|target| target.announcement.address);
+        let address = address.ok_or(Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)))?;
+        let uri: Uri = format!("http://{address}{}", head.path).parse().map_err(|_| bad_request)?;
+        let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| bad_request)?;
+        let mut request = Request::new(body);
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers_from_pairs(&head.headers);
+        let context = HeaderValue::from_str(&self.sealer.seal(call)).map_err(|_| bad_request)?;
+        request.headers_mut().insert(HeaderName::from_static(CONTEXT_HEADER), context);
+        Ok(request)
+    }
+
+    fn answered(&self, call: CallId, place: Place, response: hyper::Response<hyper::body::Incoming>) -> PeerAnswer {
+        let status = response.status().as_u16();
+        let headers = headers_to_pairs(response.headers());
+        let unspent_retries = lock(&self.running).close_allowance(call);
+        let body = incoming_body(response.into_body());
+        let body = if hyper::body::Body::is_end_stream(&body) {
+            place.finish(Completion::Answered);
+            body
+        } else {
+            http_body_util::BodyExt::boxed_unsync(PlacedBody::new(body, place))
+        };
+        let head = AnswerHead {
+            reply: Reply::Answer { status, headers },
+            level: Some(self.level()),
+            unspent_retries,
+            target_lost: false,
+        };
+        PeerAnswer { head, body }
+    }
+
+    fn target_failed(&self, call: CallId, place: Place, head: &CallHead, error: &TargetError) -> PeerAnswer {
+        let unspent = lock(&self.running).close_allowance(call);
+        place.finish(Completion::Failed);
+        log::info!("gate: call {:016x} failed: {error}", head.request_id);
+        match error {
+            TargetError::Connect(_) => {
+                self.set_reachable(false);
+                let refusal = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
+                self.refused(refusal, unspent, false)
+            }
+            TargetError::Lost(_) => self.refused(Refusal::unknown(Reason::TargetFailed), unspent, true),
+        }
+    }
+
+    fn refused(&self, refusal: Refusal, unspent_retries: u32, target_lost: bool) -> PeerAnswer {
+        let head =
+            AnswerHead { reply: Reply::Refused(refusal), level: Some(self.level()), unspent_retries, target_lost };
+        PeerAnswer { head, body: empty_body() }
+    }
+
+    fn level(&self) -> AdmissionLevel {
+        let now = self.clock.now();
+        lock(&self.table).gate.level(now)
+    }
+
+    fn set_reachable(&self, reachable: bool) {
+        if let Some(target) = &mut lock(&self.table).target {
+            target.reachable = reachable;
+        }
+    }
+
+    /// Passes the gate's events on to the calls that wait for them.
+    fn pump(&self, table: &mut GateTable, now: TimeUs) {
+        loop {
+            let events = table.gate.take_events(now);
+            if events.is_empty() {
+                return;
+            }
+            for event in events {
+                let (call, turn) = match event {
+                    GateEvent::Start(call) => (call, Ok(())),
+                    GateEvent::Drop(call, refusal) => (call, Err(refusal)),
+                };
+                let waiting = table.waiting.remove(&call);
+                let delivered = waiting.is_some_and(|waiting| waiting.send(turn).is_ok());
+                if !delivered && turn.is_ok() {
+                    table.gate.cancel(call, now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/problem.rs
@@ -0,0 +1,57 @@
+//! Refusals as `application/problem+json` (RFC 9457).
+
+use bytes::Bytes;
+use fulmartrestle_core::{Outcome, Refusal};
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::Response;
+use serde::Serialize;
+
+use super::CallerAnswer;
+use crate::body::whole_body;
+
+/// Name of the header that tells callers the request's id, for `fulmartrestle explain`.
+const REQUEST_ID: HeaderName = HeaderName::from_static("fulmartrestle-request-id");
+
+const MS_PER_S: u64 = 1_000;
+
+/// The body of a refusal.
+#[derive(Serialize)]
+struct Problem {
+    title: String,
+    status: u16,
+    outcome: Outcome,
+    reason: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    request_id: String,
+}
+
+/// Returns the header that carries a request's id.
+pub fn request_id_header(request_id: u64) -> (HeaderName, HeaderValue) {
+    let text = format!("{request_id:016x}");
+    let value = HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("invalid"));
+    (REQUEST_ID, value)
+}
+
+/// Returns the answer that tells a caller of a refusal: at once, with when to come back.
+pub fn problem_answer(refusal: &Refusal, request_id: u64) -> CallerAnswer {
+    let problem = Problem {
+        title: refusal.to_string(),
+        status: refusal.reason.http_status(),
+        outcome: refusal.outcome,
+        reason: refusal.reason.as_str().to_owned(),
+        retry_after_ms: refusal.retry_after_ms,
+        request_id: format!("{request_id:016x}"),
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut answer = Response::new(whole_body(Bytes::from(body)));
+    *answer.status_mut() = http::StatusCode::from_u16(problem.status).unwrap_or(http::StatusCode::SERVICE_UNAVAILABLE);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S).max(1)));
+    }
+    let (name, value) = request_id_header(request_id);
+    headers.insert(name, value);
+    answer
+}
--- /dev/null
+++ b/crates/node/src/lock.rs
@@ -0,0 +1,9 @@
+//! Locking tables that hold plain data.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks a table. A panic of another holder leaves tables usable, because each change to them is
+/// made by one call.
+pub fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/src/peer/control.rs
@@ -0,0 +1,24 @@
+//! Control messages between nodes: small ones as datagrams, long ones as streams.
+
+use fulmartrestle_core::VmId;
+use fulmartrestle_derive::record;
+use fulmartrestle_membership::MembershipMessage;
+use fulmartrestle_quota::QuotaMessage;
+
+/// What one part of a node says to the same part of another.
+#[record]
+pub enum ControlMessage {
+    /// Gossip and probes of the directory of members.
+    Membership(MembershipMessage),
+    /// Tokens of tenants' rates.
+    Quota(QuotaMessage),
+}
+
+/// A control message with its sender.
+#[record]
+pub struct ControlEnvelope {
+    /// The run of the node that sent it.
+    pub from: VmId,
+    /// The message.
+    pub message: ControlMessage,
+}
--- /dev/null
+++ b/crates/node/src/wire/answer_head.rs
@@ -0,0 +1,35 @@
+//! The head of the answer to a call between two nodes.
+
+use fulmartrestle_core::Refusal;
+use fulmartrestle_derive::record;
+use fulmartrestle_policy::AdmissionLevel;
+
+use super::HeaderPair;
+
+/// How a gate ended a call.
+#[record]
+pub enum Reply {
+    /// The target answered; the body follows on the stream.
+    Answer {
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<HeaderPair>,
+    },
+    /// The call was refused; no body follows.
+    Refused(Refusal),
+}
+
+/// The head of an answer, with what the sender of the call learns about the target.
+#[record]
+pub struct AnswerHead {
+    /// Answer or refusal.
+    pub reply: Reply,
+    /// What the gate admits now. It rides on every answer, so that overload needs no messages of its
+    /// own to be known upstream.
+    pub level: Option<AdmissionLevel>,
+    /// Retries of the allowance that were not spent.
+    pub unspent_retries: u32,
+    /// Whether the target was lost while it ran the call, which marks the request's fingerprint.
+    pub target_lost: bool,
+}
--- /dev/null
+++ b/crates/node/src/wire/mod.rs
@@ -0,0 +1,11 @@
+//! What nodes say to each other about calls, and how heads are framed on a stream.
+
+mod answer_head;
+mod call_head;
+mod codec;
+mod header_pair;
+
+pub use answer_head::{AnswerHead, Reply};
+pub use call_head::CallHead;
+pub use codec::{HeadError, MAX_HEAD_BYTES, decode_exact, decode_head, encode, encode_head};
+pub use header_pair::{HeaderPair, headers_from_pairs, headers_to_pairs};
