--- /dev/null
+++ b/crates/policy/src/crash/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of a crash table.
+
+/// Settings of a [`super::CrashTable`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashSettings {
+    pub(super) mark_ms: u64,
+    pub(super) block_ms: u64,
+    pub(super) max_rows: usize,
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        Self { mark_ms: 60_000, block_ms: 300_000, max_rows: 4_096 }
+    }
+}
+
+impl CrashSettings {
+    /// Sets how long a first crash is remembered, in milliseconds; 60,000 by default.
+    #[must_use]
+    pub fn mark_ms(mut self, mark_ms: u64) -> Self {
+        self.mark_ms = mark_ms;
+        self
+    }
+
+    /// Sets how long a request is blocked after its second crash, in milliseconds; 300,000 by
+    /// default.
+    #[must_use]
+    pub fn block_ms(mut self, block_ms: u64) -> Self {
+        self.block_ms = block_ms;
+        self
+    }
+
+    /// Sets how many requests are remembered, 4,096 by default.
+    #[must_use]
+    pub fn max_rows(mut self, max_rows: usize) -> Self {
+        self.max_rows = max_rows.max(1);
+        self
+    }
+}
--- /dev/null
+++ b/crates/policy/src/door.rs
@@ -0,0 +1,77 @@
+//! Refusals at the entry of what a service further down the chain would refuse.
+
+mod service_level;
+mod settings;
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::{Class, Reason, Refusal, Service, Tenant, TimeUs, VmId};
+
+use crate::{AdmissionLevel, Permille, TenantHash};
+
+use service_level::ServiceLevel;
+pub use settings::DoorSettings;
+
+/// A call that asks to be let in.
+#[derive(Clone, Copy, Debug)]
+pub struct DoorCheck<'a> {
+    /// The services that the call's route reaches.
+    pub chain: &'a [Service],
+    /// How important the route is.
+    pub class: Class,
+    /// Whose call it is.
+    pub tenant: &'a Tenant,
+    /// The tenant's weight in the fair share.
+    pub weight: u32,
+}
+
+/// Holds what the gates of each service admit, as heard on answers, and refuses calls before any
+/// work is done for them. See `docs/ADMISSION.md`.
+#[derive(Debug, Default)]
+pub struct Door {
+    settings: DoorSettings,
+    services: HashMap<Service, ServiceLevel>,
+}
+
+impl Door {
+    /// Returns a door that has heard of no overload.
+    pub fn new(settings: DoorSettings) -> Self {
+        Self { settings, services: HashMap::new() }
+    }
+
+    /// Takes the level that rode on an answer or refusal of a target.
+    pub fn observe(&mut self, service: &Service, target: VmId, level: AdmissionLevel, now: TimeUs) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), ServiceLevel::default());
+        }
+        if let Some(row) = self.services.get_mut(service) {
+            row.observe(target, level, now);
+        }
+    }
+
+    /// Decides about a call; `draw` is a uniformly random number.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the service of the chain that admits least would refuse the call.
+    pub fn check(&mut self, check: DoorCheck<'_>, now: TimeUs, draw: u32) -> Result<(), Refusal> {
+        let share = self.share(&check, now);
+        let drawn = (u64::from(draw) * u64::from(Permille::FULL.0)) >> u32::BITS;
+        if drawn < u64::from(share.0) {
+            return Ok(());
+        }
+        Err(Refusal::not_run(Reason::Shed, Some(self.settings.retry_after_ms(share))))
+    }
+
+    /// Returns the share of such calls that is let in at present.
+    pub fn share(&mut self, check: &DoorCheck<'_>, now: TimeUs) -> Permille {
+        let tenant = TenantHash::of(check.tenant);
+        let mut least = Permille::FULL;
+        for service in check.chain {
+            if let Some(row) = self.services.get_mut(service) {
+                least = least.min(row.share(check.class, tenant, now, &self.settings));
+            }
+        }
+        least
+    }
+}
--- /dev/null
+++ b/crates/policy/src/door/settings.rs
@@ -0,0 +1,40 @@
+//! Settings of a door.
+
+use crate::Permille;
+
+/// Settings of a [`super::Door`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct DoorSettings {
+    pub(super) hold_ms: u64,
+    pub(super) recovery_ms: u64,
+    pub(super) min_retry_after_ms: u64,
+    pub(super) max_retry_after_ms: u64,
+}
+
+impl Default for DoorSettings {
+    fn default() -> Self {
+        Self { hold_ms: 300, recovery_ms: 1_000, min_retry_after_ms: 200, max_retry_after_ms: 5_000 }
+    }
+}
+
+impl DoorSettings {
+    /// Sets how long a level holds after it was heard, in milliseconds; 300 by default.
+    #[must_use]
+    pub fn hold_ms(mut self, hold_ms: u64) -> Self {
+        self.hold_ms = hold_ms;
+        self
+    }
+
+    /// Sets how long a class takes from nothing to the whole when nothing more is heard, in
+    /// milliseconds; 1,000 by default.
+    #[must_use]
+    pub fn recovery_ms(mut self, recovery_ms: u64) -> Self {
+        self.recovery_ms = recovery_ms.max(1);
+        self
+    }
+
+    pub(super) fn retry_after_ms(&self, share: Permille) -> u64 {
+        let later_ms = self.min_retry_after_ms * u64::from(Permille::FULL.0) / u64::from(share.0.max(1));
+        later_ms.min(self.max_retry_after_ms)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gate.rs
@@ -0,0 +1,303 @@
+//! Admission in front of one target. See `docs/ADMISSION.md` and `docs/DRAIN.md`.
+
+mod call_row;
+mod fair_queue;
+mod level_control;
+mod limiter;
+mod messages;
+mod settings;
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::{CallId, Class, Reason, Refusal, TimeUs};
+
+use crate::{AdmissionLevel, TenantHash};
+
+use call_row::CallRow;
+use fair_queue::FairQueue;
+use level_control::LevelControl;
+use limiter::Limiter;
+pub use messages::{Admission, Completion, GateEvent, Offer, TargetHints};
+pub use settings::GateSettings;
+
+/// How often queued calls are checked against their deadlines. Each check walks the short queue, so
+/// checking on every event would cost more than it saves.
+const EXPIRY_INTERVAL_US: u64 = 5_000;
+
+/// Admits calls to one target: an adaptive concurrency limit, a short queue ordered by class and then
+/// fairly by tenant, and an admission level for the callers.
+#[derive(Debug)]
+pub struct Gate {
+    settings: GateSettings,
+    limiter: Limiter,
+    level: LevelControl,
+    calls: HashMap<CallId, CallRow>,
+    queues: [FairQueue; 3],
+    in_flight: usize,
+    events: Vec<GateEvent>,
+    next_expiry: TimeUs,
+    draining: bool,
+    protected_shed: Option<TimeUs>,
+}
+
+impl Gate {
+    /// Returns an idle gate. Its clock starts with the first call that passes `now`.
+    pub fn new(settings: GateSettings) -> Self {
+        Self {
+            limiter: Limiter::new(&settings),
+            level: LevelControl::new(&settings),
+            settings,
+            calls: HashMap::new(),
+            queues: Default::default(),
+            in_flight: 0,
+            events: Vec::new(),
+            next_expiry: TimeUs::default(),
+            draining: false,
+            protected_shed: None,
+        }
+    }
+
+    /// Takes what the target says of itself. Hints only lower the limit; a target that reports no
+    /// load is not taken for a healthy one.
+    pub fn set_hints(&mut self, hints: TargetHints, now: TimeUs) {
+        self.limiter.set_hints(hints, now);
+    }
+
+    /// Decides about a new call. A queued call is settled later by an event of
+    /// [`Gate::take_events`].
+    pub fn offer(&mut self, offer: Offer, now: TimeUs) -> Admission {
+        self.limiter.in_use(now);
+        let tenant = TenantHash::of(&offer.tenant);
+        self.level.offered(offer.class, tenant, now);
+        if self.calls.contains_key(&offer.call) {
+            return Admission::Refused(Refusal::not_run(Reason::BadRequest, None));
+        }
+        if self.draining {
+            return Admission::Refused(Refusal::not_run(Reason::Draining, None));
+        }
+        if now.plus_us(self.limiter.least_service_us()) >= offer.deadline {
+            return Admission::Refused(Refusal::not_run(Reason::Deadline, None));
+        }
+        if self.holds_for_protected(offer.class, now) {
+            return self.refuse_offer(offer.class, tenant, now);
+        }
+        if self.can_start(now) && self.queued() == 0 {
+            self.queues[offer.class.index()].charge(&offer.tenant, offer.weight);
+            self.insert_running(&offer, now);
+            return Admission::Run;
+        }
+        self.enqueue(offer, tenant, now)
+    }
+
+    /// Frees the place of a running call and learns from how it ended.
+    pub fn complete(&mut self, call: CallId, completion: Completion, now: TimeUs) {
+        let Some(row) = self.calls.get(&call) else { return };
+        let Some(started) = row.started else {
+            self.cancel(call, now);
+            return;
+        };
+        let own_us = now.us_since(started).saturating_sub(row.child_us(now));
+        self.limiter.completed(completion, started, own_us, self.in_flight, now);
+        self.calls.remove(&call);
+        self.in_flight -= 1;
+        self.start_queued(now);
+    }
+
+    /// Withdraws a queued or running call; its place is free at once.
+    pub fn cancel(&mut self, call: CallId, now: TimeUs) {
+        let Some(row) = self.calls.remove(&call) else { return };
+        if row.started.is_some() {
+            self.in_flight -= 1;
+        } else {
+            self.queues[row.class.index()].remove(&row.tenant, call);
+        }
+        self.start_queued(now);
+    }
+
+    /// Notes that a running call now waits for a call of its own to another service. That time
+    /// says nothing about this target and is left out of its latency.
+    pub fn child_started(&mut self, call: CallId, now: TimeUs) {
+        if let Some(row) = self.calls.get_mut(&call) {
+            row.child_started(now);
+        }
+    }
+
+    /// Notes that a call announced by [`Gate::child_started`] ended.
+    pub fn child_ended(&mut self, call: CallId, now: TimeUs) {
+        if let Some(row) = self.calls.get_mut(&call) {
+            row.child_ended(now);
+        }
+    }
+
+    /// Returns what was decided about queued calls since the last time. Call it after each offer,
+    /// completion and cancellation, and each tick.
+    pub fn take_events(&mut self, now: TimeUs) -> Vec<GateEvent> {
+        if now >= self.next_expiry {
+            self.next_expiry = now.plus_us(EXPIRY_INTERVAL_US);
+            self.drop_expired(now);
+        }
+        self.start_queued(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns the level that rides on answers.
+    pub fn level(&mut self, now: TimeUs) -> AdmissionLevel {
+        self.level.level(now)
+    }
+
+    /// Returns the number of running calls.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Returns the number of queued calls.
+    pub fn queued(&self) -> usize {
+        self.queues.iter().map(FairQueue::len).sum()
+    }
+
+    /// Returns the most calls that may run at once at present.
+    pub fn limit(&self) -> usize {
+        self.limiter.limit()
+    }
+
+    /// Refuses new and queued calls from now on; running calls go on to their end.
+    pub fn begin_drain(&mut self, _now: TimeUs) {
+        self.draining = true;
+        let refusal = Refusal::not_run(Reason::Draining, None);
+        for queue in &mut self.queues {
+            for call in queue.drain() {
+                self.calls.remove(&call);
+                self.events.push(GateEvent::Drop(call, refusal));
+            }
+        }
+    }
+
+    /// Returns whether a drain was begun and nothing runs any more.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.in_flight == 0
+    }
+
+    fn can_start(&self, now: TimeUs) -> bool {
+        self.in_flight < self.limiter.limit_at(now)
+    }
+
+    fn holds_for_protected(&self, class: Class, now: TimeUs) -> bool {
+        let hold_ms = self.settings.protected_hold_ms;
+        class != Class::Protected && self.protected_shed.is_some_and(|shed| now < shed.plus_ms(hold_ms))
+    }
+
+    fn insert_running(&mut self, offer: &Offer, now: TimeUs) {
+        let mut row = CallRow::queued(offer, now);
+        row.started = Some(now);
+        self.calls.insert(offer.call, row);
+        self.in_flight += 1;
+    }
+
+    fn enqueue(&mut self, offer: Offer, tenant: TenantHash, now: TimeUs) -> Admission {
+        let ahead = self.queued_at_or_above(offer.class);
+        let start = now.plus_us(self.limiter.wait_us(ahead));
+        if start.plus_us(self.limiter.least_service_us()) >= offer.deadline {
+            return self.refuse_offer(offer.class, tenant, now);
+        }
+        if self.queued() >= self.queue_bound(offer.class) && !self.evict_for(&offer, now) {
+            return self.refuse_offer(offer.class, tenant, now);
+        }
+        self.queues[offer.class.index()].push(&offer.tenant, offer.weight, offer.call);
+        self.calls.insert(offer.call, CallRow::queued(&offer, now));
+        Admission::Queued
+    }
+
+    fn queued_at_or_above(&self, class: Class) -> usize {
+        self.queues[class.index()..].iter().map(FairQueue::len).sum()
+    }
+
+    fn queue_bound(&self, class: Class) -> usize {
+        let scaled = (self.limiter.limit() as f64 * self.settings.queue_per_limit).ceil() as usize;
+        let bound = scaled.clamp(self.settings.min_queue, self.settings.max_queue);
+        if class == Class::Protected { bound * self.settings.protected_queue_factor } else { bound }
+    }
+
+    /// Makes room by dropping a queued call that matters less: one of a lower class, or of the same
+    /// class from the tenant that holds the most places for its weight.
+    fn evict_for(&mut self, offer: &Offer, now: TimeUs) -> bool {
+        let lowest = Class::ALL.into_iter().find(|class| self.queues[class.index()].len() > 0);
+        let Some(class) = lowest.filter(|class| *class <= offer.class) else { return false };
+        let queue = &mut self.queues[class.index()];
+        let evicted =
+            if class < offer.class { queue.pop_longest() } else { queue.pop_longer_than(&offer.tenant, offer.weight) };
+        let Some(call) = evicted else { return false };
+        self.drop_shed(call, now);
+        true
+    }
+
+    fn drop_shed(&mut self, call: CallId, now: TimeUs) {
+        let Some(row) = self.calls.remove(&call) else { return };
+        let refusal = self.shed(row.class, TenantHash::of(&row.tenant), now);
+        self.events.push(GateEvent::Drop(call, refusal));
+    }
+
+    fn refuse_offer(&mut self, class: Class, tenant: TenantHash, now: TimeUs) -> Admission {
+        if class == Class::Protected {
+            self.drop_all_sheddable(now);
+        }
+        Admission::Refused(self.shed(class, tenant, now))
+    }
+
+    /// A protected call is about to be shed, so nothing that matters less may stay queued.
+    fn drop_all_sheddable(&mut self, now: TimeUs) {
+        for class in [Class::Browse, Class::Lookup] {
+            for call in self.queues[class.index()].drain() {
+                self.drop_shed(call, now);
+            }
+        }
+    }
+
+    fn shed(&mut self, class: Class, tenant: TenantHash, now: TimeUs) -> Refusal {
+        if class == Class::Protected {
+            self.protected_shed = Some(now);
+        }
+        self.level.refused(class, tenant, now);
+        let retry_after_ms = self.level.retry_after_ms(class, tenant);
+        Refusal::not_run(Reason::Shed, Some(retry_after_ms))
+    }
+
+    fn drop_expired(&mut self, now: TimeUs) {
+        if self.queued() == 0 {
+            return;
+        }
+        let latest_start = now.plus_us(self.limiter.least_service_us());
+        let calls = &self.calls;
+        let expired: Vec<CallId> = self
+            .queues
+            .iter()
+            .flat_map(FairQueue::calls)
+            .filter(|call| calls.get(call).is_none_or(|row| row.deadline <= latest_start))
+            .collect();
+        for call in expired {
+            self.drop_expired_call(call, now);
+        }
+    }
+
+    fn drop_expired_call(&mut self, call: CallId, now: TimeUs) {
+        let Some(row) = self.calls.remove(&call) else { return };
+        self.queues[row.class.index()].remove(&row.tenant, call);
+        self.level.refused(row.class, TenantHash::of(&row.tenant), now);
+        self.events.push(GateEvent::Drop(call, Refusal::not_run(Reason::Deadline, None)));
+    }
+
+    /// Starts queued calls while places are free, most important class first. A call whose deadline
+    /// can't be met any more is dropped instead.
+    fn start_queued(&mut self, now: TimeUs) {
+        while self.can_start(now) {
+            let Some(call) = self.queues.iter_mut().rev().find_map(FairQueue::pop) else { return };
+            let Some(row) = self.calls.get_mut(&call) else { continue };
+            if row.deadline <= now.plus_us(self.limiter.least_service_us()) {
+                self.drop_expired_call(call, now);
+                continue;
+            }
+            row.started = Some(now);
+            self.in_flight += 1;
+            self.events.push(GateEvent::Start(call));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gate/fair_queue.rs
@@ -0,0 +1,159 @@
+//! A queue that serves tenants in proportion to their weights.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use fulmartrestle_core::{CallId, Tenant};
+
+/// Virtual time that one call costs a tenant of weight one. Its many divisors keep the cost of common
+/// weights exact.
+const CALL_COST: u64 = 5_040 * 1_000;
+
+/// Tenants without queued calls that are remembered before the ones behind are forgotten.
+const MAX_IDLE_TENANTS: usize = 1_024;
+
+/// Calls of one class. Tenants are served by start-time fair queueing: each served call advances its
+/// tenant's virtual time by the inverse of its weight, and the tenant furthest behind goes next. A
+/// tenant that was idle starts at the present virtual time, so that it saves up no credit.
+#[derive(Debug, Default)]
+pub(super) struct FairQueue {
+    tenants: HashMap<Tenant, TenantQueue>,
+    backlogged: BTreeSet<(u64, Tenant)>,
+    virtual_now: u64,
+    len: usize,
+}
+
+#[derive(Debug, Default)]
+struct TenantQueue {
+    calls: VecDeque<CallId>,
+    virtual_time: u64,
+    weight: u32,
+}
+
+impl TenantQueue {
+    fn cost(&self) -> u64 {
+        CALL_COST / u64::from(self.weight.max(1))
+    }
+
+    fn len_per_weight(&self) -> u64 {
+        self.calls.len() as u64 * self.cost()
+    }
+}
+
+impl FairQueue {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the queued calls in no particular order.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> {
+        self.backlogged
+            .iter()
+            .filter_map(|(_, tenant)| self.tenants.get(tenant))
+            .flat_map(|queue| queue.calls.iter().copied())
+    }
+
+    /// Counts a call that started without being queued.
+    pub fn charge(&mut self, tenant: &Tenant, weight: u32) {
+        let virtual_now = self.virtual_now;
+        let queue = self.tenant(tenant, weight);
+        let start = queue.virtual_time.max(virtual_now);
+        queue.virtual_time = start + queue.cost();
+        self.virtual_now = start;
+    }
+
+    pub fn push(&mut self, tenant: &Tenant, weight: u32, call: CallId) {
+        let virtual_now = self.virtual_now;
+        let queue = self.tenant(tenant, weight);
+        queue.calls.push_back(call);
+        if queue.calls.len() == 1 {
+            queue.virtual_time = queue.virtual_time.max(virtual_now);
+            let key = (queue.virtual_time, tenant.clone());
+            self.backlogged.insert(key);
+        }
+        self.len += 1;
+    }
+
+    /// Takes the oldest call of the tenant that is furthest behind its share.
+    pub fn pop(&mut self) -> Option<CallId> {
+        let (start, tenant) = self.backlogged.pop_first()?;
+        let queue = self.tenants.get_mut(&tenant)?;
+        let call = queue.calls.pop_front();
+        queue.virtual_time = start + queue.cost();
+        let key = (queue.virtual_time, tenant);
+        if !queue.calls.is_empty() {
+            self.backlogged.insert(key);
+        }
+        self.virtual_now = start;
+        self.len -= 1;
+        call
+    }
+
+    /// Takes the newest call of the tenant with the most queued calls for its weight.
+    pub fn pop_longest(&mut self) -> Option<CallId> {
+        let tenant = self.longest()?;
+        self.pop_newest(&tenant)
+    }
+
+    /// Like [`FairQueue::pop_longest`], but only if that tenant would still hold more places for its
+    /// weight than the given one with one call more.
+    pub fn pop_longer_than(&mut self, tenant: &Tenant, weight: u32) -> Option<CallId> {
+        let longest = self.longest()?;
+        let held = self.tenants.get(tenant).map_or(0, |queue| queue.calls.len() as u64);
+        let with_one_more = (held + 1) * (CALL_COST / u64::from(weight.max(1)));
+        let longer = self.tenants.get(&longest).is_some_and(|queue| queue.len_per_weight() > with_one_more);
+        if longest != *tenant && longer { self.pop_newest(&longest) } else { None }
+    }
+
+    pub fn remove(&mut self, tenant: &Tenant, call: CallId) {
+        let Some(queue) = self.tenants.get_mut(tenant) else { return };
+        let Some(position) = queue.calls.iter().position(|queued| *queued == call) else { return };
+        queue.calls.remove(position);
+        if queue.calls.is_empty() {
+            self.backlogged.remove(&(queue.virtual_time, tenant.clone()));
+        }
+        self.len -= 1;
+    }
+
+    /// Takes all calls.
+    pub fn drain(&mut self) -> Vec<CallId> {
+        let mut calls = Vec::with_capacity(self.len);
+        while let Some((_, tenant)) = self.backlogged.pop_first() {
+            calls.extend(self.tenants.get_mut(&tenant).into_iter().flat_map(|queue| queue.calls.drain(..)));
+        }
+        self.len = 0;
+        calls
+    }
+
+    fn tenant(&mut self, tenant: &Tenant, weight: u32) -> &mut TenantQueue {
+        if !self.tenants.contains_key(tenant) {
+            self.forget_idle();
+            self.tenants.insert(tenant.clone(), TenantQueue::default());
+        }
+        let queue = self.tenants.entry(tenant.clone()).or_default();
+        queue.weight = weight;
+        queue
+    }
+
+    fn forget_idle(&mut self) {
+        if self.tenants.len() < MAX_IDLE_TENANTS + self.backlogged.len() {
+            return;
+        }
+        let virtual_now = self.virtual_now;
+        self.tenants.retain(|_, queue| !queue.calls.is_empty() || queue.virtual_time > virtual_now);
+    }
+
+    fn longest(&self) -> Option<Tenant> {
+        let queues = self.backlogged.iter().filter_map(|(_, tenant)| self.tenants.get_key_value(tenant));
+        queues.max_by_key(|(tenant, queue)| (queue.len_per_weight(), *tenant)).map(|(tenant, _)| tenant.clone())
+    }
+
+    fn pop_newest(&mut self, tenant: &Tenant) -> Option<CallId> {
+        let queue = self.tenants.get_mut(tenant)?;
+        let call = queue.calls.pop_back()?;
+        if queue.calls.is_empty() {
+            self.backlogged.remove(&(queue.virtual_time, tenant.clone()));
+        }
+        self.len -= 1;
+        Some(call)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gate/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of a gate.
+
+/// Settings of a [`super::Gate`]; the defaults suit targets of ten to several hundred slots.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GateSettings {
+    pub(super) initial_limit: u32,
+    pub(super) min_limit: u32,
+    pub(super) max_limit: u32,
+    pub(super) warm_up_ms: u64,
+    pub(super) min_queue: usize,
+    pub(super) max_queue: usize,
+    pub(super) queue_per_limit: f64,
+    pub(super) protected_queue_factor: usize,
+    pub(super) protected_hold_ms: u64,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            initial_limit: 20,
+            min_limit: 2,
+            max_limit: 1_000,
+            warm_up_ms: 0,
+            min_queue: 4,
+            max_queue: 128,
+            queue_per_limit: 0.5,
+            protected_queue_factor: 4,
+            protected_hold_ms: 1_000,
+        }
+    }
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $kind:ty,)*) => {
+        $(
+            $(#[$doc])*
+            #[must_use]
+            pub fn $name(mut self, $name: $kind) -> Self {
+                self.$name = $name;
+                self
+            }
+        )*
+    };
+}
+
+impl GateSettings {
+    setters! {
+        /// Sets the limit for a target that announces no slots, before anything is measured; 20 by
+        /// default.
+        initial_limit: u32,
+        /// Sets the limit that is never gone below, 2 by default: with one call at a time a slow call
+        /// would stop all measuring.
+        min_limit: u32,
+        /// Sets the limit that is never exceeded, 1,000 by default, for example the target's number
+        /// of connections.
+        max_limit: u32,
+        /// Sets how long the limit rises after the start, in milliseconds; 0 by default.
+        warm_up_ms: u64,
+        /// Sets the queue's length for the smallest limits, 4 calls by default.
+        min_queue: usize,
+        /// Sets the longest queue, 128 calls by default.
+        max_queue: usize,
+        /// Sets the queue's length as a multiple of the limit; 0.5 by default, so that a queued call
+        /// waits about half a service time.
+        queue_per_limit: f64,
+        /// Sets how many times longer the queue may grow for protected calls; 4 by default.
+        protected_queue_factor: usize,
+        /// Sets how long nothing else is admitted after a protected call had to be shed, in
+        /// milliseconds; 1,000 by default.
+        protected_hold_ms: u64,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,23 @@
-//! Decisions of a node about admission, target choice and retries, without I/O.
+//! Decisions of a node about admission, target choice, retries and requests that crash targets.
+//!
+//! Everything here is pure and synchronous: the present time and random draws are arguments, and
+//! nothing does I/O. The design is described in `docs/ADMISSION.md`, `docs/RETRIES.md`,
+//! `docs/TARGET-CHOICE.md`, `docs/CRASH-REQUESTS.md` and `docs/DRAIN.md`.
+
+pub mod checks;
+mod crash;
+mod door;
+mod gate;
+mod level;
+mod retry;
+mod target;
+
+pub use crash::{CrashMark, CrashSettings, CrashTable, CrashVerdict};
+pub use door::{Door, DoorCheck, DoorSettings};
+pub use gate::{Admission, Completion, Gate, GateEvent, GateSettings, Offer, TargetHints};
+pub use level::{AdmissionLevel, MAX_TENANT_SHARES, Permille, TenantHash, TenantShare};
+pub use retry::{
+    AttemptResult, FailedAttempt, Reservation, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryDecision,
+    RetryQuestion, decide_retry,
+};
+pub use target::{CallEnd, ChooseRequest, EndResult, TargetRow, TargetSettings, TargetTable};
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,9 @@
+//! Retries that stay bounded over the whole chain. See `docs/RETRIES.md`.
+
+mod allowance;
+mod budgets;
+mod decision;
+
+pub use allowance::{Reservation, RetryAllowance};
+pub use budgets::{RetryBudgetSettings, RetryBudgets};
+pub use decision::{AttemptResult, FailedAttempt, RetryDecision, RetryQuestion, decide_retry};
--- /dev/null
+++ b/crates/policy/src/retry/budgets.rs
@@ -0,0 +1,103 @@
+//! Retries as a share of successes, so that they die out in an overload.
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::{Service, TimeUs};
+
+use crate::Permille;
+
+/// A retry in the unit of the budget, thousandths.
+const ONE_RETRY: u64 = Permille::FULL.0 as u64;
+
+/// Settings of [`RetryBudgets`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryBudgetSettings {
+    success_share: Permille,
+    burst: u64,
+    trickle_per_s: u64,
+}
+
+impl Default for RetryBudgetSettings {
+    fn default() -> Self {
+        Self { success_share: Permille(100), burst: 10, trickle_per_s: 1 }
+    }
+}
+
+impl RetryBudgetSettings {
+    /// Sets how many retries each success earns, in thousandths; 100 by default.
+    #[must_use]
+    pub fn success_share(mut self, success_share: Permille) -> Self {
+        self.success_share = success_share;
+        self
+    }
+
+    /// Sets the most retries that are saved up, 10 by default.
+    #[must_use]
+    pub fn burst(mut self, burst: u64) -> Self {
+        self.burst = burst;
+        self
+    }
+
+    /// Sets the retries per second that need no success, 1 by default. Without any, a service with
+    /// little traffic could never be retried.
+    #[must_use]
+    pub fn trickle_per_s(mut self, trickle_per_s: u64) -> Self {
+        self.trickle_per_s = trickle_per_s;
+        self
+    }
+}
+
+/// The retry budgets of one node, one for each service that it calls.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    settings: RetryBudgetSettings,
+    rows: HashMap<Service, Budget>,
+}
+
+#[derive(Debug)]
+struct Budget {
+    thousandths: u64,
+    refilled: TimeUs,
+}
+
+impl RetryBudgets {
+    /// Returns budgets that start full.
+    pub fn new(settings: RetryBudgetSettings) -> Self {
+        Self { settings, rows: HashMap::new() }
+    }
+
+    /// Earns a part of a retry.
+    pub fn on_success(&mut self, service: &Service, now: TimeUs) {
+        let earned = u64::from(self.settings.success_share.0);
+        self.add(service, earned, now);
+    }
+
+    /// Returns whether the budget holds a retry at present.
+    pub fn may_retry(&mut self, service: &Service, now: TimeUs) -> bool {
+        self.add(service, 0, now) >= ONE_RETRY
+    }
+
+    /// Spends one retry and returns whether there was one.
+    pub fn spend_one(&mut self, service: &Service, now: TimeUs) -> bool {
+        let granted = self.may_retry(service, now);
+        if granted && let Some(row) = self.rows.get_mut(service) {
+            row.thousandths -= ONE_RETRY;
+        }
+        granted
+    }
+
+    /// Adds what was earned and what time brought, and returns the sum.
+    fn add(&mut self, service: &Service, earned: u64, now: TimeUs) -> u64 {
+        let most = self.settings.burst * ONE_RETRY;
+        if !self.rows.contains_key(service) {
+            self.rows.insert(service.clone(), Budget { thousandths: most, refilled: now });
+        }
+        let Some(row) = self.rows.get_mut(service) else { return 0 };
+        let trickled = now.ms_since(row.refilled) * self.settings.trickle_per_s;
+        if trickled > 0 {
+            row.refilled = now;
+        }
+        row.thousandths = (row.thousandths + trickled + earned).min(most);
+        row.thousandths
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/gate.rs
@@ -0,0 +1,206 @@
+//! Admission at the gate of one target.
+
+use fulmartrestle_core::{CallId, Class, Outcome, Reason, TimeUs};
+use fulmartrestle_policy::{Admission, Completion, Gate, GateEvent, GateSettings, Offer, TargetHints};
+use googletest::prelude::*;
+
+fn offer(call: u64, tenant: &str, class: Class) -> Offer {
+    Offer {
+        call: CallId(call),
+        tenant: tenant.parse().expect("the name is valid"),
+        weight: 1,
+        class,
+        deadline: TimeUs::from_s(10),
+    }
+}
+
+fn gate(limit: u32, queue: usize) -> Gate {
+    let settings = GateSettings::default()
+        .initial_limit(limit)
+        .min_limit(1)
+        .min_queue(queue)
+        .max_queue(queue)
+        .protected_queue_factor(1);
+    Gate::new(settings)
+}
+
+fn dropped(events: &[GateEvent]) -> Vec<u64> {
+    let of_drop = |event: &GateEvent| match event {
+        GateEvent::Drop(call, refusal) if refusal.outcome == Outcome::NotRun => Some(call.0),
+        _ => None,
+    };
+    events.iter().filter_map(of_drop).collect()
+}
+
+fn started(events: &[GateEvent]) -> Vec<u64> {
+    let of_start = |event: &GateEvent| match event {
+        GateEvent::Start(call) => Some(call.0),
+        GateEvent::Drop(..) => None,
+    };
+    events.iter().filter_map(of_start).collect()
+}
+
+/// Fills a gate with one place and a queue of two, offers one call more, and tells who loses.
+#[gtest]
+fn a_full_queue_sheds_what_matters_least() {
+    struct Case {
+        name: &'static str,
+        queued: [(&'static str, Class); 2],
+        arrives: (&'static str, Class),
+        dropped: Vec<u64>,
+        refused: bool,
+    }
+    use Class::{Browse, Lookup, Protected};
+    let cases = [
+        Case {
+            name: "protected evicts browsing",
+            queued: [("a", Browse), ("a", Lookup)],
+            arrives: ("a", Protected),
+            dropped: vec![1],
+            refused: false,
+        },
+        Case {
+            name: "protected evicts lookup",
+            queued: [("a", Lookup), ("a", Protected)],
+            arrives: ("b", Protected),
+            dropped: vec![1],
+            refused: false,
+        },
+        Case {
+            name: "lookup evicts browsing",
+            queued: [("a", Lookup), ("b", Browse)],
+            arrives: ("a", Lookup),
+            dropped: vec![2],
+            refused: false,
+        },
+        Case {
+            name: "browsing evicts nothing above",
+            queued: [("a", Lookup), ("b", Protected)],
+            arrives: ("c", Browse),
+            dropped: vec![],
+            refused: true,
+        },
+        Case {
+            name: "small tenant evicts large one",
+            queued: [("a", Browse), ("a", Browse)],
+            arrives: ("b", Browse),
+            dropped: vec![2],
+            refused: false,
+        },
+        Case {
+            name: "large tenant evicts nobody",
+            queued: [("a", Browse), ("a", Browse)],
+            arrives: ("a", Browse),
+            dropped: vec![],
+            refused: true,
+        },
+    ];
+    for case in cases {
+        let mut gate = gate(1, 2);
+        let now = TimeUs::from_ms(1);
+        assert_that!(gate.offer(offer(0, "x", Browse), now), eq(Admission::Run));
+        for (call, (tenant, class)) in (1..).zip(case.queued) {
+            expect_that!(gate.offer(offer(call, tenant, class), now), eq(Admission::Queued), "{}", case.name);
+        }
+        let admission = gate.offer(offer(3, case.arrives.0, case.arrives.1), now);
+        expect_that!(matches!(admission, Admission::Refused(_)), eq(case.refused), "{}", case.name);
+        expect_that!(dropped(&gate.take_events(now)), eq(&case.dropped), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn queued_calls_start_by_class_and_then_fairly() {
+    let mut gate = gate(1, 8);
+    let now = TimeUs::from_ms(1);
+    gate.offer(offer(0, "x", Class::Browse), now);
+    let queued = [
+        ("a", Class::Browse),
+        ("a", Class::Lookup),
+        ("a", Class::Lookup),
+        ("b", Class::Lookup),
+        ("b", Class::Protected),
+    ];
+    for (call, (tenant, class)) in (1..).zip(queued) {
+        gate.offer(offer(call, tenant, class), now);
+    }
+    let mut order = Vec::new();
+    let mut running = 0;
+    for step in 1..=5 {
+        gate.complete(CallId(running), Completion::Answered, now.plus_ms(step));
+        let events = started(&gate.take_events(now.plus_ms(step)));
+        running = events[0];
+        order.extend(events);
+    }
+    expect_that!(order, eq(&vec![5, 2, 4, 3, 1]));
+}
+
+#[gtest]
+fn a_cancelled_call_frees_its_place_at_once() {
+    let mut gate = gate(1, 2);
+    let now = TimeUs::from_ms(1);
+    gate.offer(offer(0, "a", Class::Browse), now);
+    gate.offer(offer(1, "a", Class::Browse), now);
+    gate.offer(offer(2, "a", Class::Browse), now);
+    gate.cancel(CallId(1), now);
+    expect_that!(gate.queued(), eq(1));
+    gate.cancel(CallId(0), now);
+    expect_that!(started(&gate.take_events(now)), eq(&vec![2]));
+    expect_that!(gate.in_flight(), eq(1));
+}
+
+#[gtest]
+fn a_drain_refuses_new_and_queued_calls_and_waits_for_running_ones() {
+    let mut gate = gate(1, 2);
+    let now = TimeUs::from_ms(1);
+    gate.offer(offer(0, "a", Class::Protected), now);
+    gate.offer(offer(1, "a", Class::Protected), now);
+    gate.begin_drain(now);
+    expect_that!(dropped(&gate.take_events(now)), eq(&vec![1]));
+    let refused = gate.offer(offer(2, "a", Class::Protected), now);
+    expect_that!(matches!(refused, Admission::Refused(refusal) if refusal.reason == Reason::Draining), eq(true));
+    expect_that!(gate.is_drained(), eq(false));
+    gate.complete(CallId(0), Completion::Answered, now.plus_ms(5));
+    expect_that!(gate.is_drained(), eq(true));
+}
+
+#[gtest]
+fn hints_only_lower_the_limit() {
+    struct Case {
+        name: &'static str,
+        hints: TargetHints,
+        limit: usize,
+    }
+    let cases = [
+        Case { name: "nothing known", hints: TargetHints::default(), limit: 20 },
+        Case { name: "few slots", hints: TargetHints { slots: Some(8), ..TargetHints::default() }, limit: 8 },
+        Case {
+            name: "few connections",
+            hints: TargetHints { slots: Some(35), connections: Some(6), ..TargetHints::default() },
+            limit: 6,
+        },
+        Case { name: "no slots at all", hints: TargetHints { slots: Some(0), ..TargetHints::default() }, limit: 20 },
+        Case { name: "one slot", hints: TargetHints { slots: Some(1), ..TargetHints::default() }, limit: 2 },
+        Case {
+            name: "more than the setting",
+            hints: TargetHints { slots: Some(9_999), ..TargetHints::default() },
+            limit: 300,
+        },
+    ];
+    for case in cases {
+        let mut gate = Gate::new(GateSettings::default().max_limit(300));
+        gate.set_hints(case.hints, TimeUs::from_ms(1));
+        expect_that!(gate.limit(), eq(case.limit), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_call_that_outlives_its_deadline_in_the_queue_is_dropped_unrun() {
+    let mut gate = gate(1, 4);
+    gate.offer(offer(0, "a", Class::Lookup), TimeUs::from_ms(1));
+    let mut late = offer(1, "a", Class::Lookup);
+    late.deadline = TimeUs::from_ms(50);
+    expect_that!(gate.offer(late, TimeUs::from_ms(1)), eq(Admission::Queued));
+    expect_that!(gate.take_events(TimeUs::from_ms(40)), is_empty());
+    expect_that!(dropped(&gate.take_events(TimeUs::from_ms(60))), eq(&vec![1]));
+    expect_that!(gate.queued(), eq(0));
+}
--- /dev/null
+++ b/crates/policy/tests/retries.rs
@@ -0,0 +1,140 @@
+//! Retry allowance, retry budgets and the decision to retry.
+
+use fulmartrestle_core::{Fingerprint, Outcome, Reason, Refusal, Service, TimeUs, VmId};
+use fulmartrestle_policy::{
+    AttemptResult, CrashTable, FailedAttempt, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryDecision,
+    RetryQuestion, decide_retry,
+};
+use googletest::prelude::*;
+
+fn service() -> Service {
+    "lineage".parse().expect("the name is valid")
+}
+
+#[gtest]
+fn an_allowance_never_grows() {
+    let mut allowance = RetryAllowance::new(3);
+    let reserved = allowance.reserve(2);
+    expect_that!((reserved.retries(), allowance.left()), eq((2, 1)));
+    allowance.give_back(reserved, 9);
+    expect_that!(allowance.left(), eq(3));
+    let lost = allowance.reserve(5);
+    drop(lost);
+    expect_that!(allowance.spend_one(), eq(false));
+}
+
+#[gtest]
+fn a_budget_lives_on_successes() {
+    let settings = RetryBudgetSettings::default().burst(2).trickle_per_s(0);
+    let mut budgets = RetryBudgets::new(settings);
+    let now = TimeUs::from_s(1);
+    let spent = (0..5).filter(|_| budgets.spend_one(&service(), now)).count();
+    expect_that!(spent, eq(2));
+    for _ in 0..10 {
+        budgets.on_success(&service(), now);
+    }
+    expect_that!(budgets.spend_one(&service(), now), eq(true));
+    expect_that!(budgets.may_retry(&service(), now), eq(false));
+}
+
+#[gtest]
+fn a_failed_attempt_is_retried_only_where_that_is_safe_and_useful() {
+    struct Case {
+        name: &'static str,
+        result: AttemptResult,
+        tried: u64,
+        at_most_once: bool,
+        earlier_may_have_run: bool,
+        crashes: u64,
+        allowance: u32,
+        deadline_ms: u64,
+        /// `None` for a retry, or the outcome and reason of the final refusal.
+        end: Option<(Outcome, Reason)>,
+    }
+    let shed = AttemptResult::Refused(Refusal::not_run(Reason::Shed, Some(200)));
+    let draining = AttemptResult::Refused(Refusal::not_run(Reason::Draining, None));
+    let forbidden = AttemptResult::Refused(Refusal::not_run(Reason::Forbidden, None));
+    let base = || Case {
+        name: "",
+        result: AttemptResult::ConnectionLost,
+        tried: 1,
+        at_most_once: false,
+        earlier_may_have_run: false,
+        crashes: 0,
+        allowance: 2,
+        deadline_ms: 1_000,
+        end: None,
+    };
+    let failed = Some((Outcome::Unknown, Reason::TargetFailed));
+    let cases = [
+        Case { name: "lost", ..base() },
+        Case { name: "lost, at most once", at_most_once: true, end: failed, ..base() },
+        Case { name: "lost, no allowance", allowance: 0, end: failed, ..base() },
+        Case { name: "lost, no time", deadline_ms: 11, end: failed, ..base() },
+        Case { name: "first crash", crashes: 1, ..base() },
+        Case {
+            name: "first crash, second target tried",
+            crashes: 1,
+            tried: 2,
+            end: Some((Outcome::Unknown, Reason::Blocked)),
+            ..base()
+        },
+        Case { name: "second crash", crashes: 2, end: Some((Outcome::Unknown, Reason::Blocked)), ..base() },
+        Case { name: "shed once", result: shed, ..base() },
+        Case { name: "shed once, at most once", result: shed, at_most_once: true, ..base() },
+        Case { name: "shed twice", result: shed, tried: 2, end: Some((Outcome::NotRun, Reason::Shed)), ..base() },
+        Case {
+            name: "shed after a lost attempt",
+            result: shed,
+            tried: 2,
+            earlier_may_have_run: true,
+            end: Some((Outcome::Unknown, Reason::Shed)),
+            ..base()
+        },
+        Case { name: "draining, at most once", result: draining, at_most_once: true, ..base() },
+        Case {
+            name: "draining after a lost attempt, at most once",
+            result: draining,
+            at_most_once: true,
+            earlier_may_have_run: true,
+            end: Some((Outcome::Unknown, Reason::Draining)),
+            ..base()
+        },
+        Case { name: "forbidden", result: forbidden, end: Some((Outcome::NotRun, Reason::Forbidden)), ..base() },
+        Case {
+            name: "no target",
+            result: AttemptResult::NoTarget,
+            tried: 0,
+            end: Some((Outcome::NotRun, Reason::NoTarget)),
+            ..base()
+        },
+    ];
+    for case in cases {
+        let now = TimeUs::from_ms(10);
+        let mut crashes = CrashTable::default();
+        for target in 0..case.crashes {
+            crashes.connection_lost(Fingerprint(7), VmId(target), now);
+        }
+        let tried: Vec<VmId> = (0..case.tried).map(VmId).collect();
+        let service = service();
+        let question = RetryQuestion {
+            service: &service,
+            fingerprint: Fingerprint(7),
+            tried: &tried,
+            attempt: FailedAttempt { target: tried.last().copied(), result: case.result },
+            earlier_may_have_run: case.earlier_may_have_run,
+            at_most_once: case.at_most_once,
+            deadline: TimeUs::from_ms(case.deadline_ms),
+            least_service_us: 2_000,
+        };
+        let mut allowance = RetryAllowance::new(case.allowance);
+        let decision = decide_retry(&question, &mut allowance, &mut RetryBudgets::default(), &mut crashes, now);
+        let end = match decision {
+            RetryDecision::Retry => None,
+            RetryDecision::GiveUp(refusal) => Some((refusal.outcome, refusal.reason)),
+        };
+        expect_that!(end, eq(case.end), "{}", case.name);
+        let spent = case.allowance - allowance.left();
+        expect_that!(spent, eq(u32::from(case.end.is_none())), "{}", case.name);
+    }
+}
