Node settings and the fleet's configuration tables

Cause: every other part needs the settings of its node and lookups of routes and keys.

Change: settings in JSON with comments, read through a serde deserializer over the syntax tree, so that each error names file, line, column, field and the text found.

--- /dev/null
+++ b/crates/config/src/fleet/stop_row.rs
@@ -0,0 +1,69 @@
+//! Planned stops.
+
+use std::net::SocketAddr;
+
+use fulmartrestle_core::{AvailabilityZone, Service, text_id};
+use fulmartrestle_derive::record;
+
+use super::Row;
+
+text_id!(
+    /// Names a planned stop.
+    StopId,
+    "stop id"
+);
+
+/// What stops.
+#[record]
+#[derive(Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum StopScope {
+    /// All targets of a service.
+    Service(Service),
+    /// All targets of a zone.
+    Zone(AvailabilityZone),
+    /// The target announced under this address.
+    Target(SocketAddr),
+}
+
+impl std::fmt::Display for StopScope {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Service(service) => write!(formatter, "service {service}"),
+            Self::Zone(zone) => write!(formatter, "zone {zone}"),
+            Self::Target(address) => write!(formatter, "target {address}"),
+        }
+    }
+}
+
+/// A planned stop: from its time on, its targets are leaving.
+#[record]
+#[derive(Eq)]
+#[serde(deny_unknown_fields)]
+pub struct StopRow {
+    /// The stop's name.
+    pub stop: StopId,
+    /// What stops.
+    pub scope: StopScope,
+    /// When, in milliseconds since 1970 in UTC.
+    pub at_unix_ms: i64,
+    /// The named time zone in which the operator gave the time.
+    pub time_zone: String,
+    /// The local time as the operator gave it.
+    pub local_time: String,
+}
+
+impl StopRow {
+    /// Returns whether the stop is due.
+    pub const fn is_due(&self, now_unix_ms: i64) -> bool {
+        now_unix_ms >= self.at_unix_ms
+    }
+}
+
+impl Row for StopRow {
+    type Key = StopId;
+
+    fn key(&self) -> &StopId {
+        &self.stop
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings/settings_error.rs
@@ -0,0 +1,27 @@
+//! The error of reading a node's settings.
+
+use quick_error::quick_error;
+
+use crate::text::DocumentError;
+
+quick_error! {
+    /// Settings that can't be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file can't be read.
+        Read(path: String, cause: std::io::Error) {
+            display("can't read settings {path}: {cause}")
+            source(cause)
+        }
+        /// The text is not a valid settings document; the cause names place, field and value.
+        Document(cause: DocumentError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// A field's value has the right type but can't work: file, field, value and reason.
+        Value(file: String, field: String, value: String, reason: String) {
+            display("{file}: field `{field}`: {reason}, found `{value}`")
+        }
+    }
+}
