Plans made of operators' intents

Cause: nothing may take effect before an operator has seen what changes and whom it affects.

Change: an intent document is turned into a self-contained plan with its base version, what it reads and writes, affected tenants, routes and targets, the share of traffic, and warnings. Local times of planned stops are resolved once, with both readings in the refusal of a skipped or repeated time. Secrets of granted keys never enter the plan. The plan's id is a hash of its content.

--- a/crates/config/src/fleet/hex.rs
+++ b/crates/config/src/fleet/hex.rs
@@ -1,4 +1,4 @@
-//! Bytes as hexadecimal text.
+//! Newtypes over bytes that are written as hexadecimal text.
 
 /// Writes bytes as lower-case hexadecimal digits.
 pub(crate) fn write_hex(formatter: &mut std::fmt::Formatter<'_>, bytes: &[u8]) -> std::fmt::Result {
@@ -19,3 +19,51 @@
     }
     Some(bytes)
 }
+
+/// Defines a newtype over bytes: hexadecimal digits in text formats, plain bytes in binary ones.
+macro_rules! bytes_newtype {
+    ($(#[$doc:meta])* $name:ident, $length:literal, $what:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub [u8; $length]);
+
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                $crate::fleet::write_hex(formatter, &self.0)
+            }
+        }
+
+        impl ::std::fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                write!(formatter, concat!(stringify!($name), "({})"), self)
+            }
+        }
+
+        impl ::std::str::FromStr for $name {
+            type Err = ::fulmartrestle_core::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let bytes = $crate::fleet::parse_hex(text);
+                bytes.map(Self).ok_or_else(|| ::fulmartrestle_core::ParseError::not_a($what, text))
+            }
+        }
+
+        impl ::serde::Serialize for $name {
+            fn serialize<S: ::serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() { serializer.collect_str(self) } else { self.0.serialize(serializer) }
+            }
+        }
+
+        impl<'de> ::serde::Deserialize<'de> for $name {
+            fn deserialize<D: ::serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if !deserializer.is_human_readable() {
+                    return <[u8; $length]>::deserialize(deserializer).map(Self);
+                }
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(::serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+pub(crate) use bytes_newtype;
--- a/crates/config/src/fleet/key_hash.rs
+++ b/crates/config/src/fleet/key_hash.rs
@@ -1,9 +1,6 @@
 //! Secrets of keys, and the hashes that are kept in their place.
 
-use fulmartrestle_core::ParseError;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-use super::{parse_hex, write_hex};
+use super::bytes_newtype;
 
 /// Separates hashes of keys from all other uses of the hash function.
 const KEY_HASH_CONTEXT: [u8; 32] = *b"fulmartrestle caller key hash v1";
@@ -11,9 +8,12 @@
 /// Random bytes in a secret: too many to guess, so that a plain fast hash hides it.
 pub const KEY_SECRET_BYTES: usize = 32;
 
-/// Hash of a key's secret. Secrets themselves are never kept; see `docs/KEYS.md`.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct KeyHash(pub [u8; 32]);
+bytes_newtype!(
+    /// Hash of a key's secret. Secrets themselves are never kept; see `docs/KEYS.md`.
+    KeyHash,
+    32,
+    "key hash"
+);
 
 impl KeyHash {
     /// Returns the hash of a key as a caller presents it.
@@ -22,43 +22,6 @@
     }
 }
 
-impl std::fmt::Display for KeyHash {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write_hex(formatter, &self.0)
-    }
-}
-
-impl std::fmt::Debug for KeyHash {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "KeyHash({self})")
-    }
-}
-
-impl std::str::FromStr for KeyHash {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        parse_hex(text).map(Self).ok_or_else(|| ParseError::not_a("key hash", text))
-    }
-}
-
-impl Serialize for KeyHash {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        if serializer.is_human_readable() { serializer.collect_str(self) } else { self.0.serialize(serializer) }
-    }
-}
-
-impl<'de> Deserialize<'de> for KeyHash {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        if deserializer.is_human_readable() {
-            let text = String::deserialize(deserializer)?;
-            text.parse().map_err(serde::de::Error::custom)
-        } else {
-            <[u8; 32]>::deserialize(deserializer).map(Self)
-        }
-    }
-}
-
 /// The secret of a new key. It is shown once, to the operator who granted the key; its `Debug` text
 /// hides it, so that it can't reach a log by accident.
 #[derive(Clone, PartialEq, Eq)]
--- a/crates/config/src/fleet/mod.rs
+++ b/crates/config/src/fleet/mod.rs
@@ -24,4 +24,4 @@
 pub use table::{Row, Table};
 pub use tenant_row::{TenantRow, Weight};
 
-pub(crate) use hex::{parse_hex, write_hex};
+pub(crate) use hex::{bytes_newtype, parse_hex, write_hex};
--- a/crates/config/src/fleet/stop_row.rs
+++ b/crates/config/src/fleet/stop_row.rs
@@ -49,7 +49,8 @@
     pub at_unix_ms: i64,
     /// The named time zone in which the operator gave the time.
     pub time_zone: String,
-    /// The local time as the operator gave it.
+    /// The local time with its offset and zone, for example
+    /// `2026-03-29T03:30:00+02:00[Europe/Rome]`.
     pub local_time: String,
 }
 
@@ -58,6 +59,13 @@
     pub const fn is_due(&self, now_unix_ms: i64) -> bool {
         now_unix_ms >= self.at_unix_ms
     }
+
+    /// Returns the time in UTC, for example `2026-03-29T01:30:00Z`; a time out of range is given in
+    /// milliseconds since 1970.
+    pub fn utc_time(&self) -> String {
+        let timestamp = jiff::Timestamp::from_millisecond(self.at_unix_ms);
+        timestamp.map_or_else(|_| format!("{} ms", self.at_unix_ms), |timestamp| timestamp.to_string())
+    }
 }
 
 impl Row for StopRow {
--- a/crates/config/src/plan/change.rs
+++ b/crates/config/src/plan/change.rs
@@ -7,6 +7,7 @@
     DrainRow, DrainSelector, KeyId, KeyRow, ObjectiveRow, OperatorName, OperatorRow, RouteRow, StopId, StopRow,
     TenantRow,
 };
+use crate::plan::RowKey;
 
 /// One change of the configuration. A `Put` adds a row or takes the place of the one with its key.
 #[record]
@@ -42,3 +43,41 @@
     /// Removes a route's objective.
     RemoveObjective(RouteId),
 }
+
+impl Change {
+    /// Returns what this change writes.
+    pub fn writes(&self) -> Vec<RowKey> {
+        match self {
+            Self::PutTenant(row) => vec![RowKey::Tenant(row.tenant.clone())],
+            Self::RemoveTenant(tenant) => vec![RowKey::Tenant(tenant.clone())],
+            Self::PutRoute(row) => vec![RowKey::Route(row.route.clone()), RowKey::PathPrefix(row.path_prefix.clone())],
+            Self::RemoveRoute(route) => vec![RowKey::Route(route.clone()), RowKey::Objective(route.clone())],
+            Self::PutKey(row) => vec![RowKey::Key(row.key_id.clone())],
+            Self::WithdrawKey(key) => vec![RowKey::Key(key.clone())],
+            Self::PutOperator(row) => vec![RowKey::Operator(row.name.clone())],
+            Self::RemoveOperator(name) => vec![RowKey::Operator(name.clone()), RowKey::OperatorsRemain],
+            Self::PutDrain(row) => vec![RowKey::Drain(row.targets.clone())],
+            Self::RemoveDrain(targets) => vec![RowKey::Drain(targets.clone())],
+            Self::PutStop(row) => vec![RowKey::Stop(row.stop.clone())],
+            Self::RemoveStop(stop) => vec![RowKey::Stop(stop.clone())],
+            Self::PutObjective(row) => vec![RowKey::Objective(row.route.clone())],
+            Self::RemoveObjective(route) => vec![RowKey::Objective(route.clone())],
+        }
+    }
+
+    /// Returns what this change takes for granted without writing it.
+    pub fn reads(&self) -> Vec<RowKey> {
+        match self {
+            Self::PutRoute(row) => row.tenants.iter().flatten().cloned().map(RowKey::Tenant).collect(),
+            Self::PutKey(row) => vec![RowKey::Tenant(row.tenant.clone())],
+            Self::PutObjective(row) => vec![RowKey::Route(row.route.clone())],
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns whether the change takes a right away that may be misused, so that it must spread
+    /// before anything else.
+    pub const fn is_urgent(&self) -> bool {
+        matches!(self, Self::WithdrawKey(_) | Self::RemoveTenant(_) | Self::RemoveOperator(_))
+    }
+}
--- a/crates/config/src/plan/mod.rs
+++ b/crates/config/src/plan/mod.rs
@@ -1,5 +1,32 @@
 //! Intents of operators, the plans made of them, and the changes that plans carry.
+//!
+//! An operator states an [`Intent`]; [`plan`] answers with a [`Plan`] that says what would change
+//! and whom it affects. Nothing takes effect until the plan is confirmed. See `docs/PLANS.md`.
 
+mod affected;
 mod change;
+mod diff;
+mod fleet_facts;
+mod intent;
+mod plan_document;
+mod plan_error;
+mod plan_id;
+mod planner;
+mod row_check;
+mod row_key;
+mod time_zones;
+mod warning;
+mod warnings;
 
+pub use affected::Affected;
 pub use change::Change;
+pub use diff::{RowDiff, diff};
+pub use fleet_facts::{FleetFacts, TargetFacts, TrafficFacts};
+pub use intent::{Intent, IntentChange, StopIntent};
+pub use plan_document::{MAX_PLAN_CHANGES, MAX_WHY_BYTES, Plan};
+pub use plan_error::{PlanError, PlanFault};
+pub use plan_id::PlanId;
+pub use planner::{GrantedKey, PlanRequest, Planned, plan};
+pub use row_key::RowKey;
+pub use time_zones::{ResolvedTime, TimeZones};
+pub use warning::Warning;
--- /dev/null
+++ b/crates/config/tests/support/mod.rs
@@ -0,0 +1,116 @@
+//! A small fleet for tests.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use fulmartrestle_config::fleet::{
+    FleetConfig, KeyHash, KeyId, KeyRow, OperatorName, OperatorRow, RouteRow, TenantRow, Weight,
+};
+use fulmartrestle_config::plan::{
+    Change, FleetFacts, Intent, IntentChange, Plan, PlanRequest, Planned, TargetFacts, TimeZones, TrafficFacts, plan,
+};
+use fulmartrestle_core::{Class, RatePerS, Tokens, Version, VmId};
+
+/// Noon in UTC on 1 March 2026.
+pub const NOW_UNIX_MS: i64 = 1_772_366_400_000;
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub fn tenant_row(name: &str, rate_per_s: u64) -> TenantRow {
+    TenantRow { tenant: id(name), rate_per_s: RatePerS(rate_per_s), burst: Tokens(20), weight: Weight(1) }
+}
+
+pub fn route_row(name: &str, path_prefix: &str, service: &str) -> RouteRow {
+    RouteRow {
+        route: id(name),
+        path_prefix: path_prefix.to_owned(),
+        service: id(service),
+        class: Class::Lookup,
+        at_most_once: false,
+        open_to_all: false,
+        tenants: None,
+        chain: Vec::new(),
+        timeout_ms: 1_000,
+        retryable: true,
+    }
+}
+
+pub fn key_row(secret: &str, tenant: &str) -> KeyRow {
+    let hash = KeyHash::of(secret);
+    KeyRow { hash, key_id: KeyId::of(&hash), tenant: id(tenant), withdrawn: false }
+}
+
+pub fn key_id(secret: &str) -> KeyId {
+    KeyId::of(&KeyHash::of(secret))
+}
+
+pub fn fleet() -> FleetConfig {
+    let operator = |name: &str| OperatorRow { name: id(name), hash: KeyHash::of(name) };
+    let changes = [
+        Change::PutOperator(operator("ada")),
+        Change::PutOperator(operator("bob")),
+        Change::PutTenant(tenant_row("alpi", 100)),
+        Change::PutTenant(tenant_row("lago", 100)),
+        Change::PutRoute(route_row("profiles", "/profiles", "profiles")),
+        Change::PutRoute(RouteRow {
+            chain: vec![id("profiles")],
+            at_most_once: true,
+            retryable: false,
+            ..route_row("pairings", "/pairings", "pairing")
+        }),
+        Change::PutKey(key_row("alpi-1", "alpi")),
+        Change::PutKey(key_row("lago-1", "lago")),
+        Change::PutKey(key_row("lago-2", "lago")),
+    ];
+    FleetConfig::from_changes(Version(9), &changes)
+}
+
+/// Two zones with one target of each service; every target answers 150 requests per second.
+pub fn facts() -> FleetFacts {
+    let mut facts = FleetFacts::default();
+    for (index, (service, zone)) in
+        [("profiles", "milano"), ("profiles", "verona"), ("pairing", "milano"), ("pairing", "verona")]
+            .into_iter()
+            .enumerate()
+    {
+        facts.targets.push(TargetFacts {
+            vm: VmId(index as u64),
+            address: format!("10.0.0.{index}:80").parse().unwrap(),
+            service: id(service),
+            zone: id(zone),
+            capacity_per_s: Some(RatePerS(150)),
+        });
+    }
+    for (tenant, route, rate_per_s) in [("alpi", "profiles", 60), ("lago", "pairings", 30), ("lago", "profiles", 10)] {
+        facts.traffic.push(TrafficFacts {
+            route: id(route),
+            tenant: Some(id(tenant)),
+            zone: id("milano"),
+            rate_per_s: RatePerS(rate_per_s),
+        });
+    }
+    facts
+}
+
+pub fn plan_with(
+    config: &FleetConfig,
+    changes: Vec<IntentChange>,
+    random: u8,
+) -> Result<Planned, fulmartrestle_config::plan::PlanError> {
+    let intent = Intent { why: "test".to_owned(), changes };
+    let request = PlanRequest {
+        who: &id::<OperatorName>("ada"),
+        facts: &facts(),
+        time_zones: &TimeZones::from_system(),
+        now_unix_ms: NOW_UNIX_MS,
+        random: [random; 32],
+    };
+    plan(config, &intent, &request)
+}
+
+pub fn plan_of(config: &FleetConfig, changes: Vec<IntentChange>, random: u8) -> Plan {
+    plan_with(config, changes, random).unwrap().plan
+}
