Quota: lend tenant tokens from one bucket per zone under an acknowledged lease

Each zone's share of a tenant's rate and burst is kept by one owner whose lease every member of the zone has acknowledged. Nodes borrow tokens from their own zone's owner first and from other zones' owners when it is dry. Lent tokens count against the bucket until used, returned or lapsed; a new owner starts empty after earlier loans have lapsed.

--- /dev/null
+++ b/crates/quota/src/directory.rs
@@ -0,0 +1,68 @@
+//! Live members by zone, and which of them rendezvous hashing prefers as owner of each shard.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fulmartrestle_core::{AvailabilityZone, VmId, rendezvous_score};
+
+use crate::{QuotaMember, QuotaShard, SHARD_COUNT};
+
+/// One zone's live members with the preferred owner of each shard.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ZoneMembers {
+    members: BTreeSet<VmId>,
+    preferred: [Option<(u64, VmId)>; SHARD_COUNT],
+}
+
+/// The member view of one node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory {
+    zones: BTreeMap<AvailabilityZone, ZoneMembers>,
+}
+
+impl Directory {
+    /// Takes over a new view and computes scores only for what changed.
+    pub(crate) fn update(&mut self, view: &[QuotaMember]) {
+        let mut wanted: BTreeMap<&AvailabilityZone, BTreeSet<VmId>> = BTreeMap::new();
+        for member in view {
+            wanted.entry(&member.zone).or_default().insert(member.vm);
+        }
+        self.zones.retain(|zone, _| wanted.contains_key(zone));
+        for (zone, members) in wanted {
+            self.zones.entry(zone.clone()).or_default().update(zone, members);
+        }
+    }
+
+    pub(crate) fn members(&self, zone: &AvailabilityZone) -> impl Iterator<Item = VmId> {
+        self.zones.get(zone).into_iter().flat_map(|found| found.members.iter().copied())
+    }
+
+    pub(crate) fn member_count(&self, zone: &AvailabilityZone) -> usize {
+        self.zones.get(zone).map_or(0, |found| found.members.len())
+    }
+
+    pub(crate) fn preferred_owner(&self, zone: &AvailabilityZone, shard: QuotaShard) -> Option<VmId> {
+        self.zones.get(zone)?.preferred[shard.index()].map(|(_, vm)| vm)
+    }
+}
+
+impl ZoneMembers {
+    fn update(&mut self, zone: &AvailabilityZone, members: BTreeSet<VmId>) {
+        let joined: Vec<VmId> = members.difference(&self.members).copied().collect();
+        self.members = members;
+        for shard in QuotaShard::all() {
+            self.update_preferred(zone, shard, &joined);
+        }
+    }
+
+    fn update_preferred(&mut self, zone: &AvailabilityZone, shard: QuotaShard, joined: &[VmId]) {
+        let role = format!("quota/{zone}/{}", shard.0);
+        let preferred = &mut self.preferred[shard.index()];
+        let kept = preferred.filter(|(_, vm)| self.members.contains(vm));
+        let joined: Vec<VmId> = match kept {
+            Some(_) => joined.to_vec(),
+            None => self.members.iter().copied().collect(),
+        };
+        let best_joined = joined.into_iter().map(|vm| (rendezvous_score(&role, vm), vm)).max();
+        *preferred = kept.max(best_joined);
+    }
+}
--- /dev/null
+++ b/crates/quota/src/lease.rs
@@ -0,0 +1,112 @@
+//! The lease under which a node owns a shard of its zone.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fulmartrestle_core::{TimeUs, VmId};
+
+/// Requests whose acknowledgements still count. Older ones would extend the lease by nothing.
+const REMEMBERED_REQUESTS: usize = 8;
+
+/// How long a newly seen member may take to acknowledge an owner whose lease is valid, in
+/// microseconds. Without it every join would stop the owner for a round trip.
+const JOIN_GRACE_US: u64 = 1_500_000;
+
+/// How far a node has got in becoming owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeasePhase {
+    /// Some member has not acknowledged.
+    Candidate,
+    /// All acknowledged; loans of an earlier owner may last until the given time.
+    WaitingOutLoans(TimeUs),
+    /// The node lends.
+    Lending,
+}
+
+/// One round of lease requests to all members.
+#[derive(Clone, Copy, Debug)]
+struct LeaseRound {
+    seq: u64,
+    lease_ends_at: TimeUs,
+}
+
+/// A node's lease on one shard: valid while every member that it sees has acknowledged it.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    pub(crate) phase: LeasePhase,
+    requests: VecDeque<LeaseRound>,
+    acknowledged_until: BTreeMap<VmId, TimeUs>,
+    valid_until: TimeUs,
+    next_request_at: TimeUs,
+}
+
+impl Lease {
+    pub(crate) fn candidate() -> Self {
+        Self {
+            phase: LeasePhase::Candidate,
+            requests: VecDeque::new(),
+            acknowledged_until: BTreeMap::new(),
+            valid_until: TimeUs(0),
+            next_request_at: TimeUs(0),
+        }
+    }
+
+    pub(crate) fn is_valid(&self, now: TimeUs) -> bool {
+        now < self.valid_until
+    }
+
+    pub(crate) fn is_lending(&self, now: TimeUs) -> bool {
+        self.phase == LeasePhase::Lending && self.is_valid(now)
+    }
+
+    pub(crate) fn request_due(&self, now: TimeUs) -> bool {
+        now >= self.next_request_at
+    }
+
+    /// Notes that a round of requests goes out. The lease is counted from here, before any member
+    /// starts to count its promise.
+    pub(crate) fn on_requested(&mut self, seq: u64, lease_ends_at: TimeUs, again_at: TimeUs) {
+        self.requests.push_back(LeaseRound { seq, lease_ends_at });
+        if self.requests.len() > REMEMBERED_REQUESTS {
+            self.requests.pop_front();
+        }
+        self.next_request_at = again_at;
+    }
+
+    pub(crate) fn on_ack(&mut self, from: VmId, seq: u64) {
+        let Some(round) = self.requests.iter().find(|round| round.seq == seq) else { return };
+        let known = self.acknowledged_until.entry(from).or_insert(round.lease_ends_at);
+        *known = (*known).max(round.lease_ends_at);
+    }
+
+    /// Recomputes until when all members of the present view have acknowledged.
+    pub(crate) fn review(&mut self, members: impl Iterator<Item = VmId>, now: TimeUs) {
+        let established = self.phase != LeasePhase::Candidate && self.is_valid(now);
+        let mut reviewed = BTreeMap::new();
+        for member in members {
+            let missing = if established { now.plus_us(JOIN_GRACE_US) } else { TimeUs(0) };
+            let until = self.acknowledged_until.get(&member).copied().unwrap_or(missing);
+            reviewed.insert(member, until);
+        }
+        self.valid_until = reviewed.values().copied().min().unwrap_or_default();
+        self.acknowledged_until = reviewed;
+    }
+
+    /// Moves on through the phases. Returns whether lending starts now.
+    pub(crate) fn advance(&mut self, loans_gone_us: u64, now: TimeUs) -> bool {
+        if !self.is_valid(now) {
+            self.phase = LeasePhase::Candidate;
+            return false;
+        }
+        match self.phase {
+            LeasePhase::Candidate => {
+                self.phase = LeasePhase::WaitingOutLoans(now.plus_us(loans_gone_us));
+                false
+            }
+            LeasePhase::WaitingOutLoans(until) if now >= until => {
+                self.phase = LeasePhase::Lending;
+                true
+            }
+            LeasePhase::WaitingOutLoans(_) | LeasePhase::Lending => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/node.rs
@@ -0,0 +1,356 @@
+//! One node's part in keeping all tenants' rates.
+
+use std::collections::BTreeMap;
+
+use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, VmId};
+
+use crate::{
+    LoanReport, QuotaConfig, QuotaMember, QuotaMessage, QuotaSend, QuotaSettings, QuotaShard, RateDecision,
+    bucket::Bucket, directory::Directory, owner::Owner, promise::Promise, wallet::Wallet, wallet::retry_hint_ms,
+};
+
+/// Hint for tenants without a rate and for nodes without configuration, in milliseconds.
+const UNKNOWN_TENANT_RETRY_MS: u64 = 1_000;
+
+/// The rate limiter of one node: holder of loans, member that acknowledges owners, and owner of the
+/// shards for which its zone's members acknowledge it. It does no I/O; the caller delivers
+/// [`QuotaNode::take_outgoing`] and passes the present time.
+#[derive(Clone, Debug)]
+pub struct QuotaNode {
+    own: VmId,
+    zone: AvailabilityZone,
+    settings: QuotaSettings,
+    directory: Directory,
+    config: Option<QuotaConfig>,
+    owner: Owner,
+    promises: BTreeMap<QuotaShard, Promise>,
+    wallets: BTreeMap<Tenant, Wallet>,
+    started_at: Option<TimeUs>,
+    next_seq: u64,
+    outgoing: Vec<QuotaSend>,
+    ready: Vec<Tenant>,
+}
+
+impl QuotaNode {
+    /// Returns a node with empty memory. `own` must be drawn anew at every start.
+    pub fn new(own: VmId, zone: AvailabilityZone, settings: QuotaSettings) -> Self {
+        Self {
+            own,
+            zone,
+            owner: Owner::default(),
+            settings,
+            directory: Directory::default(),
+            config: None,
+            promises: BTreeMap::new(),
+            wallets: BTreeMap::new(),
+            started_at: None,
+            next_seq: own.0,
+            outgoing: Vec::new(),
+            ready: Vec::new(),
+        }
+    }
+
+    /// Takes over a newer configuration; an older or equal one is ignored.
+    pub fn set_config(&mut self, config: QuotaConfig, now: TimeUs) {
+        self.note_time(now);
+        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
+            return;
+        }
+        self.wallets.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
+        for rate in &config.tenants {
+            let wallet = self.wallets.entry(rate.tenant.clone()).or_insert_with(|| Wallet::new(now));
+            wallet.set_rate(rate, config.zones.len());
+        }
+        self.owner.set_shares(&config, &self.zone, &self.settings, now);
+        self.config = Some(config);
+    }
+
+    /// Takes over the live members as this node sees them. The node itself always counts.
+    pub fn set_members(&mut self, members: &[QuotaMember], now: TimeUs) {
+        self.note_time(now);
+        let mut view = members.to_vec();
+        if !view.iter().any(|member| member.vm == self.own) {
+            view.push(QuotaMember { vm: self.own, zone: self.zone.clone() });
+        }
+        self.directory.update(&view);
+        self.owner.review(&self.directory, &self.zone, now);
+    }
+
+    /// Decides on a request that arrives now.
+    pub fn admit(&mut self, tenant: &Tenant, now: TimeUs) -> RateDecision {
+        self.note_time(now);
+        if let Some(wallet) = self.wallets.get_mut(tenant) {
+            wallet.note_arrival();
+        }
+        self.decide(tenant, now, now)
+    }
+
+    /// Decides again on a request that arrived at `arrived_at` and was told to wait. The sum of its
+    /// waits stays within the settings' `max_wait_ms`.
+    pub fn admit_again(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
+        self.note_time(now);
+        if let Some(wallet) = self.wallets.get_mut(tenant) {
+            wallet.note_waiter_back();
+        }
+        self.decide(tenant, arrived_at, now)
+    }
+
+    /// Takes in a message from another node.
+    pub fn on_message(&mut self, from: VmId, message: QuotaMessage, now: TimeUs) {
+        self.note_time(now);
+        match message {
+            QuotaMessage::LeaseRequest { shard, seq, lease_us, established } => {
+                self.on_lease_request(from, shard, seq, lease_us, established, now);
+            }
+            QuotaMessage::LeaseAck { shard, seq } => self.owner.on_ack(from, shard, seq),
+            QuotaMessage::TokenRequest { tenant, seq, want, reports } => {
+                self.on_token_request(from, tenant, seq, want, &reports, now);
+            }
+            QuotaMessage::TokenLoan { tenant, seq, tokens, retry_after_ms } => {
+                self.on_token_loan(from, tenant, seq, tokens, retry_after_ms, now);
+            }
+            QuotaMessage::NotOwner { tenant, seq, owner } => self.on_not_owner(from, tenant, seq, owner, now),
+            QuotaMessage::LoanReports { tenant, reports } => self.on_reports(from, &tenant, &reports, now),
+        }
+    }
+
+    /// Does what time brings: renews leases, lets loans lapse, reports and returns tokens. Call it
+    /// every 10 ms.
+    pub fn tick(&mut self, now: TimeUs) {
+        self.note_time(now);
+        self.tick_owner(now);
+        self.tick_wallets(now);
+    }
+
+    /// Returns the messages to deliver, in order.
+    pub fn take_outgoing(&mut self) -> Vec<QuotaSend> {
+        std::mem::take(&mut self.outgoing)
+    }
+
+    /// Returns tenants whose waiting requests should ask again now.
+    pub fn take_ready(&mut self) -> Vec<Tenant> {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// Returns the shards of this node's zone for which it lends tokens at `now`.
+    pub fn lending_shards(&self, now: TimeUs) -> Vec<QuotaShard> {
+        QuotaShard::all().filter(|shard| self.owner.is_lending(*shard, now)).collect()
+    }
+
+    /// Returns whether this node has acknowledged an owner for every shard of its zone.
+    pub fn knows_owners(&self, now: TimeUs) -> bool {
+        QuotaShard::all().all(|shard| self.acknowledged_owner(shard, now).is_some())
+    }
+
+    fn decide(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
+        if self.take_token(tenant, now) {
+            self.request_tokens(tenant, now);
+            return RateDecision::Admitted;
+        }
+        let Some(wallet) = self.wallets.get_mut(tenant) else {
+            return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
+        };
+        wallet.note_waiting(now);
+        self.request_tokens(tenant, now);
+        if self.take_token(tenant, now) {
+            self.forget_waiter(tenant);
+            return RateDecision::Admitted;
+        }
+        let Some(wallet) = self.wallets.get_mut(tenant) else {
+            return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
+        };
+        let until = wallet.next_chance(now).max(now.plus_ms(1));
+        if until > arrived_at.plus_us(self.settings.max_wait_us()) {
+            wallet.note_waiter_back();
+            return RateDecision::Refused { retry_after_ms: retry_hint_ms(until.us_since(now)) };
+        }
+        RateDecision::Wait { until }
+    }
+
+    fn take_token(&mut self, tenant: &Tenant, now: TimeUs) -> bool {
+        self.wallets.get_mut(tenant).is_some_and(|wallet| wallet.take_token(now))
+    }
+
+    fn forget_waiter(&mut self, tenant: &Tenant) {
+        if let Some(wallet) = self.wallets.get_mut(tenant) {
+            wallet.note_waiter_back();
+        }
+    }
+
+    /// Asks the nearest zone's owner that may have tokens for what the tenant lacks here.
+    fn request_tokens(&mut self, tenant: &Tenant, now: TimeUs) {
+        for _ in 0..self.config.as_ref().map_or(0, |config| config.zones.len()) {
+            let Some(wallet) = self.wallets.get(tenant) else { return };
+            let want = wallet.lacking(now);
+            let Some(source) = wallet.open_source(now).filter(|_| want > 0) else { return };
+            let owner = self.owner_of_source(tenant, source, now);
+            let seq = self.take_seq();
+            let Some(wallet) = self.wallets.get_mut(tenant) else { return };
+            let Some(owner) = owner else {
+                wallet.close_source(source, now.plus_ms(10));
+                continue;
+            };
+            wallet.on_sent(seq, source, owner, now);
+            let reports = wallet.reports_for(owner);
+            self.send(owner, QuotaMessage::TokenRequest { tenant: tenant.clone(), seq, want, reports }, now);
+        }
+    }
+
+    /// Returns the owner to ask in the zone at `source`, where zero is this node's own zone.
+    fn owner_of_source(&self, tenant: &Tenant, source: usize, now: TimeUs) -> Option<VmId> {
+        let shard = QuotaShard::of(tenant);
+        let hint = self.wallets.get(tenant)?.sources.get(source)?.owner_hint;
+        if source == 0 {
+            return self.acknowledged_owner(shard, now).or(hint);
+        }
+        let config = self.config.as_ref()?;
+        let zone = config.zones.iter().filter(|zone| **zone != self.zone).nth(source - 1)?;
+        hint.or_else(|| self.directory.preferred_owner(zone, shard))
+    }
+
+    fn acknowledged_owner(&self, shard: QuotaShard, now: TimeUs) -> Option<VmId> {
+        self.promises.get(&shard).filter(|promise| now < promise.until).map(|promise| promise.owner)
+    }
+
+    /// Acknowledges an owner unless another is acknowledged. A node that has just started may have
+    /// forgotten a promise, so it supports no new candidate until that promise would have lapsed.
+    fn on_lease_request(
+        &mut self,
+        from: VmId,
+        shard: QuotaShard,
+        seq: u64,
+        lease_us: u64,
+        established: bool,
+        now: TimeUs,
+    ) {
+        if self.promises.get(&shard).is_some_and(|promise| promise.excludes(from, now)) {
+            return;
+        }
+        let preferred = self.directory.preferred_owner(&self.zone, shard) == Some(from);
+        if !established && (self.is_fresh(now) || !preferred) {
+            return;
+        }
+        let until = now.plus_us(self.settings.outlasting_us(lease_us));
+        self.promises.insert(shard, Promise { owner: from, until });
+        self.send(from, QuotaMessage::LeaseAck { shard, seq }, now);
+    }
+
+    fn on_token_request(
+        &mut self,
+        from: VmId,
+        tenant: Tenant,
+        seq: u64,
+        want: u64,
+        reports: &[LoanReport],
+        now: TimeUs,
+    ) {
+        let shard = QuotaShard::of(&tenant);
+        if !self.owner.is_lending(shard, now) {
+            let owner = self.acknowledged_owner(shard, now).filter(|owner| *owner != self.own);
+            self.send(from, QuotaMessage::NotOwner { tenant, seq, owner }, now);
+            return;
+        }
+        self.on_reports(from, &tenant, reports, now);
+        let (tokens, retry_after_ms) = match self.owner.bucket(&tenant) {
+            Some(bucket) => bucket.lend(from, seq, want, &self.settings, now),
+            None => (0, Bucket::RETRY_MAX_MS),
+        };
+        self.send(from, QuotaMessage::TokenLoan { tenant, seq, tokens, retry_after_ms }, now);
+    }
+
+    fn on_token_loan(&mut self, from: VmId, tenant: Tenant, seq: u64, tokens: u64, retry_after_ms: u64, now: TimeUs) {
+        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
+        if !wallet.on_loan(from, seq, tokens, retry_after_ms, &self.settings, now) {
+            return;
+        }
+        self.wake(&tenant, from, now);
+    }
+
+    fn on_not_owner(&mut self, from: VmId, tenant: Tenant, seq: u64, owner: Option<VmId>, now: TimeUs) {
+        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
+        if wallet.on_not_owner(from, seq, owner, now) {
+            self.wake(&tenant, from, now);
+        }
+    }
+
+    /// Lets waiting requests ask again after an answer from another node. An own answer needs no
+    /// wake-up: the request that caused it is still being decided.
+    fn wake(&mut self, tenant: &Tenant, from: VmId, now: TimeUs) {
+        if from == self.own {
+            return;
+        }
+        self.request_tokens(tenant, now);
+        let waiting = self.wallets.get(tenant).is_some_and(Wallet::has_waiting);
+        if waiting && !self.ready.contains(tenant) {
+            self.ready.push(tenant.clone());
+        }
+    }
+
+    fn on_reports(&mut self, from: VmId, tenant: &Tenant, reports: &[LoanReport], now: TimeUs) {
+        let Some(bucket) = self.owner.bucket(tenant) else { return };
+        for report in reports {
+            bucket.settle(from, *report, &self.settings, now);
+        }
+    }
+
+    fn tick_owner(&mut self, now: TimeUs) {
+        for shard in QuotaShard::all() {
+            let preferred = self.directory.preferred_owner(&self.zone, shard) == Some(self.own);
+            let other = self.acknowledged_owner(shard, now).is_some_and(|owner| owner != self.own);
+            self.owner.tick_shard(shard, preferred && !other, &self.directory, &self.zone, &self.settings, now);
+            self.renew(shard, now);
+        }
+        self.owner.lapse(&self.settings, now);
+    }
+
+    fn renew(&mut self, shard: QuotaShard, now: TimeUs) {
+        if !self.owner.request_due(shard, now) {
+            return;
+        }
+        let members: Vec<VmId> = self.directory.members(&self.zone).collect();
+        let seq = self.take_seq();
+        let established = self.owner.on_requested(shard, seq, members.len(), &self.settings, now);
+        let lease_us = self.settings.lease_us(members.len());
+        for member in members {
+            self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established }, now);
+        }
+    }
+
+    fn tick_wallets(&mut self, now: TimeUs) {
+        let mut due = Vec::new();
+        for (tenant, wallet) in &mut self.wallets {
+            wallet.tick(&self.settings, now);
+            for found in wallet.due_reports(now) {
+                due.push((found.lender, QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports }));
+            }
+        }
+        for (lender, message) in due {
+            self.send(lender, message, now);
+        }
+    }
+
+    /// Returns whether an earlier process at this place may have promises in force.
+    fn is_fresh(&self, now: TimeUs) -> bool {
+        let lease_us = self.settings.lease_us(self.directory.member_count(&self.zone));
+        let started_at = self.started_at.unwrap_or(now);
+        now.us_since(started_at) < self.settings.outlasting_us(lease_us)
+    }
+
+    fn note_time(&mut self, now: TimeUs) {
+        self.started_at.get_or_insert(now);
+    }
+
+    fn take_seq(&mut self) -> u64 {
+        let seq = self.next_seq;
+        self.next_seq = self.next_seq.wrapping_add(1);
+        seq
+    }
+
+    fn send(&mut self, to: VmId, message: QuotaMessage, now: TimeUs) {
+        if to == self.own {
+            self.on_message(to, message, now);
+        } else {
+            self.outgoing.push(QuotaSend { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/owner.rs
@@ -0,0 +1,140 @@
+//! The shards that a node owns or seeks to own, with their buckets.
+
+use std::collections::BTreeMap;
+
+use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, VmId};
+
+use crate::{
+    QuotaConfig, QuotaSettings, QuotaShard, ZoneShare, bucket::Bucket, directory::Directory, lease::Lease,
+    lease::LeasePhase,
+};
+
+/// How often a candidate repeats its requests, in microseconds. Members that promised another owner
+/// don't answer, so that a candidate learns of their lapse only by asking.
+const CANDIDATE_RETRY_US: u64 = 250_000;
+
+/// Leases by shard and buckets by tenant.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Owner {
+    leases: BTreeMap<QuotaShard, Lease>,
+    shares: BTreeMap<Tenant, ZoneShare>,
+    buckets: BTreeMap<Tenant, Bucket>,
+}
+
+impl Owner {
+    pub(crate) fn set_shares(
+        &mut self,
+        config: &QuotaConfig,
+        zone: &AvailabilityZone,
+        settings: &QuotaSettings,
+        now: TimeUs,
+    ) {
+        self.shares = zone_shares(config, zone);
+        for (tenant, bucket) in &mut self.buckets {
+            let share = self.shares.get(tenant).copied().unwrap_or_default();
+            bucket.set_share(share, settings, now);
+        }
+        let lending: Vec<QuotaShard> = QuotaShard::all().filter(|shard| self.is_lending(*shard, now)).collect();
+        for shard in lending {
+            self.open_buckets(shard, now);
+        }
+    }
+
+    pub(crate) fn is_lending(&self, shard: QuotaShard, now: TimeUs) -> bool {
+        self.leases.get(&shard).is_some_and(|lease| lease.is_lending(now))
+    }
+
+    pub(crate) fn bucket(&mut self, tenant: &Tenant) -> Option<&mut Bucket> {
+        self.buckets.get_mut(tenant)
+    }
+
+    pub(crate) fn on_ack(&mut self, from: VmId, shard: QuotaShard, seq: u64) {
+        if let Some(lease) = self.leases.get_mut(&shard) {
+            lease.on_ack(from, seq);
+        }
+    }
+
+    /// Applies a changed member view to all leases.
+    pub(crate) fn review(&mut self, directory: &Directory, zone: &AvailabilityZone, now: TimeUs) {
+        for lease in self.leases.values_mut() {
+            lease.review(directory.members(zone), now);
+        }
+    }
+
+    /// Moves one shard's lease on. A lease that has begun is kept while it is valid, whichever
+    /// member rendezvous hashing prefers by now: moving it would cost the zone a loan time.
+    pub(crate) fn tick_shard(
+        &mut self,
+        shard: QuotaShard,
+        eligible: bool,
+        directory: &Directory,
+        zone: &AvailabilityZone,
+        settings: &QuotaSettings,
+        now: TimeUs,
+    ) {
+        if eligible {
+            self.leases.entry(shard).or_insert_with(Lease::candidate);
+        }
+        let Some(lease) = self.leases.get_mut(&shard) else { return };
+        lease.review(directory.members(zone), now);
+        let starts = lease.advance(settings.outlasting_us(settings.loan_us()), now);
+        if starts {
+            self.open_buckets(shard, now);
+        } else if lease.phase == LeasePhase::Candidate {
+            self.buckets.retain(|tenant, _| QuotaShard::of(tenant) != shard);
+            if !eligible {
+                self.leases.remove(&shard);
+            }
+        }
+    }
+
+    pub(crate) fn request_due(&self, shard: QuotaShard, now: TimeUs) -> bool {
+        self.leases.get(&shard).is_some_and(|lease| lease.request_due(now))
+    }
+
+    /// Notes a round of lease requests. Returns whether the lease is valid already.
+    pub(crate) fn on_requested(
+        &mut self,
+        shard: QuotaShard,
+        seq: u64,
+        members: usize,
+        settings: &QuotaSettings,
+        now: TimeUs,
+    ) -> bool {
+        let Some(lease) = self.leases.get_mut(&shard) else { return false };
+        let established = lease.phase != LeasePhase::Candidate && lease.is_valid(now);
+        let pause_us = if established { settings.renew_us(members) } else { CANDIDATE_RETRY_US };
+        lease.on_requested(seq, now.plus_us(settings.lease_us(members)), now.plus_us(pause_us));
+        established
+    }
+
+    /// Lets loans lapse and forgets the buckets of tenants that have no rate any more.
+    pub(crate) fn lapse(&mut self, settings: &QuotaSettings, now: TimeUs) {
+        for bucket in self.buckets.values_mut() {
+            bucket.lapse(settings, now);
+        }
+        let shares = &self.shares;
+        self.buckets.retain(|tenant, bucket| shares.contains_key(tenant) || bucket.loan_count() > 0);
+    }
+
+    fn open_buckets(&mut self, shard: QuotaShard, now: TimeUs) {
+        for (tenant, share) in self.shares.iter().filter(|(tenant, _)| QuotaShard::of(tenant) == shard) {
+            self.buckets.entry(tenant.clone()).or_insert_with(|| Bucket::empty(*share, now));
+        }
+    }
+}
+
+/// Returns what a zone may admit of each tenant. The zone's position rotates by shard, so that not
+/// every remainder goes to the same zone.
+fn zone_shares(config: &QuotaConfig, zone: &AvailabilityZone) -> BTreeMap<Tenant, ZoneShare> {
+    let mut zones: Vec<&AvailabilityZone> = config.zones.iter().collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let Some(place) = zones.iter().position(|found| *found == zone) else { return BTreeMap::new() };
+    let zone_count = zones.len() as u64;
+    let share_of = |rate: &crate::TenantRate| {
+        let rotation = u64::from(QuotaShard::of(&rate.tenant).0);
+        ZoneShare::of(rate, (place as u64 + rotation) % zone_count, zone_count)
+    };
+    config.tenants.iter().map(|rate| (rate.tenant.clone(), share_of(rate))).collect()
+}
