Membership: directory by gossip, ring probing and zone heartbeats

Each node holds a compact row for every member. A zone that falls silent as a whole is noticed by a heartbeat that rides on every message, so no member of it has to be suspected singly.

--- /dev/null
+++ b/crates/membership/src/send.rs
@@ -0,0 +1,84 @@
+//! How messages are put together within the byte budget.
+
+use std::net::SocketAddr;
+
+use fulmartrestle_core::TimeUs;
+
+use crate::slot::Slot;
+use crate::{
+    MAX_DATAGRAM_BYTES, MemberDelta, MemberState, Membership, MembershipMessage, MembershipSend, MessageKind, Rumour,
+};
+
+/// Bytes of the IP and UDP headers of a datagram, counted against the budget.
+const HEADER_BYTES: usize = 28;
+/// Seconds of unused budget that are kept for bursts.
+const BUDGET_BURST_S: u64 = 2;
+
+impl Membership {
+    /// Sends a message with as many rumours as fit into the datagram and the budget.
+    pub(crate) fn send(&mut self, to: SocketAddr, kind: MessageKind, now: TimeUs) {
+        let mut message = MembershipMessage {
+            from: self.own,
+            kind,
+            beats: self.zones.beats(),
+            rumours: Vec::new(),
+            digest: self.digest().cloned(),
+        };
+        let size_bytes = message.size_bytes();
+        let budget_bytes = usize::try_from(self.budget_bytes).unwrap_or(0);
+        let room_bytes = MAX_DATAGRAM_BYTES.saturating_sub(size_bytes).min(budget_bytes);
+        let limit = self.transmission_limit();
+        message.rumours = self.rumours.take(room_bytes, limit);
+        for rumour in &mut message.rumours {
+            self.refresh_age(rumour, now);
+        }
+        self.budget_bytes -= (message.size_bytes() + HEADER_BYTES) as i64;
+        self.outgoing.push(MembershipSend { to, message });
+    }
+
+    /// Tells a member directly that it is held for suspect or dead.
+    pub(crate) fn tell_suspicion(&mut self, slot: &Slot, now: TimeUs) {
+        let delta =
+            MemberDelta { vm: slot.vm, incarnation: slot.incarnation, state: slot.state, age_ms: age_ms(slot, now) };
+        let message = MembershipMessage {
+            from: self.own,
+            kind: MessageKind::Gossip,
+            beats: self.zones.beats(),
+            rumours: vec![Rumour::Delta(delta)],
+            digest: None,
+        };
+        self.budget_bytes -= (message.size_bytes() + HEADER_BYTES) as i64;
+        self.outgoing.push(MembershipSend { to: slot.peer_address, message });
+    }
+
+    /// Whether the budget has room for a message of `size_bytes` that can wait.
+    pub(crate) fn can_afford(&self, size_bytes: usize) -> bool {
+        self.budget_bytes >= (size_bytes + HEADER_BYTES) as i64
+    }
+
+    /// Adds the budget of the time since the last tick.
+    pub(crate) fn refill_budget(&mut self, elapsed_us: u64) {
+        let rate = self.settings.budget_bytes_per_s;
+        let earned = rate.saturating_mul(elapsed_us) / 1_000_000;
+        let ceiling = (rate * BUDGET_BURST_S) as i64;
+        self.budget_bytes = (self.budget_bytes + earned as i64).min(ceiling);
+    }
+
+    /// Returns how often a rumour is sent: at 7,100 members, 14 times.
+    fn transmission_limit(&self) -> u16 {
+        let members = self.directory.len() as u32 + 1;
+        (3 * members.ilog10() + 5) as u16
+    }
+
+    fn refresh_age(&self, rumour: &mut Rumour, now: TimeUs) {
+        let Rumour::Delta(delta) = rumour else { return };
+        let Some(slot) = self.directory.get(delta.vm) else { return };
+        if delta.state == MemberState::Suspect && slot.state == MemberState::Suspect {
+            delta.age_ms = age_ms(slot, now);
+        }
+    }
+}
+
+fn age_ms(slot: &Slot, now: TimeUs) -> u16 {
+    u16::try_from(now.ms_since(slot.since)).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/membership/src/sync.rs
@@ -0,0 +1,202 @@
+//! Exchange of whole parts of the directory: new nodes fill theirs, and differences that gossip left
+//! are repaired.
+
+use std::net::SocketAddr;
+
+use fulmartrestle_core::TimeUs;
+use rand::RngExt;
+
+use crate::directory::BUCKETS;
+use crate::rumour::{DELTA_SIZE_BYTES, row_size_bytes};
+use crate::slot::Slot;
+use crate::{MemberDelta, MemberRow, MemberState, Membership, MessageKind, Rumour};
+
+/// Ranges that a new node asks for at the same time, each from another peer.
+const FILL_RANGES: usize = 8;
+/// Time after which a range is asked for again, in milliseconds.
+const FILL_TIMEOUT_MS: u64 = 500;
+/// Datagrams with which one request is answered.
+const MAX_ANSWER_DATAGRAMS: usize = 3;
+/// Bytes of rows in one datagram; the rest is for the head, heartbeats and digest.
+const ROWS_BYTES: usize = 1_100;
+/// Differing buckets that one exchange repairs.
+const MAX_REPAIRED_BUCKETS: usize = 3;
+/// Interval between exchanges while differences are found, in milliseconds.
+const REPAIR_INTERVAL_MS: u64 = 1_000;
+
+#[derive(Clone, Copy, Debug)]
+struct FillRange {
+    first: u8,
+    last: u8,
+    asked_at: Option<TimeUs>,
+}
+
+/// Progress of filling the directory, and whether the last exchange found differences.
+#[derive(Clone, Debug, Default)]
+pub struct SyncState {
+    ranges: Vec<FillRange>,
+    found_difference: bool,
+}
+
+impl SyncState {
+    /// Starts to fill the directory.
+    pub fn start_filling(&mut self) {
+        let width = BUCKETS / FILL_RANGES;
+        let range = |index: usize| FillRange {
+            first: (index * width) as u8,
+            last: (index * width + width - 1) as u8,
+            asked_at: None,
+        };
+        self.ranges = (0..FILL_RANGES).map(range).collect();
+    }
+
+    /// Whether the directory is being filled.
+    pub fn is_filling(&self) -> bool {
+        !self.ranges.is_empty()
+    }
+
+    /// Notes that the buckets up to `last` of the range that starts at `first` have arrived.
+    fn advance(&mut self, first: u8, last: u8) {
+        let Some(index) = self.ranges.iter().position(|range| range.first == first) else { return };
+        if last >= self.ranges[index].last {
+            self.ranges.remove(index);
+        } else {
+            self.ranges[index].first = last + 1;
+            self.ranges[index].asked_at = None;
+        }
+    }
+
+    fn due_ranges(&mut self, now: TimeUs) -> Vec<FillRange> {
+        let is_due = |range: &FillRange| range.asked_at.is_none_or(|at| now.ms_since(at) >= FILL_TIMEOUT_MS);
+        let mut due = Vec::new();
+        for range in self.ranges.iter_mut().filter(|range| is_due(range)) {
+            range.asked_at = Some(now);
+            due.push(*range);
+        }
+        due
+    }
+}
+
+/// Rows of one answer, cut into datagrams.
+#[derive(Default)]
+struct Page {
+    rows: Vec<MemberRow>,
+    dead: Vec<MemberDelta>,
+    size_bytes: usize,
+}
+
+impl Membership {
+    /// Asks peers for the parts of the directory that are still missing.
+    pub(crate) fn fill_directory(&mut self, now: TimeUs) {
+        for range in self.sync.due_ranges(now) {
+            let Some(peer) = self.random_contact() else { return };
+            self.send(peer, MessageKind::SyncPull { first: range.first, last: range.last, filling: true }, now);
+        }
+    }
+
+    /// Sends the digests of the directory to a random peer and returns when to do so again.
+    pub(crate) fn exchange_digests(&mut self, now: TimeUs) -> TimeUs {
+        let found_difference = std::mem::take(&mut self.sync.found_difference);
+        let interval_ms = if found_difference { REPAIR_INTERVAL_MS } else { self.settings.sync_interval_ms };
+        if let Some(peer) = self.random_contact()
+            && self.can_afford(BUCKETS * 3)
+        {
+            let shift = self.random.random_range(0..=16);
+            let digests = self.directory.digests().iter().map(|digest| (digest >> shift) as u16).collect();
+            self.send(peer, MessageKind::SyncDigests { shift, digests }, now);
+        }
+        now.plus_ms(interval_ms)
+    }
+
+    pub(crate) fn on_sync_digests(&mut self, from: SocketAddr, shift: u8, digests: &[u16], now: TimeUs) {
+        let shift = u32::from(shift.min(16));
+        let own = self.directory.digests().iter().map(|digest| (digest >> shift) as u16);
+        let differs = |(bucket, (own, theirs)): (usize, (u16, &u16))| (own != *theirs).then_some(bucket as u8);
+        let mut differing: Vec<u8> = own.zip(digests).enumerate().filter_map(differs).collect();
+        self.sync.found_difference = !differing.is_empty();
+        for _ in 0..MAX_REPAIRED_BUCKETS {
+            if differing.is_empty() || !self.can_afford(ROWS_BYTES) {
+                return;
+            }
+            let bucket = differing.swap_remove(self.random.random_range(0..differing.len()));
+            self.send_rows(from, bucket, bucket, false, now);
+            self.send(from, MessageKind::SyncPull { first: bucket, last: bucket, filling: false }, now);
+        }
+    }
+
+    /// Sends the rows of as many buckets from `first` on as fit into a few datagrams.
+    pub(crate) fn send_rows(&mut self, to: SocketAddr, first: u8, last: u8, filling: bool, now: TimeUs) {
+        if first > last || !self.can_afford(ROWS_BYTES) {
+            return;
+        }
+        let mut pages = vec![Page::default()];
+        let mut covered = first;
+        for bucket in first..=last {
+            if pages.len() >= MAX_ANSWER_DATAGRAMS {
+                break;
+            }
+            covered = bucket;
+            for slot in self.directory.bucket(bucket) {
+                self.add_to_pages(&mut pages, slot, now);
+            }
+        }
+        self.send_pages(to, pages, first, covered, filling, now);
+    }
+
+    fn add_to_pages(&self, pages: &mut Vec<Page>, slot: &Slot, now: TimeUs) {
+        let row = self.directory.to_row(slot, slot.published, &self.zones, now);
+        let is_dead = slot.state == MemberState::Dead;
+        let size_bytes = if is_dead { DELTA_SIZE_BYTES } else { row_size_bytes(&row) };
+        if pages.last().is_none_or(|page| page.size_bytes + size_bytes > ROWS_BYTES) {
+            pages.push(Page::default());
+        }
+        let Some(page) = pages.last_mut() else { return };
+        page.size_bytes += size_bytes;
+        if is_dead {
+            let (vm, incarnation, state) = (slot.vm, slot.incarnation, slot.state);
+            page.dead.push(MemberDelta { vm, incarnation, state, age_ms: 0 });
+        } else {
+            page.rows.push(row);
+        }
+    }
+
+    /// Sends the pages; only the last one says that the range is complete.
+    fn send_pages(&mut self, to: SocketAddr, pages: Vec<Page>, first: u8, last: u8, filling: bool, now: TimeUs) {
+        let count = pages.len();
+        for (index, page) in pages.into_iter().enumerate() {
+            let is_complete = filling && index + 1 == count;
+            let kind = MessageKind::SyncRows { first, last, filling, rows: page.rows, dead: page.dead };
+            let kind = if filling && !is_complete { as_partial(kind) } else { kind };
+            self.send(to, kind, now);
+        }
+    }
+
+    pub(crate) fn on_sync_rows(
+        &mut self,
+        first: u8,
+        last: u8,
+        filling: bool,
+        rows: &[MemberRow],
+        dead: &[MemberDelta],
+        now: TimeUs,
+    ) {
+        let news_rows: Vec<_> = rows.iter().filter(|row| self.apply_row(row, now)).cloned().collect();
+        let news_dead: Vec<_> = dead.iter().filter(|delta| self.apply_delta(delta, now)).copied().collect();
+        if filling {
+            self.sync.advance(first, last);
+            return;
+        }
+        news_rows.into_iter().for_each(|row| self.rumours.push(Rumour::Row(row)));
+        news_dead.into_iter().for_each(|delta| self.rumours.push(Rumour::Delta(delta)));
+    }
+}
+
+/// Marks rows as a part of a range: an empty range that no request waits for.
+fn as_partial(kind: MessageKind) -> MessageKind {
+    match kind {
+        MessageKind::SyncRows { rows, dead, filling, .. } => {
+            MessageKind::SyncRows { first: u8::MAX, last: 0, filling, rows, dead }
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/fleet/mod.rs
@@ -0,0 +1,267 @@
+//! A message queue in virtual time with a few nodes on it, for tests and for the slopes.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use fulmartrestle_core::{AvailabilityZone, TimeUs, VmId};
+use fulmartrestle_membership::{
+    Incarnation, JoinRecord, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const TICK_MS: u64 = 50;
+/// Datagrams that a paused node's socket holds.
+const SOCKET_DATAGRAMS: usize = 64;
+
+/// What the network does to datagrams.
+#[derive(Clone, Debug)]
+pub struct Network {
+    pub delay_us: (u64, u64),
+    pub loss_percent: u32,
+    pub doubling_percent: u32,
+    /// Zones that can't reach each other, by number, the smaller first.
+    pub cuts: Vec<(usize, usize)>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self { delay_us: (300, 1_500), loss_percent: 0, doubling_percent: 0, cuts: Vec::new() }
+    }
+}
+
+pub struct Node {
+    pub membership: Membership,
+    pub zone: usize,
+    pub address: SocketAddr,
+    pub running: bool,
+    pub paused_until: TimeUs,
+    pub sent_bytes: u64,
+    pub sent_datagrams: u64,
+    inbox: Vec<(SocketAddr, MembershipMessage)>,
+}
+
+struct Delivery {
+    from: SocketAddr,
+    from_zone: usize,
+    to: usize,
+    message: MembershipMessage,
+}
+
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub now: TimeUs,
+    pub network: Network,
+    pub random: ChaCha8Rng,
+    pub records: Vec<JoinRecord>,
+    pub measure_bytes: bool,
+    settings: MembershipSettings,
+    queue: BTreeMap<(TimeUs, u64), Delivery>,
+    sequence: u64,
+}
+
+impl Fleet {
+    /// Starts `count` nodes spread over `zones` zones, none of which knows another.
+    pub fn new(count: usize, zones: usize, settings: MembershipSettings, seed: u64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            now: TimeUs::from_ms(1),
+            network: Network::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            records: Vec::new(),
+            measure_bytes: false,
+            settings,
+            queue: BTreeMap::new(),
+            sequence: 0,
+        };
+        for index in 0..count {
+            let node = fleet.new_node(index, index % zones);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    /// Starts a fleet whose nodes join through the records of the first few, and lets it settle.
+    pub fn joined(count: usize, zones: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(count, zones, MembershipSettings::default(), seed);
+        fleet.join_all();
+        fleet.run_ms(10_000);
+        fleet
+    }
+
+    pub fn join_all(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.join(index);
+        }
+    }
+
+    /// Lets a node read the join records and append its own where it should.
+    pub fn join(&mut self, index: usize) {
+        let now = self.now;
+        let membership = &mut self.nodes[index].membership;
+        membership.join(&self.records, now);
+        if membership.needs_join_record(now, 3_600_000) {
+            self.records.push(membership.join_record());
+            membership.join_record_written(now);
+        }
+    }
+
+    fn new_node(&mut self, index: usize, zone: usize) -> Node {
+        let address = address_of(index);
+        let own = MemberRow {
+            vm: VmId(self.random.random()),
+            incarnation: Incarnation(0),
+            zone: zone_name(zone),
+            peer_address: address,
+            state: MemberState::Alive,
+            target: None,
+        };
+        let membership = Membership::new(own, self.settings.clone(), self.random.random());
+        Node {
+            membership,
+            zone,
+            address,
+            running: true,
+            paused_until: TimeUs::default(),
+            sent_bytes: 0,
+            sent_datagrams: 0,
+            inbox: Vec::new(),
+        }
+    }
+
+    pub fn vm(&self, index: usize) -> VmId {
+        self.nodes[index].membership.own_vm()
+    }
+
+    /// Returns how node `viewer` sees node `subject`.
+    pub fn view(&self, viewer: usize, subject: usize) -> Option<MemberState> {
+        self.nodes[viewer].membership.state(self.vm(subject))
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].running = false;
+        self.nodes[index].inbox.clear();
+    }
+
+    /// Starts a new node with empty memory on the address of an earlier one.
+    pub fn restart(&mut self, index: usize) {
+        let zone = self.nodes[index].zone;
+        self.nodes[index] = self.new_node(index, zone);
+        self.join(index);
+    }
+
+    pub fn pause(&mut self, index: usize, ms: u64) {
+        self.nodes[index].paused_until = self.now.plus_ms(ms);
+    }
+
+    pub fn is_active(&self, index: usize) -> bool {
+        self.nodes[index].running && self.nodes[index].paused_until <= self.now
+    }
+
+    pub fn run_ms(&mut self, ms: u64) {
+        for _ in 0..ms / TICK_MS {
+            self.step();
+        }
+    }
+
+    /// Runs one tick of all nodes and the deliveries until then.
+    pub fn step(&mut self) {
+        let end = self.now.plus_ms(TICK_MS);
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = at;
+            self.deliver(delivery);
+        }
+        self.now = end;
+        for index in 0..self.nodes.len() {
+            if self.is_active(index) {
+                self.read_inbox(index);
+                self.nodes[index].membership.tick(end);
+                self.send_all(index);
+            }
+        }
+    }
+
+    fn read_inbox(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        for (from, message) in std::mem::take(&mut node.inbox) {
+            node.membership.on_datagram(from, message, now);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let to_zone = self.nodes[delivery.to].zone;
+        if self.is_cut(delivery.from_zone, to_zone) || !self.nodes[delivery.to].running {
+            return;
+        }
+        if !self.is_active(delivery.to) {
+            let inbox = &mut self.nodes[delivery.to].inbox;
+            if inbox.len() < SOCKET_DATAGRAMS {
+                inbox.push((delivery.from, delivery.message));
+            }
+            return;
+        }
+        let now = self.now;
+        self.nodes[delivery.to].membership.on_datagram(delivery.from, delivery.message, now);
+        self.send_all(delivery.to);
+    }
+
+    pub fn is_cut(&self, left: usize, right: usize) -> bool {
+        left != right && self.network.cuts.contains(&(left.min(right), left.max(right)))
+    }
+
+    fn send_all(&mut self, index: usize) {
+        let from = self.nodes[index].address;
+        let from_zone = self.nodes[index].zone;
+        for send in self.nodes[index].membership.take_outgoing() {
+            if self.measure_bytes {
+                let bytes = send.message.encode().map_or(usize::MAX, |bytes| bytes.len() + 28);
+                self.nodes[index].sent_bytes += bytes as u64;
+                self.nodes[index].sent_datagrams += 1;
+            }
+            let Some(to) = index_of(send.to).filter(|to| *to < self.nodes.len()) else { continue };
+            if self.is_cut(from_zone, self.nodes[to].zone) {
+                continue;
+            }
+            if self.random.random_range(0..100) < self.network.doubling_percent {
+                self.enqueue(from, from_zone, to, send.message.clone());
+            }
+            self.enqueue(from, from_zone, to, send.message);
+        }
+    }
+
+    fn enqueue(&mut self, from: SocketAddr, from_zone: usize, to: usize, message: MembershipMessage) {
+        if self.random.random_range(0..100) < self.network.loss_percent {
+            return;
+        }
+        let (least, most) = self.network.delay_us;
+        let at = self.now.plus_us(self.random.random_range(least..=most));
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), Delivery { from, from_zone, to, message });
+    }
+}
+
+pub fn zone_name(zone: usize) -> AvailabilityZone {
+    let name = format!("zone-{zone}");
+    name.parse().unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn address_of(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, (index >> 16) as u8, (index >> 8) as u8, index as u8], 7_000))
+}
+
+fn index_of(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, high, middle, low] = address.ip().octets();
+            Some(usize::from(high) << 16 | usize::from(middle) << 8 | usize::from(low))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
