--- /dev/null
+++ b/crates/platform-log/src/memory.rs
@@ -0,0 +1,133 @@
+//! The stand-in for the platform's log, held in memory.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_trait::async_trait;
+use fulmartrestle_core::LogOffset;
+
+use crate::stream::Stream;
+use crate::{LogError, LogFaults, LogStats, PlatformLog, ReadPage, StreamName};
+
+/// A log in memory that fails on demand.
+#[derive(Debug, Default)]
+pub struct MemoryLog {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<StreamName, Stream>,
+    faults: LogFaults,
+    stats: LogStats,
+}
+
+impl MemoryLog {
+    /// Returns an empty log without faults.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> LogFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Changes the faults in force, leaving those alone that `change` doesn't touch.
+    pub fn change_faults(&self, change: impl FnOnce(&mut LogFaults)) {
+        change(&mut self.lock().faults);
+    }
+
+    /// Drops the records of `stream` before `before`, as the platform does when retention ends.
+    pub fn trim_before(&self, stream: &StreamName, before: LogOffset) {
+        if let Some(stream) = self.lock().streams.get_mut(stream) {
+            stream.trim_before(before);
+        }
+    }
+
+    /// Returns what the log was asked to do so far.
+    pub fn stats(&self) -> LogStats {
+        self.lock().stats
+    }
+
+    /// A poisoned lock is taken over: no method leaves the state half changed.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn half_delay(&self) {
+        let slow_ms = self.lock().faults.slow_ms;
+        if slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(slow_ms) / 2).await;
+        }
+    }
+}
+
+impl State {
+    fn append(&mut self, stream: &StreamName, records: Vec<Vec<u8>>, wall_ms: u64) -> Result<LogOffset, LogError> {
+        if records.is_empty() {
+            return Err(LogError::BadRequest("an append needs at least one record".to_owned()));
+        }
+        if self.faults.take_refusal() {
+            self.stats.refused_appends += 1;
+            return Err(LogError::Unavailable);
+        }
+        self.stats.appends += 1;
+        self.stats.records += records.len() as u64;
+        let offset = self.stream(stream, wall_ms).append(records, wall_ms);
+        if self.faults.take_lost_answer(self.stats.appends) {
+            self.stats.lost_answers += 1;
+            return Err(LogError::AnswerLost);
+        }
+        Ok(offset)
+    }
+
+    fn read(&mut self, stream: &StreamName, from: LogOffset, max: usize, wall_ms: u64) -> Result<ReadPage, LogError> {
+        self.stats.reads += 1;
+        if self.faults.down {
+            return Err(LogError::Unavailable);
+        }
+        if !self.streams.contains_key(stream) {
+            return Stream::default().read(from, max);
+        }
+        self.stream(stream, wall_ms).read(from, max)
+    }
+
+    /// Returns the stream, made when needed, without the records that have expired.
+    fn stream(&mut self, stream: &StreamName, wall_ms: u64) -> &mut Stream {
+        let retention_ms = self.faults.retention_ms;
+        let stream = self.streams.entry(stream.clone()).or_default();
+        if retention_ms > 0 {
+            stream.expire(retention_ms, wall_ms);
+        }
+        stream
+    }
+}
+
+#[async_trait]
+impl PlatformLog for MemoryLog {
+    async fn append(&self, stream: &StreamName, records: Vec<Vec<u8>>) -> Result<LogOffset, LogError> {
+        self.half_delay().await;
+        let result = self.lock().append(stream, records, wall_ms());
+        self.half_delay().await;
+        result
+    }
+
+    async fn read(&self, stream: &StreamName, from: LogOffset, max_records: usize) -> Result<ReadPage, LogError> {
+        self.half_delay().await;
+        let result = self.lock().read(stream, from, max_records, wall_ms());
+        self.half_delay().await;
+        result
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/platform-log/tests/memory.rs
@@ -0,0 +1,95 @@
+//! The in-memory log and its faults.
+
+use fulmartrestle_core::LogOffset;
+use fulmartrestle_platform_log::{LogError, LogFaults, MemoryLog, PlatformLog, StreamName};
+use googletest::prelude::*;
+
+fn stream() -> StreamName {
+    "config".parse().expect("a valid stream name")
+}
+
+async fn payloads(log: &dyn PlatformLog, from: u64) -> Vec<Vec<u8>> {
+    let page = log.read(&stream(), LogOffset(from), 100).await.expect("a readable log");
+    page.records.into_iter().map(|entry| entry.payload).collect()
+}
+
+struct FaultCase {
+    name: &'static str,
+    faults: LogFaults,
+    answer: std::result::Result<LogOffset, LogError>,
+    written: usize,
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    let none = LogFaults::default;
+    vec![
+        FaultCase { name: "no fault", faults: none(), answer: Ok(LogOffset(0)), written: 2 },
+        FaultCase {
+            name: "down",
+            faults: LogFaults { down: true, ..none() },
+            answer: Err(LogError::Unavailable),
+            written: 0,
+        },
+        FaultCase {
+            name: "next refused",
+            faults: LogFaults { refuse_next_appends: 1, ..none() },
+            answer: Err(LogError::Unavailable),
+            written: 0,
+        },
+        FaultCase {
+            name: "next answer lost",
+            faults: LogFaults { lose_next_answers: 1, ..none() },
+            answer: Err(LogError::AnswerLost),
+            written: 2,
+        },
+        FaultCase {
+            name: "all answers lost",
+            faults: LogFaults { lose_answers_per_mille: 1_000, ..none() },
+            answer: Err(LogError::AnswerLost),
+            written: 2,
+        },
+    ]
+}
+
+#[tokio::test]
+async fn an_append_answers_truthfully_under_each_fault() {
+    for case in fault_cases() {
+        let log = MemoryLog::new();
+        log.set_faults(case.faults);
+        let answer = log.append(&stream(), vec![b"a".to_vec(), b"b".to_vec()]).await;
+        log.set_faults(LogFaults::default());
+        assert_that!(answer, eq(&case.answer), "{}", case.name);
+        assert_that!(payloads(&log, 0).await.len(), eq(case.written), "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn faults_that_are_counted_end() {
+    let log = MemoryLog::new();
+    log.set_faults(LogFaults { refuse_next_appends: 1, lose_next_answers: 1, ..LogFaults::default() });
+    assert_that!(log.append(&stream(), vec![b"a".to_vec()]).await, err(eq(&LogError::Unavailable)));
+    assert_that!(log.append(&stream(), vec![b"b".to_vec()]).await, err(eq(&LogError::AnswerLost)));
+    assert_that!(log.append(&stream(), vec![b"c".to_vec()]).await, ok(eq(&LogOffset(1))));
+    assert_that!(payloads(&log, 0).await, elements_are![eq(b"b"), eq(b"c")]);
+}
+
+#[tokio::test]
+async fn pages_say_where_to_go_on() {
+    let log = MemoryLog::new();
+    let records = (0..5).map(|byte| vec![byte]).collect();
+    log.append(&stream(), records).await.expect("an append");
+    log.trim_before(&stream(), LogOffset(2));
+    assert_that!(log.read(&stream(), LogOffset(1), 9).await, err(eq(&LogError::Trimmed { first: LogOffset(2) })));
+    let page = log.read(&stream(), LogOffset(2), 2).await.expect("a page");
+    assert_that!((page.first, page.next, page.end), eq((LogOffset(2), LogOffset(4), LogOffset(5))));
+    let last = log.read(&stream(), page.next, 9).await.expect("a page");
+    assert_that!((last.records.len(), last.next), eq((1, LogOffset(5))));
+    let beyond = log.read(&stream(), LogOffset(6), 9).await;
+    assert_that!(beyond, err(matches_pattern!(LogError::BadRequest(contains_substring("6")))));
+}
+
+#[tokio::test]
+async fn an_empty_append_is_rejected() {
+    let answer = MemoryLog::new().append(&stream(), Vec::new()).await;
+    assert_that!(answer, err(matches_pattern!(LogError::BadRequest(_))));
+}
