Serve the platform's log over HTTP and add its client

Nodes run as processes of their own, so the log needs a protocol. HttpLog reports Unavailable only for a connection that was never made or for the log's own refusal; whatever fails after the request may have left is AnswerLost. The stand-in server takes its faults over POST /faults, and fulmartrestle-standin-log runs it as a process.

--- /dev/null
+++ b/crates/platform-log/src/daemon.rs
@@ -0,0 +1,46 @@
+//! The stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+
+use crate::{LogFaults, MemoryLog, serve};
+
+/// What the stand-in process is started with.
+#[derive(Clone, Debug)]
+pub struct DaemonArgs {
+    /// Address to listen on; port zero takes a free one.
+    pub listen: SocketAddr,
+    /// Faults in force from the start.
+    pub faults: LogFaults,
+}
+
+quick_error! {
+    /// Why the stand-in process ended.
+    #[derive(Debug)]
+    pub enum DaemonError {
+        /// The address can't be listened on, or the listener failed.
+        Listen(address: SocketAddr, error: std::io::Error) {
+            display("standin-log: listen on {address}: {error}")
+            source(error)
+        }
+    }
+}
+
+/// Serves an empty log until the process ends. Prints `listening on ADDRESS` on standard output when
+/// it is ready. What was appended is gone when the process ends.
+///
+/// # Errors
+///
+/// Returns the address and the cause when it can't be listened on.
+pub async fn run_daemon(args: DaemonArgs) -> Result<(), DaemonError> {
+    let failed = |error| DaemonError::Listen(args.listen, error);
+    let listener = TcpListener::bind(args.listen).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let log = MemoryLog::new();
+    log.set_faults(args.faults);
+    println!("listening on {address}");
+    serve(listener, Arc::new(log)).await.map_err(failed)
+}
--- /dev/null
+++ b/crates/platform-log/tests/http.rs
@@ -0,0 +1,123 @@
+//! The HTTP client against the stand-in server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fulmartrestle_core::LogOffset;
+use fulmartrestle_platform_log::{HttpLog, LogError, LogFaults, MemoryLog, PlatformLog, StreamName, serve};
+use googletest::prelude::*;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use tokio::net::TcpListener;
+
+const SHORT_TIMEOUT_MS: u64 = 50;
+
+fn stream() -> StreamName {
+    "config".parse().expect("a valid stream name")
+}
+
+async fn start(log: &Arc<MemoryLog>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    tokio::spawn(serve(listener, Arc::clone(log)));
+    url
+}
+
+async fn post(url: &str, body: &'static str) -> (u16, String) {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = http::Request::post(url).body(Full::new(Bytes::from_static(body.as_bytes()))).expect("a request");
+    let response = client.request(request).await.expect("a response");
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.expect("a body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+struct AppendCase {
+    name: &'static str,
+    faults: LogFaults,
+    answer: std::result::Result<LogOffset, LogError>,
+    written: u64,
+}
+
+#[tokio::test]
+async fn an_append_over_http_answers_truthfully_under_each_fault() {
+    let none = LogFaults::default;
+    let cases = [
+        AppendCase { name: "no fault", faults: none(), answer: Ok(LogOffset(0)), written: 1 },
+        AppendCase {
+            name: "down",
+            faults: LogFaults { down: true, ..none() },
+            answer: Err(LogError::Unavailable),
+            written: 0,
+        },
+        AppendCase {
+            name: "answer lost",
+            faults: LogFaults { lose_next_answers: 1, ..none() },
+            answer: Err(LogError::AnswerLost),
+            written: 1,
+        },
+        AppendCase {
+            name: "slower than the time-out",
+            faults: LogFaults { slow_ms: 3_600_000, ..none() },
+            answer: Err(LogError::AnswerLost),
+            written: 0,
+        },
+    ];
+    for case in cases {
+        let log = Arc::new(MemoryLog::new());
+        let client = HttpLog::with_timeouts_ms(&start(&log).await, 5_000, timeout_ms(&case.faults)).expect("a client");
+        log.set_faults(case.faults);
+        let answer = client.append(&stream(), vec![vec![0, 0xff]]).await;
+        assert_that!(answer, eq(&case.answer), "{}", case.name);
+        assert_that!(log.stats().records, eq(case.written), "{}", case.name);
+    }
+}
+
+/// Only the case that waits for the time-out has a short one, so that a busy machine changes no verdict.
+fn timeout_ms(faults: &LogFaults) -> u64 {
+    if faults.slow_ms > 0 { SHORT_TIMEOUT_MS } else { 60_000 }
+}
+
+#[tokio::test]
+async fn a_log_that_does_not_listen_is_unavailable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    drop(listener);
+    let client = HttpLog::new(&url).expect("a client");
+    assert_that!(client.append(&stream(), vec![vec![1]]).await, err(eq(&LogError::Unavailable)));
+    assert_that!(client.read(&stream(), LogOffset(0), 1).await, err(eq(&LogError::Unavailable)));
+}
+
+#[tokio::test]
+async fn reads_over_http_return_what_the_log_holds() {
+    let log = Arc::new(MemoryLog::new());
+    let client = HttpLog::new(&start(&log).await).expect("a client");
+    client.append(&stream(), vec![vec![1, 0xab], Vec::new(), vec![0]]).await.expect("an append");
+    let over_http = client.read(&stream(), LogOffset(0), 2).await;
+    assert_that!(over_http, eq(&log.read(&stream(), LogOffset(0), 2).await));
+    log.trim_before(&stream(), LogOffset(2));
+    let trimmed = client.read(&stream(), LogOffset(0), 2).await;
+    assert_that!(trimmed, err(eq(&LogError::Trimmed { first: LogOffset(2) })));
+    let beyond = client.read(&stream(), LogOffset(9), 2).await;
+    assert_that!(beyond, err(matches_pattern!(LogError::BadRequest(contains_substring("9")))));
+}
+
+#[tokio::test]
+async fn faults_are_set_over_http() {
+    let log = Arc::new(MemoryLog::new());
+    let url = start(&log).await;
+    let (status, _) = post(&format!("{url}/faults"), r#"{"down": true}"#).await;
+    assert_that!((status, log.faults().down), eq((200, true)));
+    let (status, body) = post(&format!("{url}/faults"), r#"{"dwon": true}"#).await;
+    assert_that!(status, eq(400));
+    assert_that!(body, contains_substring("dwon"));
+}
+
+#[test]
+fn a_url_without_an_address_is_rejected() {
+    for url in ["", "https://10.0.0.7:1", "10.0.0.7:1", "http://"] {
+        let error = HttpLog::new(url).expect_err(url);
+        assert_that!(error, matches_pattern!(LogError::BadRequest(contains_substring(url))));
+    }
+}
