Configuration: availability zones are rows of the fleet's configuration

Rates are split over zones, so every node must split over the same ones; a list in each node's settings would differ during a change.

--- a/crates/config/src/fleet/fleet_config.rs
+++ b/crates/config/src/fleet/fleet_config.rs
@@ -6,7 +6,7 @@
 use super::route_index::RouteIndex;
 use super::{
     DrainRow, KeyHash, KeyId, KeyMatch, KeyRow, ObjectiveRow, OperatorName, OperatorRow, RouteRow, StopRow, Table,
-    TenantRow,
+    TenantRow, ZoneRow,
 };
 use crate::plan::Change;
 
@@ -24,6 +24,7 @@
     target_drains: Table<DrainRow>,
     stops: Table<StopRow>,
     objectives: Table<ObjectiveRow>,
+    zones: Table<ZoneRow>,
 }
 
 /// The configuration as it is written: without what can be computed from the rows.
@@ -37,6 +38,7 @@
     target_drains: Table<DrainRow>,
     stops: Table<StopRow>,
     objectives: Table<ObjectiveRow>,
+    zones: Table<ZoneRow>,
 }
 
 impl FleetConfig {
@@ -72,6 +74,8 @@
             Change::RemoveStop(stop) => drop(self.stops.remove(stop)),
             Change::PutObjective(row) => self.objectives.put(row.clone()),
             Change::RemoveObjective(route) => drop(self.objectives.remove(route)),
+            Change::PutZone(row) => self.zones.put(row.clone()),
+            Change::RemoveZone(zone) => drop(self.zones.remove(zone)),
         }
     }
 
@@ -131,6 +135,11 @@
         &self.objectives
     }
 
+    /// Returns the availability zones.
+    pub fn zones(&self) -> &Table<ZoneRow> {
+        &self.zones
+    }
+
     /// Returns the route of a request's path; a query is ignored.
     pub fn route_for(&self, path: &str) -> Option<&RouteRow> {
         self.route_index.find(&self.routes, path)
@@ -173,6 +182,7 @@
             target_drains: tables.target_drains,
             stops: tables.stops,
             objectives: tables.objectives,
+            zones: tables.zones,
         }
     }
 }
@@ -188,6 +198,7 @@
             target_drains: config.target_drains,
             stops: config.stops,
             objectives: config.objectives,
+            zones: config.zones,
         }
     }
 }
--- a/crates/config/src/fleet/mod.rs
+++ b/crates/config/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod stop_row;
 mod table;
 mod tenant_row;
+mod zone_row;
 
 pub use drain_row::{DrainRow, DrainSelector};
 pub use fleet_config::FleetConfig;
@@ -23,5 +24,6 @@
 pub use stop_row::{StopId, StopRow, StopScope};
 pub use table::{Row, Table};
 pub use tenant_row::{TenantRow, Weight};
+pub use zone_row::ZoneRow;
 
 pub(crate) use hex::{bytes_newtype, parse_hex, write_hex};
--- a/crates/config/src/plan/affected.rs
+++ b/crates/config/src/plan/affected.rs
@@ -71,6 +71,10 @@
             Change::PutDrain(_) | Change::RemoveDrain(_) | Change::PutStop(_) | Change::RemoveStop(_) => {
                 self.add_routes_of_targets(change);
             }
+            // Every tenant's rate is split anew over the zones.
+            Change::PutZone(_) | Change::RemoveZone(_) => {
+                self.tenants.extend(self.config.tenants().rows().iter().map(|row| row.tenant.clone()));
+            }
             Change::PutOperator(_) | Change::RemoveOperator(_) => {}
         }
     }
--- a/crates/config/src/plan/change.rs
+++ b/crates/config/src/plan/change.rs
@@ -1,11 +1,11 @@
 //! Changes of rows.
 
-use fulmartrestle_core::{RouteId, Tenant};
+use fulmartrestle_core::{AvailabilityZone, RouteId, Tenant};
 use fulmartrestle_derive::record;
 
 use crate::fleet::{
     DrainRow, DrainSelector, KeyId, KeyRow, ObjectiveRow, OperatorName, OperatorRow, RouteRow, StopId, StopRow,
-    TenantRow,
+    TenantRow, ZoneRow,
 };
 use crate::plan::RowKey;
 
@@ -42,6 +42,10 @@
     PutObjective(ObjectiveRow),
     /// Removes a route's objective.
     RemoveObjective(RouteId),
+    /// Adds a zone or changes its region.
+    PutZone(ZoneRow),
+    /// Removes a zone.
+    RemoveZone(AvailabilityZone),
 }
 
 impl Change {
@@ -62,6 +66,8 @@
             Self::RemoveStop(stop) => vec![RowKey::Stop(stop.clone())],
             Self::PutObjective(row) => vec![RowKey::Objective(row.route.clone())],
             Self::RemoveObjective(route) => vec![RowKey::Objective(route.clone())],
+            Self::PutZone(row) => vec![RowKey::Zone(row.zone.clone())],
+            Self::RemoveZone(zone) => vec![RowKey::Zone(zone.clone())],
         }
     }
 
--- a/crates/config/src/plan/diff.rs
+++ b/crates/config/src/plan/diff.rs
@@ -46,6 +46,8 @@
         Change::RemoveStop(stop) => text_of(config.stops(), stop),
         Change::PutObjective(row) => text_of(config.objectives(), &row.route),
         Change::RemoveObjective(route) => text_of(config.objectives(), route),
+        Change::PutZone(row) => text_of(config.zones(), &row.zone),
+        Change::RemoveZone(zone) => text_of(config.zones(), zone),
     }
 }
 
--- a/crates/config/src/plan/intent.rs
+++ b/crates/config/src/plan/intent.rs
@@ -1,10 +1,10 @@
 //! What an operator wants changed.
 
-use fulmartrestle_core::{RouteId, Tenant};
+use fulmartrestle_core::{AvailabilityZone, RouteId, Tenant};
 use fulmartrestle_derive::record;
 
 use crate::fleet::{
-    DrainSelector, KeyId, ObjectiveRow, OperatorName, OperatorRow, RouteRow, StopId, StopScope, TenantRow,
+    DrainSelector, KeyId, ObjectiveRow, OperatorName, OperatorRow, RouteRow, StopId, StopScope, TenantRow, ZoneRow,
 };
 use crate::text::{DocumentError, parse_document};
 
@@ -64,6 +64,10 @@
     SetObjective(ObjectiveRow),
     /// Removes a route's objective.
     RemoveObjective(RouteId),
+    /// Adds an availability zone or changes its region.
+    SetZone(ZoneRow),
+    /// Removes an availability zone.
+    RemoveZone(AvailabilityZone),
 }
 
 /// A stop at a local time.
--- a/crates/config/src/plan/plan_error.rs
+++ b/crates/config/src/plan/plan_error.rs
@@ -1,6 +1,6 @@
 //! Why no plan can be made of an intent.
 
-use fulmartrestle_core::{RouteId, Tenant};
+use fulmartrestle_core::{AvailabilityZone, RouteId, Tenant};
 use quick_error::quick_error;
 
 use crate::fleet::{DrainSelector, KeyId, OperatorName, StopId};
@@ -27,6 +27,8 @@
         UnknownStop(stop: StopId) { display("no stop {stop}") }
         /// The route has no objective.
         UnknownObjective(route: RouteId) { display("no objective of route {route}") }
+        /// The zone is not configured.
+        UnknownZone(zone: AvailabilityZone) { display("no availability zone {zone}") }
         /// Another route has this path prefix.
         PathTaken(prefix: String, route: RouteId) { display("path prefix {prefix} is taken by route {route}") }
         /// A value can't work: field, value, reason.
--- a/crates/config/src/plan/planner.rs
+++ b/crates/config/src/plan/planner.rs
@@ -144,6 +144,11 @@
                 Some(row) => Ok(Change::RemoveObjective(row.route.clone())),
                 None => Err(PlanFault::UnknownObjective(route.clone())),
             },
+            IntentChange::SetZone(row) => Ok(Change::PutZone(row.clone())),
+            IntentChange::RemoveZone(zone) => match self.after.zones().get(zone) {
+                Some(row) => Ok(Change::RemoveZone(row.zone.clone())),
+                None => Err(PlanFault::UnknownZone(zone.clone())),
+            },
         }
     }
 
--- a/crates/config/src/plan/row_key.rs
+++ b/crates/config/src/plan/row_key.rs
@@ -1,6 +1,6 @@
 //! The identity of a row across all tables.
 
-use fulmartrestle_core::{RouteId, Tenant};
+use fulmartrestle_core::{AvailabilityZone, RouteId, Tenant};
 use fulmartrestle_derive::record;
 
 use crate::fleet::{DrainSelector, KeyId, OperatorName, StopId};
@@ -30,6 +30,8 @@
     Stop(StopId),
     /// An objective's row.
     Objective(RouteId),
+    /// A zone's row.
+    Zone(AvailabilityZone),
 }
 
 impl std::fmt::Display for RowKey {
@@ -44,6 +46,7 @@
             Self::Drain(targets) => write!(formatter, "drain of {targets}"),
             Self::Stop(stop) => write!(formatter, "stop {stop}"),
             Self::Objective(route) => write!(formatter, "objective of route {route}"),
+            Self::Zone(zone) => write!(formatter, "availability zone {zone}"),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,247 @@
+//! The node's side of the control protocols: datagrams, ticks, and what follows from them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmartrestle_core::VmId;
+use fulmartrestle_membership::{MemberRow, MemberState, TargetInfo};
+use fulmartrestle_policy::{CrashMark, TargetRow};
+use fulmartrestle_quota::QuotaMember;
+use tokio::net::UdpSocket;
+
+use crate::gate::OwnTarget;
+use crate::lock::lock;
+use crate::peer::{ControlEnvelope, ControlMessage};
+use crate::state::NodeState;
+use crate::wire::{decode_exact, encode};
+
+/// Longest control message sent as a datagram, in bytes: it fits an Ethernet frame. Longer ones go
+/// over the peer's connection.
+const MAX_DATAGRAM_BYTES: usize = 1_450;
+
+/// Size of the receive buffer, in bytes: the largest datagram.
+const RECEIVE_BYTES: usize = 65_536;
+
+/// Pause between ticks of the gate and the rates. Queued calls wait for milliseconds.
+const FAST_TICK_MS: u64 = 10;
+
+/// Fast ticks between ticks of membership and of the own target's row.
+const FAST_TICKS_PER_SLOW: u64 = 5;
+
+/// Fast ticks between connection probes of the own target.
+const FAST_TICKS_PER_PROBE: u64 = 50;
+
+/// Broadcast topic of crash marks.
+const CRASH_TOPIC: u8 = 1;
+
+/// Receives datagrams until the task is aborted.
+pub async fn receive_datagrams(state: Arc<NodeState>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; RECEIVE_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                if !state.allows(from) {
+                    continue;
+                }
+                match decode_exact::<ControlEnvelope>(&buffer[..length]) {
+                    Ok(envelope) => receive_control(&state, envelope, Some(from)),
+                    Err(_) => state.counters.control_errors.add(1),
+                }
+                flush(&state, &socket).await;
+            }
+            Err(error) => {
+                // A peer that is gone makes the system report its refusal here.
+                log::trace!("control: receive failed: {error}");
+            }
+        }
+    }
+}
+
+/// Takes one control message. `from` is absent when it came over a stream.
+pub fn receive_control(state: &NodeState, envelope: ControlEnvelope, from: Option<SocketAddr>) {
+    let now = state.clock.now();
+    match envelope.message {
+        ControlMessage::Membership(message) => {
+            let from = from.or_else(|| state.directory.peer_address(envelope.from));
+            if let Some(from) = from {
+                lock(&state.membership).on_datagram(from, message, now);
+                take_member_changes(state);
+            }
+        }
+        ControlMessage::Quota(message) => state.rates.on_message(envelope.from, message),
+    }
+}
+
+/// Runs the systems of the node on each tick until the task is aborted.
+pub async fn run_ticks(state: Arc<NodeState>, socket: Arc<UdpSocket>) {
+    let mut interval = tokio::time::interval(Duration::from_millis(FAST_TICK_MS));
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut ticks: u64 = 0;
+    loop {
+        interval.tick().await;
+        ticks += 1;
+        state.gate.tick();
+        state.rates.tick();
+        if ticks.is_multiple_of(FAST_TICKS_PER_SLOW) {
+            tick_members(&state);
+        }
+        if ticks.is_multiple_of(FAST_TICKS_PER_PROBE) {
+            state.gate.probe_target().await;
+        }
+        flush(&state, &socket).await;
+    }
+}
+
+/// Tells membership of the own target, lets it probe, and passes crash marks on.
+fn tick_members(state: &NodeState) {
+    let now = state.clock.now();
+    let own_target = state.gate.usable_target();
+    let info = own_target.map(|target| target_info(&target, now));
+    let marks = lock(&state.crashes).take_marks(now);
+    {
+        let mut membership = lock(&state.membership);
+        let published = membership.member(state.own, now).and_then(|row| row.target);
+        if !same_target(published.as_ref(), info.as_ref()) {
+            membership.set_own_target(info, now);
+        }
+        for mark in marks {
+            broadcast_mark(&mut membership, &mark, now);
+        }
+        membership.tick(now);
+    }
+    take_member_changes(state);
+}
+
+fn broadcast_mark(
+    membership: &mut fulmartrestle_membership::Membership,
+    mark: &CrashMark,
+    now: fulmartrestle_core::TimeUs,
+) {
+    // Marks are a few dozen bytes, far below the bound on broadcasts. The key holds fingerprint and
+    // target, so that the second crash of a request doesn't replace the first.
+    let key = mark.fingerprint.0 ^ mark.target.0.rotate_left(1);
+    if let Ok(bytes) = encode(mark) {
+        let _ = membership.broadcast(CRASH_TOPIC, key, bytes, now);
+    }
+}
+
+/// Feeds changes of the directory to the tables that depend on it.
+fn take_member_changes(state: &NodeState) {
+    let now = state.clock.now();
+    let (changes, broadcasts, members) = {
+        let mut membership = lock(&state.membership);
+        let changes = membership.take_changes(now);
+        let broadcasts = membership.take_broadcasts();
+        let members = (!changes.is_empty()).then(|| live_members(&membership, now));
+        (changes, broadcasts, members)
+    };
+    for change in changes {
+        apply_member(state, &change.row);
+    }
+    if let Some(members) = members {
+        state.rates.set_members(&members);
+    }
+    for broadcast in broadcasts.into_iter().filter(|broadcast| broadcast.topic == CRASH_TOPIC) {
+        if let Ok(mark) = decode_exact::<CrashMark>(&broadcast.bytes) {
+            lock(&state.crashes).merge(mark, now);
+        }
+    }
+}
+
+fn live_members(membership: &fulmartrestle_membership::Membership, now: fulmartrestle_core::TimeUs) -> Vec<QuotaMember> {
+    let live = membership.members(now).filter(|row| row.state.is_reachable());
+    live.map(|row| QuotaMember { vm: row.vm, zone: row.zone }).collect()
+}
+
+fn apply_member(state: &NodeState, row: &MemberRow) {
+    let now = state.clock.now();
+    if row.state == MemberState::Dead {
+        state.directory.remove(row.vm);
+        lock(&state.targets).remove(row.vm);
+        return;
+    }
+    state.directory.insert(row.vm, row.peer_address);
+    let usable = row.state != MemberState::Unreachable;
+    let mut targets = lock(&state.targets);
+    match row.target.as_ref().filter(|_| usable) {
+        Some(info) => targets.upsert(target_row(row, info), now),
+        None => targets.remove(row.vm),
+    }
+}
+
+fn target_row(row: &MemberRow, info: &TargetInfo) -> TargetRow {
+    TargetRow {
+        target: row.vm,
+        service: info.service.clone(),
+        zone: row.zone.clone(),
+        slots: info.slots,
+        warm_up_ms: u64::from(info.warm_up_ms.saturating_sub(info.age_ms)),
+        leaving: info.leaving || row.state == MemberState::Leaving,
+    }
+}
+
+fn target_info(target: &OwnTarget, now: fulmartrestle_core::TimeUs) -> TargetInfo {
+    let announced = &target.announcement;
+    TargetInfo {
+        service: announced.service.clone(),
+        slots: announced.slots,
+        connections: announced.connections,
+        warm_up_ms: announced.warm_up_ms,
+        leaving: announced.leaving,
+        age_ms: u32::try_from(now.ms_since(target.since)).unwrap_or(u32::MAX),
+    }
+}
+
+/// Compares all but the age, which passes by itself.
+fn same_target(left: Option<&TargetInfo>, right: Option<&TargetInfo>) -> bool {
+    match (left, right) {
+        (None, None) => true,
+        (Some(left), Some(right)) => TargetInfo { age_ms: 0, ..left.clone() } == TargetInfo { age_ms: 0, ..right.clone() },
+        _ => false,
+    }
+}
+
+/// Sends what the parts have ready.
+async fn flush(state: &Arc<NodeState>, socket: &UdpSocket) {
+    for send in lock(&state.membership).take_outgoing() {
+        send_control(state, socket, send.to, ControlMessage::Membership(send.message)).await;
+    }
+    for send in state.rates.take_outgoing() {
+        send_to_vm(state, socket, send.to, ControlMessage::Quota(send.message)).await;
+    }
+}
+
+async fn send_to_vm(state: &Arc<NodeState>, socket: &UdpSocket, to: VmId, message: ControlMessage) {
+    if let Some(address) = state.directory.peer_address(to) {
+        send_control(state, socket, address, message).await;
+    }
+}
+
+async fn send_control(state: &Arc<NodeState>, socket: &UdpSocket, to: SocketAddr, message: ControlMessage) {
+    if !state.allows(to) {
+        return;
+    }
+    let envelope = ControlEnvelope { from: state.own, message };
+    let Ok(bytes) = encode(&envelope) else {
+        state.counters.control_errors.add(1);
+        return;
+    };
+    state.counters.control_bytes.add(bytes.len() as u64);
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        tokio::spawn(send_by_stream(Arc::clone(state), to, envelope));
+        return;
+    }
+    state.counters.datagrams.add(1);
+    if socket.send_to(&bytes, to).await.is_err() {
+        state.counters.control_errors.add(1);
+    }
+}
+
+async fn send_by_stream(state: Arc<NodeState>, to: SocketAddr, envelope: ControlEnvelope) {
+    let sent = async { state.peers.link(to).await?.notify(&envelope).await };
+    if let Err(error) = sent.await {
+        state.counters.control_errors.add(1);
+        log::debug!("control: message to {to} was not sent: {error}");
+    }
+}
