--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod plan;
+pub mod replica;
 pub mod settings;
 pub mod text;
 
--- a/crates/config/src/plan/mod.rs
+++ b/crates/config/src/plan/mod.rs
@@ -23,7 +23,7 @@
 pub use diff::{RowDiff, diff};
 pub use fleet_facts::{FleetFacts, TargetFacts, TrafficFacts};
 pub use intent::{Intent, IntentChange, StopIntent};
-pub use plan_document::{MAX_PLAN_CHANGES, MAX_WHY_BYTES, Plan};
+pub use plan_document::{MAX_PLAN_BYTES, MAX_PLAN_CHANGES, MAX_WHY_BYTES, Plan};
 pub use plan_error::{PlanError, PlanFault};
 pub use plan_id::PlanId;
 pub use planner::{GrantedKey, PlanRequest, Planned, plan};
--- a/crates/config/src/plan/plan_document.rs
+++ b/crates/config/src/plan/plan_document.rs
@@ -15,6 +15,9 @@
 /// Longest reason of a plan, in bytes.
 pub const MAX_WHY_BYTES: usize = 500;
 
+/// Largest plan, in bytes: it travels to every node, and one record of the log holds it.
+pub const MAX_PLAN_BYTES: usize = 128 << 10;
+
 /// What will change when the plan is confirmed, and whom it affects.
 #[record]
 #[serde(deny_unknown_fields)]
@@ -44,16 +47,16 @@
 impl Plan {
     /// Returns the identity that belongs to the plan's fields.
     pub fn expected_id(&self) -> PlanId {
+        let mut id = [0; 16];
+        blake3::Hasher::new().update(&self.bytes_without_id()).finalize_xof().fill(&mut id);
+        PlanId(id)
+    }
+
+    fn bytes_without_id(&self) -> Vec<u8> {
         let mut unsigned = self.clone();
         unsigned.id = PlanId([0; 16]);
-        let mut hasher = blake3::Hasher::new();
         // Serializing plain rows to memory can't fail; if it did, the id would match no plan.
-        if let Ok(bytes) = bincode::serde::encode_to_vec(&unsigned, bincode::config::standard()) {
-            hasher.update(&bytes);
-        }
-        let mut id = [0; 16];
-        hasher.finalize_xof().fill(&mut id);
-        PlanId(id)
+        bincode::serde::encode_to_vec(&unsigned, bincode::config::standard()).unwrap_or_default()
     }
 
     /// Checks that the plan is what its id says and that each change can work by itself. Every
@@ -69,6 +72,10 @@
         if self.writes.is_empty() || self.writes.len() > MAX_PLAN_CHANGES {
             return Err(PlanFault::invalid("writes", self.writes.len(), "expected 1 to 200 changes"));
         }
+        let size_bytes = self.bytes_without_id().len();
+        if size_bytes > MAX_PLAN_BYTES {
+            return Err(PlanFault::invalid("writes", size_bytes, "expected a plan of at most 131072 bytes"));
+        }
         if self.why.len() > MAX_WHY_BYTES {
             return Err(PlanFault::invalid("why", self.why.len(), "expected at most 500 bytes"));
         }
--- a/crates/config/src/plan/planner.rs
+++ b/crates/config/src/plan/planner.rs
@@ -78,6 +78,7 @@
         writes,
     };
     plan.id = plan.expected_id();
+    plan.validate()?;
     Ok(Planned { plan, granted: planner.granted })
 }
 
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -12,6 +12,9 @@
 /// Noon in UTC on 1 March 2026.
 pub const NOW_UNIX_MS: i64 = 1_772_366_400_000;
 
+/// Reading the system's time zones is slow; once is enough.
+static TIME_ZONES: std::sync::OnceLock<TimeZones> = std::sync::OnceLock::new();
+
 pub fn id<T: std::str::FromStr>(text: &str) -> T
 where
     T::Err: std::fmt::Debug,
@@ -104,7 +107,7 @@
     let request = PlanRequest {
         who: &id::<OperatorName>("ada"),
         facts: &facts(),
-        time_zones: &TimeZones::from_system(),
+        time_zones: TIME_ZONES.get_or_init(TimeZones::from_system),
         now_unix_ms: NOW_UNIX_MS,
         random: [random; 32],
     };
