Record first starts and time in target at stand-ins

Judging a rate from outside needs to know when each run began, and the time that a fleet adds is the caller's time less the target's own.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -30,6 +30,8 @@
     pub body_bytes: u64,
     /// Calls to other services that were made.
     pub child_calls: u32,
+    /// Time from the request's arrival at the target to its answer, in microseconds.
+    pub in_target_us: u64,
     /// Filling, so that answers have a size.
     pub padding: String,
 }
--- a/crates/standin/src/recorder.rs
+++ b/crates/standin/src/recorder.rs
@@ -5,7 +5,7 @@
 
 use http::request::Parts;
 
-use crate::{CallKey, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, SeenRequest, StandinRecord};
+use crate::{CallKey, CallRuns, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, SeenRequest, StandinRecord};
 
 /// Requests that are kept whole; older ones only count.
 const MAX_SEEN_REQUESTS: usize = 256;
@@ -20,7 +20,7 @@
     key_headers: BTreeSet<String>,
     seen: VecDeque<SeenRequest>,
     arrivals: HashMap<CallKey, u32>,
-    runs: HashMap<CallKey, u32>,
+    runs: HashMap<CallKey, CallRuns>,
     runs_by_idempotency_key: HashMap<String, u32>,
     leaving_since: Option<Instant>,
 }
@@ -63,13 +63,14 @@
     }
 
     /// Counts a request whose work begins.
-    pub(crate) fn started(&mut self, parts: &Parts) {
+    pub(crate) fn started(&mut self, parts: &Parts, now: Instant) {
         self.summary.started += 1;
         let key = call_key(parts);
         if key.request_id.is_empty() {
             self.summary.without_request_id += 1;
         } else {
-            *self.runs.entry(key).or_default() += 1;
+            let runs = self.runs.entry(key).or_insert(CallRuns { count: 0, first_start: now });
+            runs.count += 1;
         }
         if let Some(key) = header_text(parts, IDEMPOTENCY_KEY_HEADER) {
             *self.runs_by_idempotency_key.entry(key).or_default() += 1;
@@ -115,7 +116,7 @@
     }
 
     /// Returns how often the work of each call began.
-    pub(crate) fn runs(&self) -> HashMap<CallKey, u32> {
+    pub(crate) fn runs(&self) -> HashMap<CallKey, CallRuns> {
         self.runs.clone()
     }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -96,7 +96,8 @@
 
 async fn call(request: Request<Incoming>, shared: &Shared) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
-    shared.recorder().received(&parts, &shared.settings.key_markers, Instant::now());
+    let received = Instant::now();
+    shared.recorder().received(&parts, &shared.settings.key_markers, received);
     let behaviour = shared.behaviour();
     if carries_marker(&parts, behaviour.crash_marker.as_deref()) {
         shared.crash();
@@ -109,7 +110,7 @@
     let mut life = shared.life.subscribe();
     let alive = *life.borrow_and_update();
     tokio::select! {
-        response = run(shared, &parts, body) => response,
+        response = run(shared, &parts, body, received) => response,
         // The work of a crashed process ends; nobody is left to answer.
         () = left(&mut life, alive) => std::future::pending().await,
     }
@@ -120,7 +121,7 @@
     let _ = life.wait_for(|current| *current != alive).await;
 }
 
-async fn run(shared: &Shared, parts: &Parts, body: Incoming) -> Response<AnswerBody> {
+async fn run(shared: &Shared, parts: &Parts, body: Incoming, received: Instant) -> Response<AnswerBody> {
     let Ok(body_bytes) = drain(body).await else {
         return text(StatusCode::BAD_REQUEST, "the request's body was cut short");
     };
@@ -137,7 +138,8 @@
         }
     };
     shared.recorder().finished();
-    let answer = target_answer(shared, parts, body_bytes, child_calls);
+    let in_target_us = received.elapsed().as_micros() as u64;
+    let answer = TargetAnswer { in_target_us, body_bytes, child_calls, ..target_answer(shared, parts) };
     if behaviour.cut_answers { cut_json(&answer) } else { json(StatusCode::OK, &answer) }
 }
 
@@ -150,14 +152,16 @@
     Ok(bytes)
 }
 
-fn target_answer(shared: &Shared, parts: &Parts, body_bytes: u64, child_calls: u32) -> TargetAnswer {
+/// Returns the parts of the answer that don't depend on the work.
+fn target_answer(shared: &Shared, parts: &Parts) -> TargetAnswer {
     let request_id = parts.headers.get(REQUEST_ID_HEADER);
     TargetAnswer {
         service: shared.settings.service.clone(),
         request_id: request_id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned(),
         path: parts.uri.path().to_owned(),
-        body_bytes,
-        child_calls,
+        body_bytes: 0,
+        child_calls: 0,
+        in_target_us: 0,
         padding: "x".repeat(shared.settings.answer_bytes),
     }
 }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -12,7 +12,9 @@
 use crate::connection_io::ConnectionIo;
 use crate::server::serve_connection;
 use crate::shared::{Life, Shared};
-use crate::{CallKey, ChildCaller, SeenRequest, SidecarCaller, StandinRecord, StandinSettings, TargetBehaviour};
+use crate::{
+    CallKey, CallRuns, ChildCaller, SeenRequest, SidecarCaller, StandinRecord, StandinSettings, TargetBehaviour,
+};
 
 /// Pause before a listener that failed is tried again, in milliseconds.
 const REBIND_PAUSE_MS: u64 = 20;
@@ -118,8 +120,8 @@
         self.shared.recorder().arrivals()
     }
 
-    /// Returns how often the work of each call began.
-    pub fn runs_by_request_id(&self) -> HashMap<CallKey, u32> {
+    /// Returns how often and when first the work of each call began.
+    pub fn runs_by_request_id(&self) -> HashMap<CallKey, CallRuns> {
         self.shared.recorder().runs()
     }
 
--- a/crates/standin/src/work.rs
+++ b/crates/standin/src/work.rs
@@ -1,7 +1,7 @@
 //! The work of one request: wait for a slot, take time, call other services.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::request::Parts;
 
@@ -31,7 +31,7 @@
     let slot = shared.slots.acquire().await;
     drop(queued);
     let _running = Counted::new(&shared.running);
-    shared.recorder().started(parts);
+    shared.recorder().started(parts, Instant::now());
     work_for(shared.draw_service_time()).await;
     let calls = call_children(shared, parts).await;
     drop(slot);
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -199,7 +199,7 @@
         send(&client, get(&target, "/lineage", headers)).await.expect("an answer");
     }
     let runs = target.runs_by_request_id();
-    let mut counts: Vec<_> = runs.iter().map(|(key, count)| (key.request_id.clone(), *count)).collect();
+    let mut counts: Vec<_> = runs.iter().map(|(key, count)| (key.request_id.clone(), count.count)).collect();
     counts.sort();
     let expected = [("a", 2), ("b", 1), ("c", 1)].map(|(id, count)| (id.to_owned(), count));
     assert_that!(counts, container_eq(expected));
--- a/src/bin/fulmartrestle-standin-target.rs
+++ b/src/bin/fulmartrestle-standin-target.rs
@@ -12,7 +12,7 @@
     /// address to listen on; port 0 takes a free one
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
     listen: SocketAddr,
-    /// settings as JSON, at least {{"service": "NAME"}}
+    /// settings as JSON, at least {"service": "NAME"}
     #[argh(option, from_str_fn(parse_settings))]
     settings: StandinSettings,
 }
