The whole path, thin: caller, entry, gate, target, child calls, four hops deep

Nodes find each other by join records on the stand-in log and gossip; configuration goes through plan and confirm.

--- a/crates/config/src/settings/node_settings.rs
+++ b/crates/config/src/settings/node_settings.rs
@@ -128,10 +128,12 @@
         if !matches!(log_address, Some(Ok(_))) {
             return fail("log_url", self.log_url.clone(), "expected http://IP:PORT");
         }
-        if self.caller_address == self.peer_address || self.caller_address == self.admin_address {
+        // Port 0 takes a free port for each listener, so that two of them never meet.
+        let same = |left: SocketAddr, right: SocketAddr| left == right && left.port() != 0;
+        if same(self.caller_address, self.peer_address) || same(self.caller_address, self.admin_address) {
             return fail("caller_address", self.caller_address.to_string(), "two listeners have the same address");
         }
-        if self.peer_address == self.admin_address {
+        if same(self.peer_address, self.admin_address) {
             return fail("peer_address", self.peer_address.to_string(), "two listeners have the same address");
         }
         let sizes = [
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -70,6 +70,7 @@
     version: Version,
     in_flight: usize,
     members: HashMap<String, usize>,
+    targets: usize,
     counters: HashMap<String, u64>,
 }
 
@@ -101,9 +102,7 @@
     }
     let is_local = |remote: &RemoteAddr| remote.as_socket_addr().is_some_and(|address| address.ip().is_loopback());
     if config.operators().is_empty() && is_local(request.remote_addr()) {
-        return BOOTSTRAP_OPERATOR
-            .parse()
-            .map_err(|error| ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, error));
+        return BOOTSTRAP_OPERATOR.parse().map_err(|error| ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, error));
     }
     Err(ApiError::new(StatusCode::UNAUTHORIZED, "operator key missing or unknown"))
 }
@@ -121,13 +120,8 @@
     rand::Rng::fill_bytes(&mut rand::rng(), &mut random);
     let facts = facts(&state.node);
     let config = state.node.config.get();
-    let plan_request = PlanRequest {
-        who: &who,
-        facts: &facts,
-        time_zones: &state.time_zones,
-        now_unix_ms: wall_ms() as i64,
-        random,
-    };
+    let plan_request =
+        PlanRequest { who: &who, facts: &facts, time_zones: &state.time_zones, now_unix_ms: wall_ms() as i64, random };
     let planned = plan(&config, &intent, &plan_request).map_err(|error| bad_request(&error))?;
     lock(&state.pending).push(planned.plan.clone());
     let granted = planned.granted.iter().map(|key| GrantedAnswer {
@@ -168,11 +162,11 @@
     let id = plan.id;
     let confirmed = state.config_log.confirm(plan).await;
     let result = confirmed.map_err(|error| {
-        let status = match error {
+        let code = match error {
             ConfirmError::Rejected(_) => StatusCode::BAD_REQUEST,
             ConfirmError::Unavailable | ConfirmError::Unsettled => StatusCode::SERVICE_UNAVAILABLE,
         };
-        ApiError::new(status, error)
+        ApiError::new(code, error)
     })?;
     log::info!("config: plan {id} {result}");
     Ok(Json(ConfirmAnswer { plan: id, result }))
@@ -205,25 +199,15 @@
     for row in lock(&node.membership).members(now).filter(|row| row.state.is_reachable()) {
         *members.entry(row.zone.to_string()).or_default() += 1;
     }
-    let counters = &node.counters;
-    let counted = [
-        ("requests", &counters.requests),
-        ("child_calls", &counters.child_calls),
-        ("answered", &counters.answered),
-        ("not_run", &counters.not_run),
-        ("unknown", &counters.unknown),
-        ("retries", &counters.retries),
-        ("datagrams", &counters.datagrams),
-        ("control_bytes", &counters.control_bytes),
-        ("control_errors", &counters.control_errors),
-    ];
+    let counted = node.counters.named();
     Ok(Json(StatusAnswer {
         vm: node.own.to_string(),
         zone: node.zone.to_string(),
         version: node.config.get().version(),
         in_flight: node.gate.in_flight(),
         members,
-        counters: counted.into_iter().map(|(name, counter)| (name.to_owned(), counter.get())).collect(),
+        targets: lock(&node.targets).len(),
+        counters: counted.iter().map(|named| (named.name.to_owned(), named.counter.get())).collect(),
     }))
 }
 
--- a/crates/node/src/admin/error.rs
+++ b/crates/node/src/admin/error.rs
@@ -1,7 +1,8 @@
 //! Errors of the operators' API.
 
+use poem::Response;
+use poem::error::ResponseError;
 use poem::http::StatusCode;
-use poem::{IntoResponse, Response};
 use serde::Serialize;
 
 /// An error as operators see it.
@@ -21,10 +22,21 @@
     }
 }
 
-impl IntoResponse for ApiError {
-    fn into_response(self) -> Response {
-        let status = self.status;
-        let body = serde_json::to_string(&self).unwrap_or_default();
-        Response::builder().status(status).content_type("application/json").body(body)
+impl std::fmt::Display for ApiError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.error)
+    }
+}
+
+impl std::error::Error for ApiError {}
+
+impl ResponseError for ApiError {
+    fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    fn as_response(&self) -> Response {
+        let body = serde_json::to_string(self).unwrap_or_default();
+        Response::builder().status(self.status).content_type("application/json").body(body)
     }
 }
--- a/crates/node/src/call/dispatch.rs
+++ b/crates/node/src/call/dispatch.rs
@@ -10,9 +10,9 @@
 use crate::body::ByteBody;
 use crate::keys::open_tenant;
 use crate::lock::lock;
-use crate::state::NodeState;
 use crate::peer::{PeerAnswer, PeerError};
 use crate::replay_body::ReplayBody;
+use crate::state::NodeState;
 use crate::wire::{AnswerHead, HeaderPair, Reply};
 
 /// When to come back after no target was found, in milliseconds.
@@ -26,8 +26,6 @@
     pub headers: Vec<HeaderPair>,
     /// The body.
     pub body: ByteBody,
-    /// The target that answered.
-    pub target: VmId,
 }
 
 /// What one attempt came to.
@@ -177,7 +175,7 @@
         lock(&state.door).observe(&spec.service, target, level, now);
     }
     let answer = match reply {
-        Reply::Answer { status, headers } => Ok(Dispatched { status, headers, body: answer.body, target }),
+        Reply::Answer { status, headers } => Ok(Dispatched { status, headers, body: answer.body }),
         Reply::Refused(_) if target_lost => {
             lock(&state.crashes).connection_lost(spec.fingerprint, target, now);
             Err(AttemptResult::ConnectionLost)
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -149,7 +149,10 @@
     }
 }
 
-fn live_members(membership: &fulmartrestle_membership::Membership, now: fulmartrestle_core::TimeUs) -> Vec<QuotaMember> {
+fn live_members(
+    membership: &fulmartrestle_membership::Membership,
+    now: fulmartrestle_core::TimeUs,
+) -> Vec<QuotaMember> {
     let live = membership.members(now).filter(|row| row.state.is_reachable());
     live.map(|row| QuotaMember { vm: row.vm, zone: row.zone }).collect()
 }
@@ -197,14 +200,17 @@
 fn same_target(left: Option<&TargetInfo>, right: Option<&TargetInfo>) -> bool {
     match (left, right) {
         (None, None) => true,
-        (Some(left), Some(right)) => TargetInfo { age_ms: 0, ..left.clone() } == TargetInfo { age_ms: 0, ..right.clone() },
+        (Some(left), Some(right)) => {
+            TargetInfo { age_ms: 0, ..left.clone() } == TargetInfo { age_ms: 0, ..right.clone() }
+        }
         _ => false,
     }
 }
 
 /// Sends what the parts have ready.
 async fn flush(state: &Arc<NodeState>, socket: &UdpSocket) {
-    for send in lock(&state.membership).take_outgoing() {
+    let gossip = lock(&state.membership).take_outgoing();
+    for send in gossip {
         send_control(state, socket, send.to, ControlMessage::Membership(send.message)).await;
     }
     for send in state.rates.take_outgoing() {
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -40,3 +40,30 @@
     /// Control messages that could not be sent or read.
     pub control_errors: Counter,
 }
+
+/// A counter with its name.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedCounter<'c> {
+    /// The name in metrics and status.
+    pub name: &'static str,
+    /// The counter.
+    pub counter: &'c Counter,
+}
+
+impl Counters {
+    /// Returns all counters with their names.
+    pub fn named(&self) -> [NamedCounter<'_>; 9] {
+        let named = |name, counter| NamedCounter { name, counter };
+        [
+            named("requests", &self.requests),
+            named("child_calls", &self.child_calls),
+            named("answered", &self.answered),
+            named("not_run", &self.not_run),
+            named("unknown", &self.unknown),
+            named("retries", &self.retries),
+            named("datagrams", &self.datagrams),
+            named("control_bytes", &self.control_bytes),
+            named("control_errors", &self.control_errors),
+        ]
+    }
+}
--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -6,8 +6,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs};
 use fulmartrestle_policy::{
-    Admission, AdmissionLevel, Completion, CrashTable, CrashVerdict, Gate, GateEvent, GateSettings, Offer, Permille, RetryAllowance,
-    TargetHints,
+    Admission, AdmissionLevel, Completion, CrashTable, CrashVerdict, Gate, GateEvent, GateSettings, Offer, Permille,
+    RetryAllowance, TargetHints,
 };
 use http::{HeaderName, HeaderValue, Method, Request, Uri};
 use tokio::sync::oneshot;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,40 @@
 //! The node process as a library: entry, gate and sidecar over the pure policies.
+//!
+//! A node takes callers' requests, sends each to the gate of a target, and runs the calls of its own
+//! target. What it decides is decided by the crates `policy`, `quota`, `membership` and `config`,
+//! which do no I/O; this crate moves bytes and calls them. `docs/DESIGN.md` shows how a request
+//! flows.
+
+mod admin;
+mod body;
+mod call;
+mod clock;
+mod config;
+mod config_log;
+mod context;
+mod control;
+mod counters;
+mod directory;
+mod entry;
+mod explain;
+mod gate;
+mod http;
+mod join;
+mod keys;
+mod link_faults;
+mod lock;
+mod logging;
+mod metrics;
+mod node;
+mod peer;
+mod rates;
+mod replay_body;
+mod state;
+mod wire;
+
+pub use counters::{Counter, Counters};
+pub use gate::{TargetAnnouncement, TargetProtocol};
+pub use link_faults::{LinkFaults, NoLinkFaults};
+pub use logging::init_logging;
+pub use node::{Node, NodeHandle, NodeOptions, StartError};
+pub use state::NodeState;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,298 @@
+//! Starting and stopping one node.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use fulmartrestle_config::Settings;
+use fulmartrestle_config::plan::TimeZones;
+use fulmartrestle_core::VmId;
+use fulmartrestle_membership::{Incarnation, MemberRow, MemberState, Membership, MembershipSettings};
+use fulmartrestle_platform_log::{PlatformLog, StreamName};
+use fulmartrestle_policy::{CrashTable, Door, RetryBudgets, TargetTable};
+use fulmartrestle_quota::{QuotaConfig, QuotaNode, QuotaSettings, TenantRate};
+use quick_error::quick_error;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::admin::{AdminState, serve_admin};
+use crate::clock::Clock;
+use crate::config::CurrentConfig;
+use crate::config_log::ConfigLog;
+use crate::context::ContextSealer;
+use crate::control::{receive_datagrams, run_ticks};
+use crate::counters::Counters;
+use crate::directory::PeerDirectory;
+use crate::entry::EntryService;
+use crate::gate::GateRunner;
+use crate::http::{ListenerLimits, serve_callers};
+use crate::join::run_joins;
+use crate::link_faults::{LinkFaults, NoLinkFaults};
+use crate::lock::lock;
+use crate::metrics::run_metrics;
+use crate::peer::{PeerPool, serve_peers};
+use crate::rates::Rates;
+use crate::state::NodeState;
+
+/// Stream of the fleet's configuration.
+const CONFIG_STREAM: &str = "config";
+
+/// Stream of join records.
+const MEMBERS_STREAM: &str = "members";
+
+/// Pause between reads of the configuration's stream, in milliseconds.
+const CONFIG_READ_PAUSE_MS: u64 = 250;
+
+/// Pause between looks whether a stopping node has finished its calls, in milliseconds.
+const DRAIN_POLL_MS: u64 = 20;
+
+/// Time that a stopping node gives the other nodes to hear of it before it closes its listeners, in
+/// milliseconds. Gossip takes about a second to reach everyone.
+const LEAVE_NOTICE_MS: u64 = 1_500;
+
+quick_error! {
+    /// Why a node did not start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// A listener could not be opened.
+        Listen(what: String, address: SocketAddr, error: std::io::Error) {
+            display("can't listen for {} on {}: {}", what, address, error)
+        }
+        /// A fixed name is not valid, which is a fault of the program.
+        Name(error: fulmartrestle_core::ParseError) {
+            display("{}", error)
+            from()
+        }
+    }
+}
+
+/// What a node is given besides its settings.
+pub struct NodeOptions {
+    /// The platform's log.
+    pub log: Arc<dyn PlatformLog>,
+    /// Faults of the network, brought about on purpose.
+    pub links: Arc<dyn LinkFaults>,
+    /// Seed of random choices; drawn from the system when absent.
+    pub seed: Option<u64>,
+}
+
+impl NodeOptions {
+    /// Returns options for a node that uses `log`, without faults and with a random seed.
+    pub fn new(log: Arc<dyn PlatformLog>) -> Self {
+        Self { log, links: Arc::new(NoLinkFaults), seed: None }
+    }
+}
+
+/// A node. It is used through its handle once started.
+pub struct Node;
+
+/// The listeners of a node.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    datagrams: Arc<UdpSocket>,
+    admin: TcpListener,
+}
+
+/// A running node.
+pub struct NodeHandle {
+    state: Arc<NodeState>,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    stopping: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Opens a node's listeners and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError::Listen`] with the address that can't be used.
+    pub async fn start(settings: Settings, options: NodeOptions) -> Result<NodeHandle, StartError> {
+        let listeners = open_listeners(&settings).await?;
+        let local = |address: std::io::Result<SocketAddr>, fallback| address.unwrap_or(fallback);
+        let caller_address = local(listeners.callers.local_addr(), settings.caller_address);
+        let admin_address = local(listeners.admin.local_addr(), settings.admin_address);
+        let peer_address = local(listeners.peers.local_addr(), settings.peer_address);
+        let state = Arc::new(build_state(settings, peer_address, &options));
+        let config_log =
+            Arc::new(ConfigLog::new(Arc::clone(&options.log), CONFIG_STREAM.parse()?, Arc::clone(&state.config)));
+        let (stopping, stopped) = watch::channel(false);
+        let members: StreamName = MEMBERS_STREAM.parse()?;
+        let mut tasks = JoinSet::new();
+        let service = Arc::new(EntryService::new(Arc::clone(&state)));
+        let limits = ListenerLimits {
+            max_header_bytes: state.settings.limits.max_header_bytes,
+            head_timeout_ms: state.settings.limits.head_timeout_ms,
+            max_connections: state.settings.limits.max_connections,
+        };
+        tasks.spawn(serve_callers(listeners.callers, Arc::clone(&service) as _, limits, stopped));
+        tasks.spawn(serve_peers(listeners.peers, service));
+        tasks.spawn(receive_datagrams(Arc::clone(&state), Arc::clone(&listeners.datagrams)));
+        tasks.spawn(run_ticks(Arc::clone(&state), listeners.datagrams));
+        tasks.spawn(run_joins(Arc::clone(&state), Arc::clone(&options.log), members));
+        tasks.spawn(read_config(Arc::clone(&state), Arc::clone(&config_log)));
+        if let Some(address) = state.settings.metrics_address {
+            tasks.spawn(report_metrics(Arc::clone(&state), address));
+        }
+        let admin = AdminState {
+            node: Arc::clone(&state),
+            config_log,
+            pending: Mutex::default(),
+            time_zones: TimeZones::from_system(),
+        };
+        tasks.spawn(run_admin(listeners.admin, Arc::new(admin)));
+        log::info!("node: {} in {} serves callers on {caller_address}", state.own, state.zone);
+        Ok(NodeHandle { state, caller_address, admin_address, stopping, tasks })
+    }
+}
+
+impl NodeHandle {
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where other nodes connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.state.peer_address
+    }
+
+    /// Returns where operators connect and the own target announces itself.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns this run's identity.
+    pub fn vm(&self) -> VmId {
+        self.state.own
+    }
+
+    /// Returns the node's shared tables, for status and tests.
+    pub fn state(&self) -> &Arc<NodeState> {
+        &self.state
+    }
+
+    /// Stops gracefully: tells the other nodes, takes no new calls, finishes the running ones.
+    pub async fn stop(mut self) {
+        log::info!("node: stopping");
+        lock(&self.state.membership).leave(self.state.clock.now());
+        self.state.gate.begin_drain();
+        tokio::time::sleep(Duration::from_millis(LEAVE_NOTICE_MS)).await;
+        // Receivers are gone only when the listener's task ended already.
+        let _ = self.stopping.send(true);
+        while !self.state.gate.is_drained() {
+            tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+        log::info!("node: nothing runs any more");
+        self.tasks.shutdown().await;
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(mut self) {
+        self.tasks.abort_all();
+    }
+}
+
+async fn open_listeners(settings: &Settings) -> Result<Listeners, StartError> {
+    let callers = listen("callers", settings.caller_address).await?;
+    let peers = listen("peers", settings.peer_address).await?;
+    let peer_address = peers.local_addr().unwrap_or(settings.peer_address);
+    let datagrams = UdpSocket::bind(peer_address)
+        .await
+        .map_err(|error| StartError::Listen("datagrams".to_owned(), peer_address, error))?;
+    let admin = listen("operators", settings.admin_address).await?;
+    Ok(Listeners { callers, peers, datagrams: Arc::new(datagrams), admin })
+}
+
+async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen(what.to_owned(), address, error))
+}
+
+fn build_state(settings: Settings, peer_address: SocketAddr, options: &NodeOptions) -> NodeState {
+    let seed = options.seed.unwrap_or_else(|| rand::rng().random());
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let own = VmId(rng.random());
+    let zone = settings.availability_zone.clone();
+    let clock = Clock::start();
+    let config: Arc<CurrentConfig> = Arc::default();
+    let crashes: Arc<Mutex<CrashTable>> = Arc::default();
+    // The secret must not follow from a seed that tests fix.
+    let sealer = ContextSealer::new(rand::rng().random());
+    let gate = GateRunner::new(clock, sealer, Arc::clone(&config) as _, Arc::clone(&crashes));
+    let own_row = MemberRow {
+        vm: own,
+        incarnation: Incarnation(1),
+        zone: zone.clone(),
+        peer_address,
+        state: MemberState::Alive,
+        target: None,
+    };
+    let quota = QuotaNode::new(own, zone.clone(), QuotaSettings::default());
+    NodeState {
+        own,
+        zone,
+        peer_address,
+        settings,
+        clock,
+        config,
+        gate: Arc::new(gate),
+        targets: Mutex::new(TargetTable::default()),
+        door: Mutex::new(Door::default()),
+        budgets: Mutex::new(RetryBudgets::default()),
+        crashes,
+        rates: Rates::new(clock, quota),
+        membership: Mutex::new(Membership::new(own_row, MembershipSettings::default(), rng.random())),
+        directory: PeerDirectory::default(),
+        peers: PeerPool::default(),
+        links: Arc::clone(&options.links),
+        rng: Mutex::new(rng),
+        counters: Counters::default(),
+        decisions: Mutex::default(),
+    }
+}
+
+/// Reads the configuration's stream and puts each version in force, until the task is aborted.
+async fn read_config(state: Arc<NodeState>, config_log: Arc<ConfigLog>) {
+    let mut in_force = None;
+    loop {
+        if let Err(error) = config_log.read_to_end().await {
+            log::debug!("config: {error}");
+        }
+        let config = state.config.get();
+        if in_force != Some(config.version()) {
+            in_force = Some(config.version());
+            state.rates.set_config(quota_config(&config));
+        }
+        tokio::time::sleep(Duration::from_millis(CONFIG_READ_PAUSE_MS)).await;
+    }
+}
+
+fn quota_config(config: &fulmartrestle_config::FleetConfig) -> QuotaConfig {
+    let tenants = config.tenants().rows().iter().map(|row| TenantRate {
+        tenant: row.tenant.clone(),
+        rate_per_s: row.rate_per_s,
+        burst: row.burst,
+    });
+    QuotaConfig {
+        version: config.version(),
+        zones: config.zones().rows().iter().map(|row| row.zone.clone()).collect(),
+        tenants: tenants.collect(),
+    }
+}
+
+async fn report_metrics(state: Arc<NodeState>, address: SocketAddr) {
+    if let Err(error) = run_metrics(state, address).await {
+        log::error!("metrics: {error}");
+    }
+}
+
+async fn run_admin(listener: TcpListener, state: Arc<AdminState>) {
+    if let Err(error) = serve_admin(listener, state).await {
+        log::error!("admin: {error}");
+    }
+}
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -160,11 +160,7 @@
 
 /// A peer that is stopping refuses new streams before it reads them.
 fn refused_or_lost(error: h2::Error) -> PeerError {
-    if error.reason() == Some(h2::Reason::REFUSED_STREAM) {
-        PeerError::NotSent(error.to_string())
-    } else {
-        lost(error)
-    }
+    if error.reason() == Some(h2::Reason::REFUSED_STREAM) { PeerError::NotSent(error.to_string()) } else { lost(error) }
 }
 
 /// Pings until an answer is overdue. Connections can go silent without being closed.
@@ -178,4 +174,3 @@
         }
     }
 }
-
--- a/crates/node/src/peer/stream.rs
+++ b/crates/node/src/peer/stream.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
-use h2::{RecvStream, Reason, SendStream};
+use h2::{Reason, RecvStream, SendStream};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
 use serde::de::DeserializeOwned;
@@ -92,7 +92,10 @@
     type Data = Bytes;
     type Error = BodyError;
 
-    fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
--- a/crates/node/src/replay_body.rs
+++ b/crates/node/src/replay_body.rs
@@ -63,14 +63,6 @@
             Self::Streamed { head, rest } => rest.take().map(|rest| chained(head.clone(), rest)),
         }
     }
-
-    /// Tells whether another attempt can be made.
-    pub fn is_replayable(&self) -> bool {
-        match self {
-            Self::Whole(_) => true,
-            Self::Streamed { rest, .. } => rest.is_some(),
-        }
-    }
 }
 
 /// Returns `head` followed by `rest`.
--- a/crates/node/src/wire/header_pair.rs
+++ b/crates/node/src/wire/header_pair.rs
@@ -31,9 +31,9 @@
 /// Headers named by `Connection` are left out like the fixed hop-by-hop set.
 pub fn headers_to_pairs(headers: &HeaderMap) -> Vec<HeaderPair> {
     let named = connection_named(headers);
-    let forwarded = headers.iter().filter(|(name, _)| {
-        !HOP_BY_HOP.contains(&name.as_str()) && !named.iter().any(|other| other == name.as_str())
-    });
+    let forwarded = headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()) && !named.iter().any(|other| other == name.as_str()));
     forwarded
         .map(|(name, value)| HeaderPair { name: name.as_str().to_owned(), value: value.as_bytes().to_vec() })
         .collect()
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -7,5 +7,5 @@
 
 pub use answer_head::{AnswerHead, Reply};
 pub use call_head::CallHead;
-pub use codec::{HeadError, MAX_HEAD_BYTES, decode_exact, decode_head, encode, encode_head};
+pub use codec::{HeadError, decode_exact, decode_head, encode, encode_head};
 pub use header_pair::{HeaderPair, headers_from_pairs, headers_to_pairs};
--- a/crates/policy/src/retry/decision.rs
+++ b/crates/policy/src/retry/decision.rs
@@ -128,7 +128,8 @@
         }
         match self.attempt.result {
             AttemptResult::Refused(refusal) => match refusal.reason {
-                Reason::Draining | Reason::NotReady | Reason::TargetFailed | Reason::BadAnswer => true,
+                Reason::Draining | Reason::NotReady | Reason::NoTarget => true,
+                Reason::TargetFailed | Reason::BadAnswer => true,
                 Reason::Shed => self.tried.len() < MAX_SHED_TARGETS,
                 _ => false,
             },
@@ -148,7 +149,7 @@
             self.attempt.result,
             AttemptResult::Refused(Refusal {
                 outcome: Outcome::NotRun,
-                reason: Reason::Draining | Reason::NotReady,
+                reason: Reason::Draining | Reason::NotReady | Reason::NoTarget,
                 ..
             })
         )
