Spread of configuration between nodes as a pure state machine

Cause: two tailers per zone read the log; all other nodes must have a change in force within seconds, also with the log out of reach of their zone, and no node may go back to an older version after a restart.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod plan;
 pub mod replica;
 pub mod settings;
+pub mod spread;
 pub mod text;
 
 pub use fleet::FleetConfig;
--- a/crates/config/src/replica/catch_up.rs
+++ b/crates/config/src/replica/catch_up.rs
@@ -10,6 +10,7 @@
 /// that came after that snapshot was taken.
 #[derive(Clone, Debug)]
 pub(super) struct CatchUp {
+    first: LogOffset,
     next_offset: LogOffset,
     held_back: VecDeque<LogRecord>,
     assembler: SnapshotAssembler,
@@ -23,13 +24,18 @@
 
 impl CatchUp {
     pub(super) fn from(first: LogOffset) -> Self {
-        Self { next_offset: first, held_back: VecDeque::new(), assembler: SnapshotAssembler::default() }
+        Self { first, next_offset: first, held_back: VecDeque::new(), assembler: SnapshotAssembler::default() }
     }
 
     pub(super) fn next_offset(&self) -> LogOffset {
         self.next_offset
     }
 
+    /// Returns whether a replica that needs `applied` next finds it in the log.
+    pub(super) fn is_needed_at(&self, applied: LogOffset) -> bool {
+        applied < self.first
+    }
+
     /// Takes the record at `next_offset`.
     pub(super) fn push(&mut self, record: &LogRecord) -> Option<Found> {
         self.next_offset.0 += 1;
--- a/crates/config/src/replica/replica_state.rs
+++ b/crates/config/src/replica/replica_state.rs
@@ -57,6 +57,13 @@
 
     /// Applies the record at `offset`.
     pub fn apply_record(&mut self, offset: LogOffset, record: &LogRecord) -> Applied {
+        if let Some(state) = &mut self.state
+            && offset == state.next_offset
+        {
+            let result = state.apply(record);
+            self.drop_needless_catch_up();
+            return Applied::Now(result);
+        }
         let wanted = self.next_offset();
         if offset < wanted {
             return Applied::Before;
@@ -64,14 +71,15 @@
         if offset > wanted {
             return Applied::Gap;
         }
-        if let Some(catch_up) = &mut self.catch_up {
-            let found = catch_up.push(record);
-            return found.map_or(Applied::HeldBack, |found| self.take_up(found));
-        }
-        match &mut self.state {
-            Some(state) => Applied::Now(state.apply(record)),
-            None => Applied::Gap,
-        }
+        let Some(catch_up) = &mut self.catch_up else { return Applied::Gap };
+        let found = catch_up.push(record);
+        found.map_or(Applied::HeldBack, |found| self.take_up(found))
+    }
+
+    /// Records or a snapshot of a peer may close the gap before the log's own snapshot does.
+    fn drop_needless_catch_up(&mut self) {
+        let applied = self.applied_offset();
+        self.catch_up.take_if(|catch_up| !catch_up.is_needed_at(applied));
     }
 
     fn take_up(&mut self, found: Found) -> Applied {
@@ -95,7 +103,7 @@
         };
         if is_ahead {
             self.state = Some(State::from_snapshot(snapshot));
-            self.catch_up = None;
+            self.drop_needless_catch_up();
         }
         is_ahead
     }
--- /dev/null
+++ b/crates/config/src/spread/node_timers.rs
@@ -0,0 +1,84 @@
+//! What a node does by the clock.
+
+use fulmartrestle_core::TimeUs;
+use rand::RngExt;
+
+use super::timing::{
+    ACK_INTERVAL_MS, MIN_ACK_INTERVAL_MS, OUTSIDE_PULL_ONE_IN, PULL_INTERVAL_MS, REPORT_INTERVAL_MS,
+    START_PULL_INTERVAL_MS, TAILER_PULL_INTERVAL_MS,
+};
+use super::{ConfigMessage, ConfigNode};
+
+impl ConfigNode {
+    /// A new tailer knows no acknowledgements; one that is no longer a tailer drops them.
+    pub(super) fn note_role(&mut self) {
+        let is_tailer = self.members.is_tailer();
+        if self.was_tailer && !is_tailer {
+            self.reports.forget_acks();
+        }
+        self.was_tailer = is_tailer;
+    }
+
+    pub(super) fn pull_periodically(&mut self, now: TimeUs) {
+        if now < self.next_pull_at {
+            return;
+        }
+        let is_tailer = self.members.is_tailer();
+        let interval_ms = match (self.is_ready(), is_tailer) {
+            (false, _) => START_PULL_INTERVAL_MS,
+            (true, true) => TAILER_PULL_INTERVAL_MS,
+            (true, false) => PULL_INTERVAL_MS,
+        };
+        let jitter_ms = self.rng.random_range(0..=interval_ms / 4);
+        self.next_pull_at = now.plus_ms(interval_ms - interval_ms / 8 + jitter_ms);
+        let goes_outside = self.rng.random_ratio(1, OUTSIDE_PULL_ONE_IN);
+        let peer = match (self.is_ready(), is_tailer, goes_outside) {
+            (true, true, _) => self.members.random_outside_tailer(&mut self.rng),
+            (_, _, true) => self.members.random_outside_peer(&mut self.rng),
+            (false, _, false) => self.members.random_zone_peers(&mut self.rng, 1).pop(),
+            (true, false, false) => None,
+        };
+        if let Some(peer) = peer.or_else(|| self.members.random_source(&mut self.rng)) {
+            self.puller.note_ahead(peer);
+        }
+    }
+
+    pub(super) fn ack_if_due(&mut self, now: TimeUs) {
+        let digest = self.digest(now);
+        let is_due = self.last_ack.is_none_or(|(at, last)| {
+            let since_ms = now.ms_since(at);
+            since_ms >= ACK_INTERVAL_MS || (since_ms >= MIN_ACK_INTERVAL_MS && last.version != digest.version)
+        });
+        if !is_due || !digest.ready {
+            return;
+        }
+        self.last_ack = Some((now, digest));
+        for to in self.members.own_tailers() {
+            self.send(to, ConfigMessage::Ack(digest));
+        }
+    }
+
+    pub(super) fn report_if_due(&mut self, now: TimeUs) {
+        if now < self.next_report_at || !self.members.is_tailer() {
+            return;
+        }
+        self.next_report_at = now.plus_ms(REPORT_INTERVAL_MS);
+        let report = self.make_own_report(now);
+        let receivers: Vec<_> = self.members.other_zones().flat_map(|zone| zone.tailers.clone()).collect();
+        for to in receivers {
+            self.send(to, ConfigMessage::Report(report.clone()));
+        }
+    }
+
+    pub(super) fn write_snapshot_if_due(&mut self, now: TimeUs, now_unix_ms: i64) {
+        if !self.members.is_tailer() {
+            return;
+        }
+        let ticket = self.next_ticket();
+        let retention_ms = self.settings.log_retention_ms;
+        let is_needed = self.is_ready() && self.replica.needs_snapshot(now_unix_ms, retention_ms);
+        let rank = || self.members.snapshot_rank();
+        let effect = self.snapshot_writer.tick(now, rank, is_needed, &self.replica, now_unix_ms, ticket);
+        self.effects.extend(effect);
+    }
+}
