--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -11,6 +11,10 @@
 /// microseconds. Without it every join would stop the owner for a round trip.
 const JOIN_GRACE_US: u64 = 1_500_000;
 
+/// How long a lapsed acknowledgement is kept, in microseconds, so that a member that drops out of
+/// view and comes back is not taken for one that has just joined.
+const ACK_RETENTION_US: u64 = 60_000_000;
+
 /// How far a node has got in becoming owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LeasePhase {
@@ -29,12 +33,19 @@
     lease_ends_at: TimeUs,
 }
 
+/// A member's latest acknowledgement.
+#[derive(Clone, Copy, Debug)]
+struct Ack {
+    until: TimeUs,
+    fresh: bool,
+}
+
 /// A node's lease on one shard: valid while every member that it sees has acknowledged it.
 #[derive(Clone, Debug)]
 pub(crate) struct Lease {
     pub(crate) phase: LeasePhase,
     requests: VecDeque<LeaseRound>,
-    acknowledged_until: BTreeMap<VmId, TimeUs>,
+    acks: BTreeMap<VmId, Ack>,
     valid_until: TimeUs,
     next_request_at: TimeUs,
 }
@@ -44,7 +55,7 @@
         Self {
             phase: LeasePhase::Candidate,
             requests: VecDeque::new(),
-            acknowledged_until: BTreeMap::new(),
+            acks: BTreeMap::new(),
             valid_until: TimeUs(0),
             next_request_at: TimeUs(0),
         }
@@ -72,23 +83,31 @@
         self.next_request_at = again_at;
     }
 
-    pub(crate) fn on_ack(&mut self, from: VmId, seq: u64) {
+    pub(crate) fn on_ack(&mut self, from: VmId, seq: u64, fresh: bool) {
         let Some(round) = self.requests.iter().find(|round| round.seq == seq) else { return };
-        let known = self.acknowledged_until.entry(from).or_insert(round.lease_ends_at);
-        *known = (*known).max(round.lease_ends_at);
+        let ack = Ack { until: round.lease_ends_at, fresh };
+        let known = self.acks.entry(from).or_insert(ack);
+        if known.until <= ack.until {
+            *known = ack;
+        }
     }
 
     /// Recomputes until when all members of the present view have acknowledged.
     pub(crate) fn review(&mut self, members: impl Iterator<Item = VmId>, now: TimeUs) {
         let established = self.phase != LeasePhase::Candidate && self.is_valid(now);
-        let mut reviewed = BTreeMap::new();
+        let mut valid_until = None;
         for member in members {
             let missing = if established { now.plus_us(JOIN_GRACE_US) } else { TimeUs(0) };
-            let until = self.acknowledged_until.get(&member).copied().unwrap_or(missing);
-            reviewed.insert(member, until);
+            let ack = self.acks.entry(member).or_insert(Ack { until: missing, fresh: true });
+            valid_until = Some(valid_until.map_or(ack.until, |known: TimeUs| known.min(ack.until)));
         }
-        self.valid_until = reviewed.values().copied().min().unwrap_or_default();
-        self.acknowledged_until = reviewed;
+        self.valid_until = valid_until.unwrap_or_default();
+        self.acks.retain(|_, ack| ack.until.plus_us(ACK_RETENTION_US) > now);
+    }
+
+    /// Returns whether some member has run for long enough to know of any other owner.
+    fn has_informed_ack(&self, now: TimeUs) -> bool {
+        self.acks.values().any(|ack| !ack.fresh && now < ack.until)
     }
 
     /// Moves on through the phases. Returns whether lending starts now.
@@ -98,8 +117,10 @@
             return false;
         }
         match self.phase {
+            LeasePhase::Candidate if !self.has_informed_ack(now) => false,
             LeasePhase::Candidate => {
                 self.phase = LeasePhase::WaitingOutLoans(now.plus_us(loans_gone_us));
+                self.next_request_at = now;
                 false
             }
             LeasePhase::WaitingOutLoans(until) if now >= until => {
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -37,6 +37,8 @@
         shard: QuotaShard,
         /// Number of the request.
         seq: u64,
+        /// Whether the member started so recently that it may have forgotten an acknowledgement.
+        fresh: bool,
     },
     /// Asks an owner for tokens.
     TokenRequest {
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     LoanReport, QuotaConfig, QuotaMember, QuotaMessage, QuotaSend, QuotaSettings, QuotaShard, RateDecision,
-    bucket::Bucket, directory::Directory, owner::Owner, promise::Promise, wallet::Wallet, wallet::retry_hint_ms,
+    bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, wallet::Wallet,
+    wallet::retry_hint_ms,
 };
 
 /// Hint for tenants without a rate and for nodes without configuration, in milliseconds.
@@ -102,7 +103,7 @@
             QuotaMessage::LeaseRequest { shard, seq, lease_us, established } => {
                 self.on_lease_request(from, shard, seq, lease_us, established, now);
             }
-            QuotaMessage::LeaseAck { shard, seq } => self.owner.on_ack(from, shard, seq),
+            QuotaMessage::LeaseAck { shard, seq, fresh } => self.owner.on_ack(from, shard, seq, fresh),
             QuotaMessage::TokenRequest { tenant, seq, want, reports } => {
                 self.on_token_request(from, tenant, seq, want, &reports, now);
             }
@@ -213,7 +214,7 @@
     }
 
     /// Acknowledges an owner unless another is acknowledged. A node that has just started may have
-    /// forgotten a promise, so it supports no new candidate until that promise would have lapsed.
+    /// forgotten a promise and says so.
     fn on_lease_request(
         &mut self,
         from: VmId,
@@ -227,12 +228,13 @@
             return;
         }
         let preferred = self.directory.preferred_owner(&self.zone, shard) == Some(from);
-        if !established && (self.is_fresh(now) || !preferred) {
+        if !established && !preferred {
             return;
         }
         let until = now.plus_us(self.settings.outlasting_us(lease_us));
         self.promises.insert(shard, Promise { owner: from, until });
-        self.send(from, QuotaMessage::LeaseAck { shard, seq }, now);
+        let fresh = self.is_fresh(now);
+        self.send(from, QuotaMessage::LeaseAck { shard, seq, fresh }, now);
     }
 
     fn on_token_request(
@@ -309,8 +311,8 @@
         }
         let members: Vec<VmId> = self.directory.members(&self.zone).collect();
         let seq = self.take_seq();
-        let established = self.owner.on_requested(shard, seq, members.len(), &self.settings, now);
-        let lease_us = self.settings.lease_us(members.len());
+        let Some(terms) = self.owner.on_requested(shard, seq, members.len(), &self.settings, now) else { return };
+        let LeaseTerms { lease_us, established } = terms;
         for member in members {
             self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established }, now);
         }
@@ -329,11 +331,12 @@
         }
     }
 
-    /// Returns whether an earlier process at this place may have promises in force.
+    /// Returns whether an owner may hold a lease that this node knows nothing of: one that an
+    /// earlier process at this place acknowledged, or one from before this node was seen to join.
     fn is_fresh(&self, now: TimeUs) -> bool {
-        let lease_us = self.settings.lease_us(self.directory.member_count(&self.zone));
+        let members = self.directory.member_count(&self.zone);
         let started_at = self.started_at.unwrap_or(now);
-        now.us_since(started_at) < self.settings.outlasting_us(lease_us)
+        now.us_since(started_at) < self.settings.fresh_us(members)
     }
 
     fn note_time(&mut self, now: TimeUs) {
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -13,6 +13,17 @@
 /// don't answer, so that a candidate learns of their lapse only by asking.
 const CANDIDATE_RETRY_US: u64 = 250_000;
 
+/// How long members are bound to a candidate, in microseconds. While views differ, candidates fail;
+/// binding members for a whole lease would keep the next candidate out as long.
+const CANDIDATE_LEASE_US: u64 = 1_000_000;
+
+/// What a round of lease requests asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseTerms {
+    pub(crate) lease_us: u64,
+    pub(crate) established: bool,
+}
+
 /// Leases by shard and buckets by tenant.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Owner {
@@ -48,9 +59,9 @@
         self.buckets.get_mut(tenant)
     }
 
-    pub(crate) fn on_ack(&mut self, from: VmId, shard: QuotaShard, seq: u64) {
+    pub(crate) fn on_ack(&mut self, from: VmId, shard: QuotaShard, seq: u64, fresh: bool) {
         if let Some(lease) = self.leases.get_mut(&shard) {
-            lease.on_ack(from, seq);
+            lease.on_ack(from, seq, fresh);
         }
     }
 
@@ -92,7 +103,7 @@
         self.leases.get(&shard).is_some_and(|lease| lease.request_due(now))
     }
 
-    /// Notes a round of lease requests. Returns whether the lease is valid already.
+    /// Notes a round of lease requests and returns what it asks for.
     pub(crate) fn on_requested(
         &mut self,
         shard: QuotaShard,
@@ -100,12 +111,13 @@
         members: usize,
         settings: &QuotaSettings,
         now: TimeUs,
-    ) -> bool {
-        let Some(lease) = self.leases.get_mut(&shard) else { return false };
+    ) -> Option<LeaseTerms> {
+        let lease = self.leases.get_mut(&shard)?;
         let established = lease.phase != LeasePhase::Candidate && lease.is_valid(now);
         let pause_us = if established { settings.renew_us(members) } else { CANDIDATE_RETRY_US };
-        lease.on_requested(seq, now.plus_us(settings.lease_us(members)), now.plus_us(pause_us));
-        established
+        let lease_us = if established { settings.lease_us(members) } else { CANDIDATE_LEASE_US };
+        lease.on_requested(seq, now.plus_us(lease_us), now.plus_us(pause_us));
+        Some(LeaseTerms { lease_us, established })
     }
 
     /// Lets loans lapse and forgets the buckets of tenants that have no rate any more.
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -21,6 +21,9 @@
     pub lease_ms: u64,
     /// How often the owner renews its lease, in milliseconds. Default 1,000.
     pub renew_ms: u64,
+    /// Within what time membership shows a new member to every node of its zone that runs, in
+    /// milliseconds. Default 2,000.
+    pub join_spread_ms: u64,
     /// How long a request may wait for a token in all, in milliseconds. Default 50.
     pub max_wait_ms: u64,
     /// Largest difference between a clock's rate and true time that lapses allow for, in parts per
@@ -37,6 +40,7 @@
             loan_ms: 1_000,
             lease_ms: 4_500,
             renew_ms: 1_000,
+            join_spread_ms: 2_000,
             max_wait_ms: 50,
             clock_drift_ppm: 10_000,
             refill_margin_ppm: 500,
@@ -61,6 +65,12 @@
         self.lease_ms * US_PER_MS * lease_steps(members)
     }
 
+    /// Returns how long after its start a node in a zone of `members` members counts as fresh, in
+    /// microseconds.
+    pub fn fresh_us(&self, members: usize) -> u64 {
+        self.outlasting_us(self.lease_us(members) + self.join_spread_ms * US_PER_MS)
+    }
+
     /// Returns how often a lease is renewed in a zone of `members` members, in microseconds.
     pub fn renew_us(&self, members: usize) -> u64 {
         self.renew_ms * US_PER_MS * lease_steps(members)
--- /dev/null
+++ b/crates/quota/tests/strict_bound.rs
@@ -0,0 +1,126 @@
+//! Randomised runs in virtual time: the fleet never admits more than burst + rate * t in any interval.
+
+mod support;
+
+use fulmartrestle_quota::QuotaSettings;
+use googletest::prelude::*;
+use support::fleet::{config, tenant};
+use support::{Faults, Fleet, Load, env_or};
+
+struct Case {
+    name: &'static str,
+    seed: u64,
+    size: usize,
+    rate: u64,
+    burst: u64,
+    offered: [u64; 3],
+    faults: Faults,
+}
+
+/// Clocks in the runs differ by up to one per cent either way, so buckets fill that much slower.
+fn settings() -> QuotaSettings {
+    QuotaSettings { refill_margin_ppm: 10_000, ..QuotaSettings::default() }
+}
+
+fn everything() -> Faults {
+    Faults {
+        loss: 20,
+        doubling: 30,
+        long_delay: 10,
+        pause_per_100_s: 2,
+        restart_per_10_000_s: 200,
+        cut_per_100_s: 10,
+        omit_member: 50,
+        drift_ppm: 9_900,
+        ..Faults::default()
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let storm = Faults { restart_per_10_000_s: 600, pause_per_100_s: 3, ..everything() };
+    let calm = Faults { drift_ppm: 9_900, ..Faults::default() };
+    let spread = [700, 700, 700];
+    vec![
+        Case { name: "calm", seed: 1, size: 9, rate: 300, burst: 60, offered: spread, faults: calm },
+        Case { name: "3 nodes", seed: 2, size: 3, rate: 300, burst: 50, offered: spread, faults: everything() },
+        Case { name: "12 nodes", seed: 3, size: 12, rate: 500, burst: 100, offered: spread, faults: everything() },
+        Case { name: "one zone", seed: 4, size: 12, rate: 200, burst: 40, offered: [900, 0, 0], faults: everything() },
+        Case { name: "burst 2", seed: 5, size: 9, rate: 50, burst: 2, offered: [60, 60, 60], faults: everything() },
+        Case { name: "storm", seed: 6, size: 18, rate: 300, burst: 300, offered: spread, faults: storm.clone() },
+        Case { name: "50 nodes", seed: 7, size: 50, rate: 900, burst: 200, offered: spread, faults: storm },
+    ]
+}
+
+fn run(case: &Case, seed: u64, steps: u64) -> Fleet {
+    let first = config(1, &[("rover", case.rate, case.burst)]);
+    let mut fleet = Fleet::new(seed, case.size, settings(), case.faults.clone(), first);
+    fleet.load.insert(tenant("rover"), Load { per_s: case.offered });
+    fleet.run(steps);
+    fleet
+}
+
+#[gtest]
+fn admissions_never_pass_burst_and_rate_in_any_interval() {
+    let steps = env_or("FULMARTRESTLE_STEPS", 30_000);
+    let shift = env_or("FULMARTRESTLE_SEED", 0);
+    for case in cases() {
+        let seed = case.seed + shift;
+        let fleet = run(&case, seed, steps);
+        let totals = &fleet.totals;
+        expect_that!(totals.violations, eq(0), "{}: seed {seed}, steps {steps}, {totals:?}", case.name);
+        expect_that!(totals.admitted, gt(0), "{}: seed {seed}, steps {steps}, {totals:?}", case.name);
+        if env_or("FULMARTRESTLE_SHOW", 0) > 0 {
+            println!("{}: {totals:?}", case.name);
+        }
+    }
+}
+
+#[gtest]
+fn changed_rates_keep_the_bound_of_the_rates_in_force() {
+    let steps = env_or("FULMARTRESTLE_STEPS", 15_000);
+    let seed = 11 + env_or("FULMARTRESTLE_SEED", 0);
+    let mut fleet = Fleet::new(seed, 9, settings(), everything(), config(1, &[("rover", 200, 50)]));
+    fleet.set_bound("rover", 400, 80);
+    fleet.load.insert(tenant("rover"), Load { per_s: [300, 300, 0] });
+    let rates = [(400, 80), (100, 20), (250, 80), (50, 5)];
+    for (index, (rate, burst)) in rates.into_iter().enumerate() {
+        fleet.run(steps);
+        fleet.publish(config(index as u64 + 2, &[("rover", rate, burst)]));
+    }
+    fleet.run(steps);
+    expect_that!(fleet.totals.violations, eq(0), "seed {seed}, steps {steps}, {:?}", fleet.totals);
+}
+
+#[gtest]
+fn a_bucket_that_fills_by_a_fast_clock_is_caught() {
+    let faults = Faults { drift_ppm: 9_900, all_clocks_fast: true, ..Faults::default() };
+    let broken = QuotaSettings { refill_margin_ppm: 0, ..QuotaSettings::default() };
+    let mut fleet = Fleet::new(12, 9, broken, faults, config(1, &[("rover", 500, 30)]));
+    fleet.load.insert(tenant("rover"), Load { per_s: [700, 700, 700] });
+    fleet.run(40_000);
+    expect_that!(fleet.totals.violations, gt(0));
+}
+
+#[gtest]
+fn two_owners_of_one_share_are_caught() {
+    let mut fleet = Fleet::new(13, 12, settings(), Faults::default(), config(1, &[("rover", 300, 50)]));
+    fleet.disjoint_views = true;
+    fleet.load.insert(tenant("rover"), Load { per_s: [700, 700, 700] });
+    fleet.run(20_000);
+    expect_that!(fleet.totals.violations, gt(0));
+}
+
+#[gtest]
+fn loans_that_outlast_their_lender_are_caught() {
+    let faults = Faults { slow_first_zone: true, ..Faults::default() };
+    let quick = QuotaSettings { lease_ms: 450, renew_ms: 100, join_spread_ms: 200, ..settings() };
+    let mut fleet = Fleet::new(14, 9, quick, faults, config(1, &[("rover", 1_000, 1_000)]));
+    fleet.run(35_000);
+    fleet.load.insert(tenant("rover"), Load { per_s: [300, 0, 0] });
+    fleet.run(1_000);
+    fleet.load.clear();
+    fleet.run(1_300);
+    fleet.load.insert(tenant("rover"), Load { per_s: [20_000; 3] });
+    fleet.run(100);
+    expect_that!(fleet.totals.violations, gt(0));
+}
