Node: configuration spreads by two log readers per zone and pulls; drains and isolation in force

The reader loop per node is replaced by the pure ConfigNode: at 7,100 nodes a loop each at 250 ms would be 28,400 reads a second of the log, two readers in each of 9 zones at 500 ms are 36.

--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -6,6 +6,7 @@
 use fulmartrestle_config::fleet::OperatorName;
 use fulmartrestle_config::plan::{FleetFacts, Intent, Plan, PlanId, PlanRequest, TargetFacts, TimeZones, plan};
 use fulmartrestle_config::replica::CertificationResult;
+use fulmartrestle_config::spread::{ConfigStatus, ConfirmOutcome};
 use fulmartrestle_core::Version;
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
@@ -18,7 +19,6 @@
 use super::pending_plans::PendingPlans;
 use super::targets::announce;
 use crate::clock::wall_ms;
-use crate::config_log::{ConfigLog, ConfirmError};
 use crate::lock::lock;
 use crate::state::NodeState;
 
@@ -32,8 +32,6 @@
 pub struct AdminState {
     /// The node.
     pub node: Arc<NodeState>,
-    /// The configuration's stream.
-    pub config_log: Arc<ConfigLog>,
     /// Plans that wait for confirmation.
     pub pending: Mutex<PendingPlans>,
     /// Rules of named time zones.
@@ -68,6 +66,7 @@
     vm: String,
     zone: String,
     version: Version,
+    config: ConfigStatus,
     in_flight: usize,
     members: HashMap<String, usize>,
     targets: usize,
@@ -160,14 +159,14 @@
 
 async fn confirm(state: &AdminState, plan: Plan) -> Result<Json<ConfirmAnswer>, ApiError> {
     let id = plan.id;
-    let confirmed = state.config_log.confirm(plan).await;
-    let result = confirmed.map_err(|error| {
-        let code = match error {
-            ConfirmError::Rejected(_) => StatusCode::BAD_REQUEST,
-            ConfirmError::Unavailable | ConfirmError::Unsettled => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        ApiError::new(code, error)
-    })?;
+    let unavailable = |text: &str| ApiError::new(StatusCode::SERVICE_UNAVAILABLE, text);
+    let result = match state.node.config_io.confirm(plan).await {
+        ConfirmOutcome::Decided(result) => result,
+        ConfirmOutcome::NotAppended => {
+            return Err(unavailable("the platform's log is out of reach; nothing was confirmed"));
+        }
+        ConfirmOutcome::Unknown => return Err(unavailable("no result yet; confirm the same plan again to learn it")),
+    };
     log::info!("config: plan {id} {result}");
     Ok(Json(ConfirmAnswer { plan: id, result }))
 }
@@ -175,7 +174,7 @@
 #[handler]
 fn history(state: Data<&Arc<AdminState>>, request: &Request) -> Result<poem::Response, ApiError> {
     operator(&state, request)?;
-    let rows = state.config_log.history(HISTORY_ROWS);
+    let rows = state.node.config_io.history(HISTORY_ROWS);
     json(&rows)
 }
 
@@ -204,6 +203,7 @@
         vm: node.own.to_string(),
         zone: node.zone.to_string(),
         version: node.config.get().version(),
+        config: node.config_io.status(),
         in_flight: node.gate.in_flight(),
         members,
         targets: lock(&node.targets).len(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmartrestle_config::spread::ConfigMember;
 use fulmartrestle_core::VmId;
 use fulmartrestle_membership::{MemberRow, MemberState, TargetInfo};
 use fulmartrestle_policy::{CrashMark, TargetRow};
 use fulmartrestle_quota::QuotaMember;
 use tokio::net::UdpSocket;
 
+use crate::clock::wall_ms;
+use crate::drains::should_leave;
 use crate::gate::OwnTarget;
 use crate::lock::lock;
 use crate::peer::{ControlEnvelope, ControlMessage};
@@ -32,6 +35,12 @@
 /// Fast ticks between connection probes of the own target.
 const FAST_TICKS_PER_PROBE: u64 = 50;
 
+/// Fast ticks between ticks of the spread of configuration.
+const FAST_TICKS_PER_CONFIG: u64 = 10;
+
+/// Fast ticks between looks at the members for the spread of configuration, which costs a hash each.
+const FAST_TICKS_PER_CONFIG_MEMBERS: u64 = 100;
+
 /// Broadcast topic of crash marks.
 const CRASH_TOPIC: u8 = 1;
 
@@ -70,6 +79,7 @@
             }
         }
         ControlMessage::Quota(message) => state.rates.on_message(envelope.from, message),
+        ControlMessage::Config(message) => state.config_io.on_message(envelope.from, message),
     }
 }
 
@@ -86,6 +96,12 @@
         if ticks.is_multiple_of(FAST_TICKS_PER_SLOW) {
             tick_members(&state);
         }
+        if ticks % FAST_TICKS_PER_CONFIG_MEMBERS == 1 {
+            tell_config_members(&state);
+        }
+        if ticks.is_multiple_of(FAST_TICKS_PER_CONFIG) {
+            state.config_io.tick();
+        }
         if ticks.is_multiple_of(FAST_TICKS_PER_PROBE) {
             state.gate.probe_target().await;
         }
@@ -93,9 +109,20 @@
     }
 }
 
+fn tell_config_members(state: &NodeState) {
+    let now = state.clock.now();
+    let members: Vec<_> = {
+        let membership = lock(&state.membership);
+        let live = membership.members(now).filter(|row| row.state.is_reachable());
+        live.map(|row| ConfigMember { vm: row.vm, zone: row.zone }).collect()
+    };
+    state.config_io.set_members(&members);
+}
+
 /// Tells membership of the own target, lets it probe, and passes crash marks on.
 fn tick_members(state: &NodeState) {
     let now = state.clock.now();
+    tell_gate_to_leave(state);
     let own_target = state.gate.usable_target();
     let info = own_target.map(|target| target_info(&target, now));
     let marks = lock(&state.crashes).take_marks(now);
@@ -113,6 +140,13 @@
     take_member_changes(state);
 }
 
+fn tell_gate_to_leave(state: &NodeState) {
+    let Some(target) = state.gate.usable_target() else { return };
+    let config = state.config.get();
+    let leave = should_leave(&config, state.own, &state.zone, &target, wall_ms() as i64);
+    state.gate.set_told_to_leave(leave);
+}
+
 fn broadcast_mark(
     membership: &mut fulmartrestle_membership::Membership,
     mark: &CrashMark,
@@ -213,6 +247,9 @@
     for send in gossip {
         send_control(state, socket, send.to, ControlMessage::Membership(send.message)).await;
     }
+    for send in state.config_io.take_outgoing() {
+        send_to_vm(state, socket, send.to, ControlMessage::Config(send.message)).await;
+    }
     for send in state.rates.take_outgoing() {
         send_to_vm(state, socket, send.to, ControlMessage::Quota(send.message)).await;
     }
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -20,6 +20,9 @@
 /// When to come back to a node without a configuration, in milliseconds.
 const NOT_READY_RETRY_AFTER_MS: u64 = 1_000;
 
+/// When to come back to an isolated zone, in milliseconds.
+const ISOLATED_RETRY_AFTER_MS: u64 = 5_000;
+
 /// Weight of calls on routes open to all.
 const OPEN_WEIGHT: u32 = 1;
 
@@ -45,6 +48,7 @@
     let route = find_route(&config, &request.path)?;
     let caller = authenticate(&config, route, key_hash)?;
     let ReceivedRequest { method, path, headers, timeout_ms, idempotency_key, body } = request;
+    check_isolation(state, route)?;
     if route.at_most_once && idempotency_key.is_none() {
         return Err(Refusal::not_run(Reason::BadRequest, None));
     }
@@ -83,6 +87,16 @@
     dispatch(state, spec, &mut body, &mut allowance).await
 }
 
+/// Refuses what an isolated zone must not go on with.
+fn check_isolation(state: &NodeState, route: &RouteRow) -> Result<(), Refusal> {
+    let isolation = state.config.isolation();
+    if isolation.permits(route, &state.settings.isolation, state.clock.now()) {
+        return Ok(());
+    }
+    let reason = if route.at_most_once { Reason::LogUnavailable } else { Reason::NotReady };
+    Err(Refusal::not_run(reason, Some(ISOLATED_RETRY_AFTER_MS)))
+}
+
 /// Returns the services that a route's calls reach, the first one included.
 pub fn chain_of(route: &RouteRow) -> Vec<fulmartrestle_core::Service> {
     let mut chain = vec![route.service.clone()];
--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -45,6 +45,7 @@
     waiting: HashMap<CallId, oneshot::Sender<Result<(), Refusal>>>,
     next_call: u64,
     stopping: bool,
+    told_to_leave: bool,
 }
 
 /// How an offer to the gate went.
@@ -64,6 +65,7 @@
             waiting: HashMap::new(),
             next_call: 0,
             stopping: false,
+            told_to_leave: false,
         };
         Self {
             clock,
@@ -93,7 +95,7 @@
         if is_new {
             table.gate = Gate::new(GateSettings::default());
         }
-        if announcement.leaving {
+        if announcement.leaving || table.told_to_leave || table.stopping {
             table.gate.begin_drain(now);
         }
         table.gate.set_hints(hints, now);
@@ -103,7 +105,24 @@
         }
     }
 
-    /// Takes no new calls from now on, because the node is stopping or the target was told to leave.
+    /// Notes whether the configuration wants the target to leave. A target that may stay after all
+    /// starts with a fresh gate.
+    pub fn set_told_to_leave(&self, leave: bool) {
+        let now = self.clock.now();
+        let mut table = lock(&self.table);
+        if table.told_to_leave == leave {
+            return;
+        }
+        table.told_to_leave = leave;
+        if leave {
+            log::info!("gate: the target was told to leave");
+            table.gate.begin_drain(now);
+        } else if table.gate.is_drained() {
+            table.gate = Gate::new(GateSettings::default());
+        }
+    }
+
+    /// Takes no new calls from now on, because the node is stopping.
     pub fn begin_drain(&self) {
         let now = self.clock.now();
         let mut table = lock(&self.table);
@@ -121,7 +140,7 @@
         let now = self.clock.now();
         let table = lock(&self.table);
         let mut target = table.target.clone().filter(|target| target.is_usable(now))?;
-        target.announcement.leaving |= table.stopping;
+        target.announcement.leaving |= table.stopping || table.told_to_leave;
         Some(target)
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::plan::TimeZones;
+use fulmartrestle_config::spread::{ConfigMember, ConfigNode, ConfigNodeSettings};
 use fulmartrestle_core::VmId;
 use fulmartrestle_membership::{Incarnation, MemberRow, MemberState, Membership, MembershipSettings};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
@@ -21,7 +22,7 @@
 use crate::admin::{AdminState, serve_admin};
 use crate::clock::Clock;
 use crate::config::CurrentConfig;
-use crate::config_log::ConfigLog;
+use crate::config_io::ConfigIo;
 use crate::context::ContextSealer;
 use crate::control::{receive_datagrams, run_ticks};
 use crate::counters::Counters;
@@ -43,8 +44,9 @@
 /// Stream of join records.
 const MEMBERS_STREAM: &str = "members";
 
-/// Pause between reads of the configuration's stream, in milliseconds.
-const CONFIG_READ_PAUSE_MS: u64 = 250;
+/// How long the platform's log is taken to keep records, in milliseconds. Snapshots are written
+/// again well before.
+const LOG_RETENTION_MS: i64 = 3_600_000;
 
 /// Pause between looks whether a stopping node has finished its calls, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
@@ -118,9 +120,7 @@
         let caller_address = local(listeners.callers.local_addr(), settings.caller_address);
         let admin_address = local(listeners.admin.local_addr(), settings.admin_address);
         let peer_address = local(listeners.peers.local_addr(), settings.peer_address);
-        let state = Arc::new(build_state(settings, peer_address, &options));
-        let config_log =
-            Arc::new(ConfigLog::new(Arc::clone(&options.log), CONFIG_STREAM.parse()?, Arc::clone(&state.config)));
+        let state = Arc::new(build_state(settings, peer_address, &options)?);
         let (stopping, stopped) = watch::channel(false);
         let members: StreamName = MEMBERS_STREAM.parse()?;
         let mut tasks = JoinSet::new();
@@ -135,16 +135,12 @@
         tasks.spawn(receive_datagrams(Arc::clone(&state), Arc::clone(&listeners.datagrams)));
         tasks.spawn(run_ticks(Arc::clone(&state), listeners.datagrams));
         tasks.spawn(run_joins(Arc::clone(&state), Arc::clone(&options.log), members));
-        tasks.spawn(read_config(Arc::clone(&state), Arc::clone(&config_log)));
+        tasks.spawn(follow_config(Arc::clone(&state)));
         if let Some(address) = state.settings.metrics_address {
             tasks.spawn(report_metrics(Arc::clone(&state), address));
         }
-        let admin = AdminState {
-            node: Arc::clone(&state),
-            config_log,
-            pending: Mutex::default(),
-            time_zones: TimeZones::from_system(),
-        };
+        let admin =
+            AdminState { node: Arc::clone(&state), pending: Mutex::default(), time_zones: TimeZones::from_system() };
         tasks.spawn(run_admin(listeners.admin, Arc::new(admin)));
         log::info!("node: {} in {} serves callers on {caller_address}", state.own, state.zone);
         Ok(NodeHandle { state, caller_address, admin_address, stopping, tasks })
@@ -213,7 +209,7 @@
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(what.to_owned(), address, error))
 }
 
-fn build_state(settings: Settings, peer_address: SocketAddr, options: &NodeOptions) -> NodeState {
+fn build_state(settings: Settings, peer_address: SocketAddr, options: &NodeOptions) -> Result<NodeState, StartError> {
     let seed = options.seed.unwrap_or_else(|| rand::rng().random());
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let own = VmId(rng.random());
@@ -232,14 +228,23 @@
         state: MemberState::Alive,
         target: None,
     };
+    let config_settings = ConfigNodeSettings {
+        own: ConfigMember { vm: own, zone: zone.clone() },
+        log_retention_ms: LOG_RETENTION_MS,
+        seed: rng.random(),
+    };
+    let config_node = ConfigNode::new(config_settings, clock.now());
+    let config_io =
+        ConfigIo::new(clock, Arc::clone(&options.log), CONFIG_STREAM.parse()?, Arc::clone(&config), config_node);
     let quota = QuotaNode::new(own, zone.clone(), QuotaSettings::default());
-    NodeState {
+    Ok(NodeState {
         own,
         zone,
         peer_address,
         settings,
         clock,
         config,
+        config_io: Arc::new(config_io),
         gate: Arc::new(gate),
         targets: Mutex::new(TargetTable::default()),
         door: Mutex::new(Door::default()),
@@ -253,22 +258,15 @@
         rng: Mutex::new(rng),
         counters: Counters::default(),
         decisions: Mutex::default(),
-    }
+    })
 }
 
-/// Reads the configuration's stream and puts each version in force, until the task is aborted.
-async fn read_config(state: Arc<NodeState>, config_log: Arc<ConfigLog>) {
-    let mut in_force = None;
-    loop {
-        if let Err(error) = config_log.read_to_end().await {
-            log::debug!("config: {error}");
-        }
-        let config = state.config.get();
-        if in_force != Some(config.version()) {
-            in_force = Some(config.version());
-            state.rates.set_config(quota_config(&config));
-        }
-        tokio::time::sleep(Duration::from_millis(CONFIG_READ_PAUSE_MS)).await;
+/// Tells the rates of each version that comes in force, until the task is aborted.
+async fn follow_config(state: Arc<NodeState>) {
+    let mut changes = state.config.changes();
+    changes.mark_changed();
+    while changes.changed().await.is_ok() {
+        state.rates.set_config(quota_config(&state.config.get()));
     }
 }
 
--- a/crates/node/src/peer/control.rs
+++ b/crates/node/src/peer/control.rs
@@ -1,5 +1,6 @@
 //! Control messages between nodes: small ones as datagrams, long ones as streams.
 
+use fulmartrestle_config::spread::ConfigMessage;
 use fulmartrestle_core::VmId;
 use fulmartrestle_derive::record;
 use fulmartrestle_membership::MembershipMessage;
@@ -12,6 +13,8 @@
     Membership(MembershipMessage),
     /// Tokens of tenants' rates.
     Quota(QuotaMessage),
+    /// Spread of configuration.
+    Config(ConfigMessage),
 }
 
 /// A control message with its sender.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::{Clock, wall_ms};
 use crate::config::CurrentConfig;
+use crate::config_io::ConfigIo;
 use crate::counters::Counters;
 use crate::directory::PeerDirectory;
 use crate::explain::{Decision, DecisionLog};
@@ -36,6 +37,8 @@
     pub clock: Clock,
     /// The configuration in force.
     pub config: Arc<CurrentConfig>,
+    /// The part in the spread of configuration.
+    pub config_io: Arc<ConfigIo>,
     /// The gate in front of the own target.
     pub gate: Arc<GateRunner>,
     /// Targets of all services.
