Claims: at-most-once calls by the first claim in log order

Entries claim through one batcher per zone and stream; a claim stays with its claimant until released; a lost append answer is settled by writing the same record again, which changes nothing. The checks catch a forked log, keys with hidden ages on a trimmed log, and lost releases. Also the table of running calls and the cache of first answers.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -1,1 +1,39 @@
 //! At-most-once claims on the platform's log.
+//!
+//! Before a call on an at-most-once route runs, its entry claims the call's idempotency key. A claim
+//! is a record on one of a few streams; the first claim of a key in log order wins and stays with
+//! its claimant until that claimant releases it, which it does only when the call certainly has not
+//! run. One node per zone and stream, the batcher, appends and reads for the others; it holds
+//! nothing that safety rests on. The options weighed are in `docs/CLAIMS.md`.
+
+mod answer_cache;
+mod batcher;
+mod claim_id;
+mod claim_key;
+mod coverage;
+mod directory;
+mod effect;
+mod entry;
+mod join_table;
+mod key_state;
+mod log_result;
+mod member;
+mod message;
+mod node;
+mod record;
+mod settings;
+mod stream;
+mod stream_reader;
+
+pub use answer_cache::{AnswerCache, AnswerCacheSettings, AnswerHeader, HeldAnswer};
+pub use claim_id::ClaimId;
+pub use claim_key::ClaimKey;
+pub use effect::{ClaimEffect, ClaimVerdict, LogToken, NotRunReason};
+pub use join_table::{JoinOutcome, JoinTable, WaiterId};
+pub use log_result::{AppendResult, ReadPage, ReadResult};
+pub use member::ClaimMember;
+pub use message::{BatcherReply, ClaimMessage};
+pub use node::ClaimNode;
+pub use record::{ClaimBatch, ClaimRecord};
+pub use settings::ClaimSettings;
+pub use stream::{ClaimStream, STREAM_COUNT};
--- /dev/null
+++ b/crates/claims/src/member.rs
@@ -0,0 +1,14 @@
+//! A live member of the fleet as the membership layer sees it.
+
+use fulmartrestle_core::{AvailabilityZone, VmId};
+use fulmartrestle_derive::record;
+
+/// One live member.
+#[record]
+#[derive(Eq)]
+pub struct ClaimMember {
+    /// The member's identity.
+    pub vm: VmId,
+    /// The zone it runs in.
+    pub zone: AvailabilityZone,
+}
