Randomised runs of the configuration's spread

Change: a queue of messages in virtual time drives 3 to 50 nodes in 3 zones, with a log that goes down, loses answers, writes late and trims. At every step: equal hashes at equal offsets, no node goes back, none serves an older version after a restart while the log is in reach, and operators are told what the log says. Six broken variants are caught.

--- a/crates/config/src/spread/node.rs
+++ b/crates/config/src/spread/node.rs
@@ -38,7 +38,7 @@
 }
 
 /// A pure state machine: it takes answers, messages and the time, and returns what to do.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ConfigNode {
     pub(super) settings: ConfigNodeSettings,
     pub(super) replica: Replica,
--- a/crates/config/tests/replica.rs
+++ b/crates/config/tests/replica.rs
@@ -6,7 +6,7 @@
 use fulmartrestle_config::replica::{Applied, CertificationResult, HISTORY_ENTRIES, LogRecord, Replica, Snapshot};
 use fulmartrestle_core::{LogOffset, Version};
 use googletest::prelude::*;
-use support::{fleet, id, key_id, key_row, plan_of, route_row, tenant_row};
+use support::{id, key_id, key_row, plan_of, route_row, tenant_row};
 
 const RETENTION_MS: i64 = 3_600_000;
 
@@ -21,14 +21,7 @@
     fn with_fleet() -> Self {
         let mut log = Self::default();
         log.reader.on_first_retained(LogOffset(0));
-        let mut plan = plan_of(&Default::default(), vec![IntentChange::SetTenant(tenant_row("first", 1))], 0);
-        let base = fleet();
-        plan.writes.extend(base.tenants().rows().iter().cloned().map(Change::PutTenant));
-        plan.writes.extend(base.operators().rows().iter().cloned().map(Change::PutOperator));
-        plan.writes.extend(base.routes().rows().iter().cloned().map(Change::PutRoute));
-        plan.writes.extend(base.keys().rows().iter().cloned().map(Change::PutKey));
-        plan.id = plan.expected_id();
-        log.confirm(&plan);
+        log.confirm(&support::first_plan());
         log
     }
 
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet for tests.
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod sim;
+
 use fulmartrestle_config::fleet::{
     FleetConfig, KeyHash, KeyId, KeyRow, OperatorName, OperatorRow, RouteRow, TenantRow, Weight,
 };
@@ -117,3 +119,15 @@
 pub fn plan_of(config: &FleetConfig, changes: Vec<IntentChange>, random: u8) -> Plan {
     plan_with(config, changes, random).unwrap().plan
 }
+
+/// A plan that configures the whole of [`fleet`] from nothing.
+pub fn first_plan() -> Plan {
+    let mut plan = plan_of(&FleetConfig::default(), vec![IntentChange::SetTenant(tenant_row("first", 1))], 0);
+    let base = fleet();
+    plan.writes.extend(base.tenants().rows().iter().cloned().map(Change::PutTenant));
+    plan.writes.extend(base.operators().rows().iter().cloned().map(Change::PutOperator));
+    plan.writes.extend(base.routes().rows().iter().cloned().map(Change::PutRoute));
+    plan.writes.extend(base.keys().rows().iter().cloned().map(Change::PutKey));
+    plan.id = plan.expected_id();
+    plan
+}
--- /dev/null
+++ b/crates/config/tests/support/sim.rs
@@ -0,0 +1,463 @@
+//! A queue of messages between pure nodes in virtual time, with a log that fails.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use fulmartrestle_config::plan::Plan;
+use fulmartrestle_config::replica::{CertificationResult, ConfigHash, LogRecord, Replica};
+use fulmartrestle_config::spread::{
+    AppendResult, ConfigEffect, ConfigMember, ConfigMessage, ConfigNode, ConfigNodeSettings, ConfirmOutcome, LogTicket,
+    ReadResult,
+};
+use fulmartrestle_core::{LogOffset, TimeUs, Version, VmId};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::NOW_UNIX_MS;
+
+pub const ZONES: [&str; 3] = ["brescia", "milano", "verona"];
+const STEP_MS: u64 = 10;
+const TICK_MS: u64 = 100;
+const RETENTION_MS: u64 = 300_000;
+const MAX_READ_RECORDS: usize = 50;
+
+/// Deliberate faults of the nodes, to show that the checks see them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Broken {
+    /// One node reads other records than the log holds.
+    ReadsOtherRecords,
+    /// One node serves an older version again.
+    GoesBack,
+    /// A restarted node serves before it knows the log's end.
+    ServesTooEarly,
+    /// A confirm's outcome is told without certification.
+    TellsWrongOutcome,
+    /// A refused append is told as such and still written.
+    WritesAfterRefusal,
+    /// One node never learns anything again.
+    StaysBehind,
+}
+
+enum Event {
+    Message { from: VmId, to: VmId, message: ConfigMessage },
+    Read { vm: VmId, ticket: LogTicket, from: LogOffset },
+    ReadAnswer { vm: VmId, ticket: LogTicket, result: ReadResult },
+    Append { vm: VmId, ticket: LogTicket, record: Vec<u8> },
+    AppendAnswer { vm: VmId, ticket: LogTicket, result: AppendResult },
+    LateWrite { record: Vec<u8> },
+}
+
+pub struct Slot {
+    pub node: ConfigNode,
+    pub member: ConfigMember,
+    pub paused_until: TimeUs,
+    restarts: u64,
+    /// Version served last in this run, and the highest served in any run.
+    run_version: Version,
+    highest_version: Version,
+    log_was_lost_since_start: bool,
+    waiting: Vec<Event>,
+}
+
+pub struct Sim {
+    pub now: TimeUs,
+    pub slots: Vec<Slot>,
+    pub log_is_down: bool,
+    /// Zones cut off from the log and from other zones.
+    pub log_cut: [bool; 3],
+    pub zone_cut: [bool; 3],
+    pub lossy: bool,
+    pub lost_appends: u32,
+    pub broken: Option<Broken>,
+    pub settled: BTreeMap<fulmartrestle_config::plan::PlanId, ConfirmOutcome>,
+    pub sent_messages: u64,
+    records: Vec<(TimeUs, Vec<u8>)>,
+    first_retained: usize,
+    reference: Replica,
+    hashes: Vec<ConfigHash>,
+    /// Written plans and what the reference decided on them.
+    decided: BTreeMap<fulmartrestle_config::plan::PlanId, CertificationResult>,
+    queue: BinaryHeap<Reverse<(TimeUs, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    rng: ChaCha8Rng,
+    seed: u64,
+    /// A node's state after five seconds, for the broken variants.
+    saved: Option<ConfigNode>,
+}
+
+impl Sim {
+    pub fn new(seed: u64, node_count: usize, first: &Plan) -> Self {
+        let mut reference = Replica::default();
+        reference.on_first_retained(LogOffset(0));
+        let mut sim = Self {
+            now: TimeUs(0),
+            slots: Vec::new(),
+            log_is_down: false,
+            log_cut: [false; 3],
+            zone_cut: [false; 3],
+            lossy: false,
+            lost_appends: 0,
+            broken: None,
+            settled: BTreeMap::new(),
+            sent_messages: 0,
+            records: Vec::new(),
+            first_retained: 0,
+            hashes: vec![reference.hash()],
+            reference,
+            decided: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seed,
+            saved: None,
+        };
+        sim.write(LogRecord::Confirm(first.clone()).encode());
+        for index in 0..node_count {
+            let member = ConfigMember { vm: VmId(index as u64 + 1), zone: super::id(ZONES[index % 3]) };
+            let slot = sim.start(member, index as u64, 0);
+            sim.slots.push(slot);
+        }
+        sim.announce_members();
+        sim
+    }
+
+    fn start(&self, member: ConfigMember, index: u64, restarts: u64) -> Slot {
+        let settings = ConfigNodeSettings {
+            own: member.clone(),
+            log_retention_ms: RETENTION_MS as i64,
+            seed: self.seed.wrapping_mul(1_000).wrapping_add(index + 100 * restarts),
+        };
+        Slot {
+            node: ConfigNode::new(settings, self.now),
+            member,
+            paused_until: TimeUs(0),
+            restarts,
+            run_version: Version(0),
+            highest_version: Version(0),
+            log_was_lost_since_start: false,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn announce_members(&mut self) {
+        let members: Vec<_> = self.slots.iter().map(|slot| slot.member.clone()).collect();
+        self.slots.iter_mut().for_each(|slot| slot.node.set_members(&members));
+    }
+
+    /// Replaces a node by one that knows nothing and has a new identity.
+    pub fn restart(&mut self, index: usize) {
+        let old = &self.slots[index];
+        let (restarts, highest) = (old.restarts + 1, old.highest_version);
+        let vm = VmId(index as u64 + 1 + 1_000 * restarts);
+        let member = ConfigMember { vm, zone: old.member.zone.clone() };
+        let mut slot = self.start(member, index as u64, restarts);
+        slot.highest_version = highest;
+        if self.broken == Some(Broken::ServesTooEarly)
+            && let Some(saved) = &self.saved
+        {
+            slot.node.clone_from(saved);
+        }
+        self.slots[index] = slot;
+        self.announce_members();
+    }
+
+    pub fn pause(&mut self, index: usize, ms: u64) {
+        self.slots[index].paused_until = self.now.plus_ms(ms);
+    }
+
+    pub fn heal(&mut self) {
+        self.log_is_down = false;
+        self.log_cut = [false; 3];
+        self.zone_cut = [false; 3];
+        self.lost_appends = 0;
+        self.lossy = false;
+        let now = self.now;
+        self.slots.iter_mut().for_each(|slot| slot.paused_until = now);
+    }
+
+    pub fn confirm(&mut self, index: usize, plan: &Plan) {
+        let effects = self.slots[index].node.confirm(self.now, plan);
+        self.perform(index, effects);
+    }
+
+    pub fn log_end(&self) -> LogOffset {
+        LogOffset(self.records.len() as u64)
+    }
+
+    pub fn reference(&self) -> &Replica {
+        &self.reference
+    }
+
+    /// Runs for `ms` and checks the invariants after every step.
+    pub fn run_ms(&mut self, ms: u64) -> Result<(), String> {
+        let end = self.now.plus_ms(ms);
+        while self.now < end {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    pub fn step(&mut self) -> Result<(), String> {
+        self.now = self.now.plus_ms(STEP_MS);
+        self.trim();
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > self.now {
+                break;
+            }
+            self.queue.pop();
+            if let Some(event) = self.events.remove(&id) {
+                self.deliver(event);
+            }
+        }
+        if self.now.0.is_multiple_of(TICK_MS * 1_000) {
+            (0..self.slots.len()).for_each(|index| self.tick(index));
+        }
+        (0..self.slots.len()).try_for_each(|index| self.check_slot(index))?;
+        self.check_settled()
+    }
+
+    fn tick(&mut self, index: usize) {
+        if self.slots[index].paused_until > self.now {
+            return;
+        }
+        for event in std::mem::take(&mut self.slots[index].waiting) {
+            self.deliver(event);
+        }
+        let now_unix_ms = NOW_UNIX_MS + (self.now.0 / 1_000) as i64;
+        let zone = self.zone_of(index);
+        let slot = &mut self.slots[index];
+        slot.log_was_lost_since_start |= self.log_is_down || self.log_cut[zone];
+        let effects = slot.node.tick(self.now, now_unix_ms);
+        self.perform(index, effects);
+    }
+
+    fn zone_of(&self, index: usize) -> usize {
+        index % 3
+    }
+
+    fn index_of(&self, vm: VmId) -> Option<usize> {
+        let index = ((vm.0 - 1) % 1_000) as usize;
+        (self.slots[index].member.vm == vm).then_some(index)
+    }
+
+    fn perform(&mut self, index: usize, effects: Vec<ConfigEffect>) {
+        let vm = self.slots[index].member.vm;
+        for effect in effects {
+            match effect {
+                ConfigEffect::ReadLog { ticket, from } => self.schedule(3, Event::Read { vm, ticket, from }),
+                ConfigEffect::Append { ticket, record } => self.schedule(3, Event::Append { vm, ticket, record }),
+                ConfigEffect::Send { to, message } => self.send(vm, to, message),
+                ConfigEffect::NewConfig(_) => {}
+                ConfigEffect::Settled { plan, outcome } => self.note_settled(plan, outcome),
+            }
+        }
+    }
+
+    fn note_settled(&mut self, plan: fulmartrestle_config::plan::PlanId, outcome: ConfirmOutcome) {
+        let told = match (self.broken, outcome) {
+            (Some(Broken::TellsWrongOutcome), ConfirmOutcome::Decided(_)) => {
+                ConfirmOutcome::Decided(CertificationResult::Committed { version: Version(1) })
+            }
+            _ => outcome,
+        };
+        self.settled.insert(plan, told);
+    }
+
+    fn send(&mut self, from: VmId, to: VmId, message: ConfigMessage) {
+        self.sent_messages += 1;
+        let draw: u32 = self.rng.random_range(0..100);
+        let copies = match draw {
+            0..5 if self.lossy => 0,
+            5..8 if self.lossy => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let is_late = self.lossy && self.rng.random_ratio(1, 20);
+            let delay_ms = self.rng.random_range(if is_late { 0..800 } else { 1..3 });
+            self.schedule(delay_ms, Event::Message { from, to, message: message.clone() });
+        }
+    }
+
+    fn schedule(&mut self, delay_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.queue.push(Reverse((self.now.plus_ms(delay_ms), self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let vm = match &event {
+            Event::Read { vm, .. } | Event::Append { vm, .. } => return self.serve_log(*vm, event),
+            Event::LateWrite { record } => {
+                self.write(record.clone());
+                return;
+            }
+            Event::Message { to, .. } => *to,
+            Event::ReadAnswer { vm, .. } | Event::AppendAnswer { vm, .. } => *vm,
+        };
+        let Some(index) = self.index_of(vm) else { return };
+        if self.slots[index].paused_until > self.now {
+            self.slots[index].waiting.push(event);
+            return;
+        }
+        if self.broken == Some(Broken::StaysBehind) && index == 0 {
+            return;
+        }
+        let now = self.now;
+        let node = &mut self.slots[index].node;
+        let effects = match event {
+            Event::Message { from, message, .. } => {
+                if self.is_cut(from, vm) {
+                    return;
+                }
+                self.slots[index].node.on_message(now, from, message)
+            }
+            Event::ReadAnswer { ticket, result, .. } => node.on_read_result(now, ticket, result),
+            Event::AppendAnswer { ticket, result, .. } => node.on_append_result(now, ticket, result),
+            Event::Read { .. } | Event::Append { .. } | Event::LateWrite { .. } => return,
+        };
+        self.perform(index, effects);
+    }
+
+    fn is_cut(&self, from: VmId, to: VmId) -> bool {
+        let zone = |vm: VmId| ((vm.0 - 1) % 1_000) as usize % 3;
+        let (from, to) = (zone(from), zone(to));
+        from != to && (self.zone_cut[from] || self.zone_cut[to])
+    }
+
+    fn serve_log(&mut self, vm: VmId, event: Event) {
+        let zone = ((vm.0 - 1) % 1_000) as usize % 3;
+        let is_reachable = !self.log_is_down && !self.log_cut[zone];
+        match event {
+            Event::Read { ticket, from, .. } => {
+                let result = if is_reachable { self.read(vm, from) } else { ReadResult::Unavailable };
+                self.schedule(3, Event::ReadAnswer { vm, ticket, result });
+            }
+            Event::Append { ticket, record, .. } => {
+                let result = self.append(is_reachable, record);
+                self.schedule(3, Event::AppendAnswer { vm, ticket, result });
+            }
+            _ => {}
+        }
+    }
+
+    fn read(&self, vm: VmId, from: LogOffset) -> ReadResult {
+        let first = self.first_retained;
+        if (from.0 as usize) < first {
+            return ReadResult::Trimmed { first: LogOffset(first as u64) };
+        }
+        let wanted = self.records.iter().skip(from.0 as usize).take(MAX_READ_RECORDS);
+        let mut records: Vec<_> = wanted.map(|(_, record)| record.clone()).collect();
+        if self.broken == Some(Broken::ReadsOtherRecords) && vm == VmId(1) {
+            records.iter_mut().for_each(|record| record[0] = 0);
+        }
+        ReadResult::Records { from, records, end: self.log_end() }
+    }
+
+    fn append(&mut self, is_reachable: bool, record: Vec<u8>) -> AppendResult {
+        if !is_reachable {
+            if self.broken == Some(Broken::WritesAfterRefusal) {
+                self.write(record);
+            }
+            return AppendResult::Refused;
+        }
+        if self.lost_appends == 0 {
+            return AppendResult::Appended(self.write(record));
+        }
+        self.lost_appends -= 1;
+        // The answer is lost: after the write, before a late write, or without one.
+        match self.rng.random_range(0..3) {
+            0 => _ = self.write(record),
+            1 => self.schedule(1_000, Event::LateWrite { record }),
+            _ => {}
+        }
+        AppendResult::Unknown
+    }
+
+    fn write(&mut self, bytes: Vec<u8>) -> LogOffset {
+        let offset = self.log_end();
+        let record = LogRecord::decode(&bytes);
+        self.records.push((self.now, bytes));
+        let applied = self.reference.apply_record(offset, &record);
+        self.hashes.push(self.reference.hash());
+        if let (LogRecord::Confirm(plan), fulmartrestle_config::replica::Applied::Now(Some(result))) =
+            (&record, applied)
+        {
+            self.decided.entry(plan.id).or_insert(result);
+        }
+        offset
+    }
+
+    fn trim(&mut self) {
+        while self.first_retained < self.records.len() {
+            let (written_at, _) = self.records[self.first_retained];
+            if self.now.ms_since(written_at) < RETENTION_MS {
+                break;
+            }
+            self.first_retained += 1;
+        }
+    }
+
+    fn check_slot(&mut self, index: usize) -> Result<(), String> {
+        let now = self.now;
+        if index == 0 && self.saved.is_none() && now >= TimeUs::from_s(5) {
+            self.saved = Some(self.slots[0].node.clone());
+        }
+        if index == 0 && self.broken == Some(Broken::GoesBack) && now >= TimeUs::from_s(30) {
+            self.slots[0].node.clone_from(self.saved.as_ref().unwrap());
+        }
+        let slot = &mut self.slots[index];
+        let vm = slot.member.vm;
+        let digest = slot.node.digest(now);
+        let wanted = self.hashes.get(digest.next_offset.0 as usize);
+        if slot.node.replica().config().is_some() && wanted != Some(&digest.hash) {
+            return Err(format!("{now}: {vm} has another hash at offset {}", digest.next_offset));
+        }
+        let Some(served) = slot.node.config().map(|config| config.version()) else { return Ok(()) };
+        if served < slot.run_version {
+            return Err(format!("{now}: {vm} went back from {} to {served}", slot.run_version));
+        }
+        if served < slot.highest_version && !slot.log_was_lost_since_start {
+            return Err(format!("{now}: {vm} serves {served} after a restart, it had {}", slot.highest_version));
+        }
+        slot.run_version = served;
+        slot.highest_version = slot.highest_version.max(served);
+        Ok(())
+    }
+
+    /// An operator is told what every reader decides; "not appended" means that nothing changes.
+    fn check_settled(&self) -> Result<(), String> {
+        for (plan, outcome) in &self.settled {
+            let decided = self.decided.get(plan);
+            let is_true = match outcome {
+                ConfirmOutcome::Decided(told) => decided == Some(told),
+                ConfirmOutcome::NotAppended => decided.is_none(),
+                ConfirmOutcome::Unknown => true,
+            };
+            if !is_true {
+                return Err(format!("{}: plan {plan} was told {outcome:?}, the log says {decided:?}", self.now));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that all nodes serve the log's end.
+    pub fn check_converged(&self) -> Result<(), String> {
+        let end = self.log_end();
+        for slot in &self.slots {
+            let version = slot.node.config().map(|config| config.version());
+            if version != Some(self.reference.version()) || slot.node.replica().applied_offset() != end {
+                let at = slot.node.replica().applied_offset();
+                return Err(format!("{} is at {at} with {version:?}, the log ends at {end}", slot.member.vm));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns how many nodes still accept a key.
+    pub fn nodes_accepting(&self, secret: &str) -> usize {
+        let accepts = |slot: &&Slot| slot.node.config().is_some_and(|config| config.tenant_for_key(secret).is_some());
+        self.slots.iter().filter(accepts).count()
+    }
+}
