--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fulmartrestle_claims::ClaimMember;
 use fulmartrestle_config::spread::ConfigMember;
 use fulmartrestle_core::VmId;
 use fulmartrestle_membership::{MemberRow, MemberState, TargetInfo};
@@ -79,6 +80,7 @@
             }
         }
         ControlMessage::Quota(message) => state.rates.on_message(envelope.from, message),
+        ControlMessage::Claims(message) => state.claims.on_message(envelope.from, message),
         ControlMessage::Config(message) => state.config_io.on_message(envelope.from, message),
     }
 }
@@ -93,6 +95,7 @@
         ticks += 1;
         state.gate.tick();
         state.rates.tick();
+        state.claims.tick();
         if ticks.is_multiple_of(FAST_TICKS_PER_SLOW) {
             tick_members(&state);
         }
@@ -174,6 +177,9 @@
         apply_member(state, &change.row);
     }
     if let Some(members) = members {
+        let claim_members: Vec<_> =
+            members.iter().map(|member| ClaimMember { vm: member.vm, zone: member.zone.clone() }).collect();
+        state.claims.set_members(&claim_members);
         state.rates.set_members(&members);
     }
     for broadcast in broadcasts.into_iter().filter(|broadcast| broadcast.topic == CRASH_TOPIC) {
@@ -250,6 +256,9 @@
     for send in state.config_io.take_outgoing() {
         send_to_vm(state, socket, send.to, ControlMessage::Config(send.message)).await;
     }
+    for send in state.claims.take_outgoing() {
+        send_to_vm(state, socket, send.to, ControlMessage::Claims(send.message)).await;
+    }
     for send in state.rates.take_outgoing() {
         send_to_vm(state, socket, send.to, ControlMessage::Quota(send.message)).await;
     }
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -8,6 +8,7 @@
 use fulmartrestle_policy::RetryAllowance;
 
 use super::fingerprint::fingerprint;
+use super::once::{OnceKey, run_once};
 use super::request::{ReceivedRequest, read_body};
 use crate::call::{CallSpec, Dispatched, check_door, dispatch};
 use crate::replay_body::ReplayBody;
@@ -73,11 +74,21 @@
         path,
         headers,
     };
-    run(state, &spec, body).await
+    match idempotency_key.filter(|_| spec.at_most_once) {
+        Some(idempotency_key) => {
+            let key = OnceKey::new(&spec, &idempotency_key);
+            run_once(state, spec, body, key).await
+        }
+        None => run(state, &spec, body).await,
+    }
 }
 
-/// Lets the request in and runs it.
-async fn run(state: &NodeState, spec: &CallSpec, mut body: ReplayBody) -> Result<Dispatched, Refusal> {
+/// Lets a request in and runs it.
+///
+/// # Errors
+///
+/// Returns the final refusal.
+pub async fn run(state: &NodeState, spec: &CallSpec, mut body: ReplayBody) -> Result<Dispatched, Refusal> {
     // The door comes first: a request that is shed must not cost its tenant a token.
     check_door(state, spec)?;
     if let Some(tenant) = &spec.tenant {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,8 +3,10 @@
 mod answer;
 mod caller;
 mod fingerprint;
+mod once;
 mod request;
 mod service;
 mod sidecar;
 
+pub use once::{OnceOutcome, OnceTable};
 pub use service::EntryService;
--- /dev/null
+++ b/crates/node/src/entry/once.rs
@@ -0,0 +1,268 @@
+//! Requests that must run at most once: re-sends join the running call or get its first answer.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use fulmartrestle_claims::{
+    AnswerCache, AnswerCacheSettings, AnswerHeader, ClaimKey, ClaimVerdict, HeldAnswer, JoinOutcome, JoinTable,
+    NotRunReason, WaiterId,
+};
+use fulmartrestle_core::{Outcome, Reason, Refusal, VmId};
+use fulmartrestle_derive::record;
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::oneshot;
+
+use super::caller::run;
+use crate::body::whole_body;
+use crate::call::{CallSpec, Dispatched};
+use crate::clock::wall_ms;
+use crate::lock::lock;
+use crate::replay_body::ReplayBody;
+use crate::state::NodeState;
+use crate::wire::HeaderPair;
+
+/// Re-sends that wait for one running call.
+const MAX_WAITERS: usize = 64;
+
+/// Longest answer of a request that runs at most once, in bytes. It is collected before it is
+/// passed on, so that a re-send can get it too.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Bytes that held answers may take: an eighth of the node's memory.
+const MAX_HELD_BYTES: usize = 4 << 20;
+
+/// When to come back while the log is out of reach, in milliseconds.
+const LOG_RETRY_AFTER_MS: u64 = 2_000;
+
+/// How a request ended that runs at most once. It is the same for all its re-sends.
+#[record]
+#[derive(Eq)]
+pub enum OnceOutcome {
+    /// It was answered.
+    Answered(HeldAnswer),
+    /// It was refused.
+    Refused(Refusal),
+}
+
+/// Running calls and held answers.
+pub struct OnceTable {
+    rows: Mutex<OnceRows>,
+}
+
+struct OnceRows {
+    joins: JoinTable,
+    answers: AnswerCache,
+    waiting: HashMap<WaiterId, oneshot::Sender<OnceOutcome>>,
+    next_waiter: u64,
+}
+
+/// What a request found.
+enum Entered {
+    /// The first answer is held.
+    Held(HeldAnswer),
+    /// The request waits for a running call, which it started if `starts` is set.
+    Waits { outcome: oneshot::Receiver<OnceOutcome>, starts: bool },
+    /// Too many re-sends wait already.
+    Full,
+}
+
+impl Default for OnceTable {
+    fn default() -> Self {
+        let settings = AnswerCacheSettings { max_bytes: MAX_HELD_BYTES, ..AnswerCacheSettings::default() };
+        let rows = OnceRows {
+            joins: JoinTable::new(MAX_WAITERS),
+            answers: AnswerCache::new(settings),
+            waiting: HashMap::new(),
+            next_waiter: 0,
+        };
+        Self { rows: Mutex::new(rows) }
+    }
+}
+
+/// A request's identity over its re-sends.
+#[derive(Clone, Copy, Debug)]
+pub struct OnceKey {
+    /// Hash of tenant, route and idempotency key.
+    pub key: ClaimKey,
+    /// Age of the idempotency key, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl OnceKey {
+    /// Returns the identity of a request. A key that is a time-ordered UUID (version 7) tells its age;
+    /// any other is taken for new.
+    pub fn new(spec: &CallSpec, idempotency_key: &str) -> Self {
+        let tenant = spec.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
+        let key = ClaimKey::of(&tenant, &spec.route, idempotency_key);
+        let made_at = uuid::Uuid::parse_str(idempotency_key).ok().and_then(|uuid| uuid.get_timestamp());
+        let made_at_ms = made_at.map(|time| time.to_unix()).map(|(s, ns)| s * 1_000 + u64::from(ns) / 1_000_000);
+        let age_ms = made_at_ms.map_or(0, |made_at_ms| wall_ms().saturating_sub(made_at_ms));
+        Self { key, age_ms }
+    }
+}
+
+/// Runs a request at most once. The call goes on when its caller goes away, so that the re-send
+/// finds it.
+///
+/// # Errors
+///
+/// Returns the final refusal, the same for all re-sends that joined.
+pub async fn run_once(
+    state: &Arc<NodeState>,
+    spec: CallSpec,
+    body: ReplayBody,
+    key: OnceKey,
+) -> Result<Dispatched, Refusal> {
+    let outcome = match state.once.enter(state, key.key) {
+        Entered::Held(answer) => return Ok(dispatched(answer)),
+        Entered::Full => return Err(Refusal::unknown(Reason::Claimed)),
+        Entered::Waits { outcome, starts } => {
+            if starts {
+                tokio::spawn(claim_and_run(Arc::clone(state), spec, body, key));
+            }
+            outcome
+        }
+    };
+    match outcome.await {
+        Ok(OnceOutcome::Answered(answer)) => Ok(dispatched(answer)),
+        Ok(OnceOutcome::Refused(refusal)) => Err(refusal),
+        Err(_) => Err(Refusal::unknown(Reason::Claimed)),
+    }
+}
+
+/// Returns the outcome of a call that this node runs or ran, waiting while it runs. A re-send that
+/// reached another node is answered with it.
+pub async fn known_outcome(state: &NodeState, key: ClaimKey) -> Option<OnceOutcome> {
+    let outcome = state.once.join_if_known(state, key)?;
+    match outcome {
+        Entered::Held(answer) => Some(OnceOutcome::Answered(answer)),
+        Entered::Waits { outcome, .. } => outcome.await.ok(),
+        Entered::Full => None,
+    }
+}
+
+async fn claim_and_run(state: Arc<NodeState>, spec: CallSpec, body: ReplayBody, key: OnceKey) {
+    let outcome = claimed_outcome(&state, &spec, body, key).await;
+    state.once.finish(&state, key.key, outcome);
+}
+
+async fn claimed_outcome(state: &Arc<NodeState>, spec: &CallSpec, body: ReplayBody, key: OnceKey) -> OnceOutcome {
+    let claim = match state.claims.claim(key.key, key.age_ms).await {
+        Ok(claim) => claim,
+        Err(ClaimVerdict::Held { by }) => return held_elsewhere(state, spec, by.holder, key.key).await,
+        Err(verdict) => return OnceOutcome::Refused(not_claimed(verdict)),
+    };
+    state.explain(spec.request_id, || format!("claimed {}", key.key));
+    match run(state, spec, body).await {
+        Ok(answer) => collect(answer).await,
+        Err(refusal) => {
+            if refusal.outcome == Outcome::NotRun {
+                state.claims.release(claim);
+            }
+            OnceOutcome::Refused(refusal)
+        }
+    }
+}
+
+/// Asks the node that holds the claim for the first answer.
+async fn held_elsewhere(state: &NodeState, spec: &CallSpec, holder: VmId, key: ClaimKey) -> OnceOutcome {
+    let unknown = OnceOutcome::Refused(Refusal::unknown(Reason::Claimed));
+    let Some(address) = state.directory.peer_address(holder).filter(|address| state.allows(*address)) else {
+        return unknown;
+    };
+    let asked = async { state.peers.link(address).await?.known_outcome(key).await };
+    match tokio::time::timeout_at(state.clock.instant_of(spec.deadline), asked).await {
+        Ok(Ok(Some(OnceOutcome::Answered(answer)))) => OnceOutcome::Answered(answer),
+        // A refusal of the holder's call may be followed by another call that this node can't see.
+        Ok(Ok(Some(OnceOutcome::Refused(_)) | None) | Err(_)) | Err(_) => unknown,
+    }
+}
+
+fn not_claimed(verdict: ClaimVerdict) -> Refusal {
+    match verdict {
+        ClaimVerdict::NotRun(NotRunReason::OutsideWindow) => Refusal::unknown(Reason::Claimed),
+        _ => Refusal::not_run(Reason::LogUnavailable, Some(LOG_RETRY_AFTER_MS)),
+    }
+}
+
+/// Collects a whole answer; one that breaks off leaves the outcome unknown.
+async fn collect(answer: Dispatched) -> OnceOutcome {
+    match Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => OnceOutcome::Answered(HeldAnswer {
+            status: answer.status,
+            headers: answer
+                .headers
+                .into_iter()
+                .map(|pair| AnswerHeader { name: pair.name, value: pair.value })
+                .collect(),
+            body: body.to_bytes().to_vec(),
+        }),
+        Err(_) => OnceOutcome::Refused(Refusal::unknown(Reason::BadAnswer)),
+    }
+}
+
+fn dispatched(answer: HeldAnswer) -> Dispatched {
+    let headers = answer.headers.into_iter().map(|header| HeaderPair { name: header.name, value: header.value });
+    Dispatched { status: answer.status, headers: headers.collect(), body: whole_body(Bytes::from(answer.body)) }
+}
+
+impl OnceTable {
+    fn enter(&self, state: &NodeState, key: ClaimKey) -> Entered {
+        let mut rows = lock(&self.rows);
+        if let Some(answer) = rows.answers.get(&key, state.clock.now()) {
+            return Entered::Held(answer.clone());
+        }
+        let waiter = rows.take_waiter();
+        match rows.joins.join(key, waiter) {
+            JoinOutcome::Full => return Entered::Full,
+            JoinOutcome::Joined => return rows.wait(waiter, false),
+            JoinOutcome::Started => {}
+        }
+        // The request that starts the call waits for it like the others.
+        rows.joins.join(key, waiter);
+        rows.wait(waiter, true)
+    }
+
+    fn join_if_known(&self, state: &NodeState, key: ClaimKey) -> Option<Entered> {
+        let mut rows = lock(&self.rows);
+        if let Some(answer) = rows.answers.get(&key, state.clock.now()) {
+            return Some(Entered::Held(answer.clone()));
+        }
+        let waiter = rows.take_waiter();
+        match rows.joins.join(key, waiter) {
+            JoinOutcome::Started => {
+                rows.joins.finish(key);
+                None
+            }
+            JoinOutcome::Joined => Some(rows.wait(waiter, false)),
+            JoinOutcome::Full => Some(Entered::Full),
+        }
+    }
+
+    fn finish(&self, state: &NodeState, key: ClaimKey, outcome: OnceOutcome) {
+        let mut rows = lock(&self.rows);
+        if let OnceOutcome::Answered(answer) = &outcome {
+            rows.answers.hold(key, answer.clone(), state.clock.now());
+        }
+        for waiter in rows.joins.finish(key) {
+            if let Some(waiting) = rows.waiting.remove(&waiter) {
+                // A caller that went away sends again or doesn't care.
+                let _ = waiting.send(outcome.clone());
+            }
+        }
+    }
+}
+
+impl OnceRows {
+    fn take_waiter(&mut self) -> WaiterId {
+        self.next_waiter += 1;
+        WaiterId(self.next_waiter)
+    }
+
+    fn wait(&mut self, waiter: WaiterId, starts: bool) -> Entered {
+        let (sender, outcome) = oneshot::channel();
+        self.waiting.insert(waiter, sender);
+        Entered::Waits { outcome, starts }
+    }
+}
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_core::{CallId, Reason, Refusal};
 use hyper::Request;
 use hyper::body::Incoming;
 
+use super::OnceOutcome;
 use super::answer::caller_answer;
 use super::caller::answer_caller;
+use super::once::known_outcome;
 use super::request::ReceivedRequest;
 use super::sidecar::answer_child;
 use crate::body::ByteBody;
@@ -72,6 +75,10 @@
         self.state.gate.run(head, body).await
     }
 
+    async fn known_outcome(&self, key: ClaimKey) -> Option<OnceOutcome> {
+        known_outcome(&self.state, key).await
+    }
+
     fn control(&self, envelope: ControlEnvelope) {
         receive_control(&self.state, envelope, None);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod body;
 mod call;
+mod claims_io;
 mod clock;
 mod config;
 mod config_io;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use fulmartrestle_claims::{ClaimNode, ClaimSettings};
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::plan::TimeZones;
 use fulmartrestle_config::spread::{ConfigMember, ConfigNode, ConfigNodeSettings};
@@ -20,6 +21,7 @@
 use tokio::task::JoinSet;
 
 use crate::admin::{AdminState, serve_admin};
+use crate::claims_io::ClaimsIo;
 use crate::clock::Clock;
 use crate::config::CurrentConfig;
 use crate::config_io::ConfigIo;
@@ -27,7 +29,7 @@
 use crate::control::{receive_datagrams, run_ticks};
 use crate::counters::Counters;
 use crate::directory::PeerDirectory;
-use crate::entry::EntryService;
+use crate::entry::{EntryService, OnceTable};
 use crate::gate::GateRunner;
 use crate::http::{ListenerLimits, serve_callers};
 use crate::join::run_joins;
@@ -236,6 +238,8 @@
     let config_node = ConfigNode::new(config_settings, clock.now());
     let config_io =
         ConfigIo::new(clock, Arc::clone(&options.log), CONFIG_STREAM.parse()?, Arc::clone(&config), config_node);
+    let claim_node = ClaimNode::new(own, zone.clone(), ClaimSettings::default());
+    let claims = ClaimsIo::new(clock, Arc::clone(&options.log), claim_node)?;
     let quota = QuotaNode::new(own, zone.clone(), QuotaSettings::default());
     Ok(NodeState {
         own,
@@ -251,6 +255,8 @@
         budgets: Mutex::new(RetryBudgets::default()),
         crashes,
         rates: Rates::new(clock, quota),
+        claims: Arc::new(claims),
+        once: OnceTable::default(),
         membership: Mutex::new(Membership::new(own_row, MembershipSettings::default(), rng.random())),
         directory: PeerDirectory::default(),
         peers: PeerPool::default(),
--- a/crates/node/src/peer/control.rs
+++ b/crates/node/src/peer/control.rs
@@ -1,5 +1,6 @@
 //! Control messages between nodes: small ones as datagrams, long ones as streams.
 
+use fulmartrestle_claims::ClaimMessage;
 use fulmartrestle_config::spread::ConfigMessage;
 use fulmartrestle_core::VmId;
 use fulmartrestle_derive::record;
@@ -15,6 +16,8 @@
     Quota(QuotaMessage),
     /// Spread of configuration.
     Config(ConfigMessage),
+    /// Claims of calls that run at most once.
+    Claims(ClaimMessage),
 }
 
 /// A control message with its sender.
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -6,15 +6,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fulmartrestle_claims::ClaimKey;
 use h2::client::SendRequest;
 use http::Request;
+use http_body_util::{BodyExt, Limited};
 use tokio::net::TcpStream;
 
 use super::control::ControlEnvelope;
 use super::error::PeerError;
-use super::stream::{lost, receive_head, send_body, send_data};
+use super::stream::{lost, receive_head, send_body, send_data, whole_stream};
 use crate::body::ByteBody;
-use crate::wire::{AnswerHead, CallHead, encode, encode_head};
+use crate::entry::OnceOutcome;
+use crate::wire::{AnswerHead, CallHead, decode_exact, encode, encode_head};
 
 /// Time for a TCP and `h2` handshake. Peers are in the same region or a few hops away.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -32,6 +35,9 @@
 /// Flow-control window of a connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 
+/// Longest outcome of a call that runs at most once, in bytes; see the bound on held answers.
+const MAX_OUTCOME_BYTES: usize = 5 << 20;
+
 /// The answer to a call, with the body still on its way.
 pub struct PeerAnswer {
     /// The answer's head.
@@ -130,6 +136,20 @@
         }
     }
 
+    /// Asks for the outcome of a call that runs at most once, waiting while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when the peer did not answer.
+    pub async fn known_outcome(&self, key: ClaimKey) -> Result<Option<OnceOutcome>, PeerError> {
+        let (response, mut stream) = self.open("/outcome").await?;
+        send_data(&mut stream, encode_head(&key)?, true).await?;
+        let response = response.await.map_err(lost)?;
+        let body = Limited::new(whole_stream(response.into_body()), MAX_OUTCOME_BYTES).collect().await;
+        let bytes = body.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
+        Ok(decode_exact(&bytes)?)
+    }
+
     async fn open(&self, path: &str) -> Result<(h2::client::ResponseFuture, h2::SendStream<Bytes>), PeerError> {
         let not_sent = |error: h2::Error| PeerError::NotSent(error.to_string());
         let mut sender = self.sender.clone().ready().await.map_err(not_sent)?;
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use fulmartrestle_claims::ClaimKey;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Request, Response, StatusCode};
@@ -16,7 +17,8 @@
 use super::stream::{receive_head, send_body, send_data};
 use super::{PeerError, stream};
 use crate::body::ByteBody;
-use crate::wire::{CallHead, decode_exact, encode_head};
+use crate::entry::OnceOutcome;
+use crate::wire::{CallHead, decode_exact, encode, encode_head};
 
 /// Longest control message, in bytes: a part of a configuration snapshot with room to spare.
 const MAX_CONTROL_BYTES: usize = 1024 * 1024;
@@ -36,6 +38,9 @@
     /// Runs a call on the own target, or refuses it.
     async fn call(&self, head: CallHead, body: ByteBody) -> PeerAnswer;
 
+    /// Returns the outcome of a call that runs at most once and that this node runs or ran.
+    async fn known_outcome(&self, key: ClaimKey) -> Option<OnceOutcome>;
+
     /// Takes a control message.
     fn control(&self, envelope: ControlEnvelope);
 }
@@ -86,6 +91,7 @@
 async fn serve_stream(request: Request<RecvStream>, mut respond: SendResponse<Bytes>, service: Arc<dyn PeerService>) {
     let result = match request.uri().path() {
         "/call" => serve_call(request.into_body(), &mut respond, service).await,
+        "/outcome" => serve_outcome(request.into_body(), &mut respond, service).await,
         "/control" => serve_control(request.into_body(), &mut respond, service).await,
         _ => answer_empty(&mut respond, StatusCode::NOT_FOUND),
     };
@@ -125,6 +131,21 @@
     answer_empty(respond, StatusCode::OK)
 }
 
+async fn serve_outcome(
+    body: RecvStream,
+    respond: &mut SendResponse<Bytes>,
+    service: Arc<dyn PeerService>,
+) -> Result<(), PeerError> {
+    let (key, _) = receive_head::<ClaimKey>(body).await?;
+    let outcome = tokio::select! {
+        outcome = service.known_outcome(key) => outcome,
+        _ = poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
+    };
+    let bytes = Bytes::from(encode(&outcome)?);
+    let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
+    send_data(&mut stream, bytes, true).await
+}
+
 fn answer_empty(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), PeerError> {
     let mut response = Response::new(());
     *response.status_mut() = status;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,11 +10,13 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::claims_io::ClaimsIo;
 use crate::clock::{Clock, wall_ms};
 use crate::config::CurrentConfig;
 use crate::config_io::ConfigIo;
 use crate::counters::Counters;
 use crate::directory::PeerDirectory;
+use crate::entry::OnceTable;
 use crate::explain::{Decision, DecisionLog};
 use crate::gate::GateRunner;
 use crate::link_faults::LinkFaults;
@@ -51,6 +53,10 @@
     pub crashes: Arc<Mutex<CrashTable>>,
     /// Tokens of tenants' rates.
     pub rates: Rates,
+    /// The part in claims of calls that run at most once.
+    pub claims: Arc<ClaimsIo>,
+    /// Running calls and held answers of requests that run at most once.
+    pub once: OnceTable,
     /// The directory of members.
     pub membership: Mutex<Membership>,
     /// Addresses of members that can be reached.
--- a/crates/node/src/wire/codec.rs
+++ b/crates/node/src/wire/codec.rs
@@ -8,6 +8,9 @@
 /// Longest head, in bytes. A peer that announces more is cut off before anything is allocated.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Longest message, in bytes: the outcome of a call that runs at most once.
+const MAX_MESSAGE_BYTES: usize = 5 << 20;
+
 /// Length prefix of a head, in bytes.
 const PREFIX_BYTES: usize = 4;
 
@@ -88,5 +91,5 @@
 
 /// Bounds what a decoder may allocate, whatever lengths the bytes claim.
 fn config() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<{ 1 << 20 }>()
+    bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>()
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,6 @@
 mod fleet;
 mod process;
 
-pub use client::{Client, Request};
+pub use client::{Answer, Client, Request};
 pub use fleet::{Fleet, FleetPlan, TargetPlan, wait_until};
 pub use process::Process;
