Membership: bound replies to strangers and repair differences faster

Two members that did not know each other asked each other for their rows without end while neither had budget to answer, and two that held each other for dead accused each other without end. Strangers are now asked one at a time and within the budget, and only messages that ask for something are answered with an accusation. Both faults have a regression test, which fails without the change.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -35,7 +35,7 @@
 pub use member_row::{Incarnation, MemberRow};
 pub use member_state::MemberState;
 pub use membership::Membership;
-pub use message::{MAX_DATAGRAM_BYTES, MembershipMessage, MessageKind, ZoneBeat};
+pub use message::{BucketRange, MAX_DATAGRAM_BYTES, MembershipMessage, MessageKind, ZoneBeat};
 pub use rumour::{MemberDelta, Rumour};
 pub use settings::MembershipSettings;
 pub use target_info::TargetInfo;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -22,6 +22,15 @@
     pub count: u32,
 }
 
+/// A range of buckets of the directory.
+#[value]
+pub struct BucketRange {
+    /// The first bucket.
+    pub first: u8,
+    /// The last bucket.
+    pub last: u8,
+}
+
 /// What a message asks or answers.
 #[record]
 pub enum MessageKind {
@@ -57,22 +66,24 @@
         /// The digests in order of bucket.
         digests: Vec<u16>,
     },
-    /// Asks for the rows of a range of buckets.
+    /// Asks for the rows of a range of buckets, to fill an empty directory.
     SyncPull {
         /// First bucket wanted.
         first: u8,
         /// Last bucket wanted.
         last: u8,
-        /// Whether the sender is filling its directory: the rows are then no news to others.
-        filling: bool,
     },
-    /// Rows of a range of buckets.
+    /// Asks for the rows of buckets that differ.
+    SyncWant {
+        /// The buckets.
+        buckets: Vec<u8>,
+    },
+    /// Rows of some buckets.
     SyncRows {
-        /// First bucket held by this message.
-        first: u8,
-        /// Last bucket held in full, together with the messages before it.
-        last: u8,
-        /// Whether the range was asked for by a node that fills its directory.
+        /// The part of the range of a [`MessageKind::SyncPull`] that is held in full by this message
+        /// and those before it.
+        filled: Option<BucketRange>,
+        /// Whether the rows answer a [`MessageKind::SyncPull`]: they are then no news to others.
         filling: bool,
         /// Members that are not dead.
         rows: Vec<MemberRow>,
@@ -88,7 +99,8 @@
             Self::PingRequest { .. } => 35,
             Self::Gossip => 1,
             Self::SyncDigests { digests, .. } => 5 + digests.len() * 3,
-            Self::SyncPull { .. } => 4,
+            Self::SyncPull { .. } => 3,
+            Self::SyncWant { buckets } => 4 + buckets.len(),
             Self::SyncRows { rows, dead, .. } => {
                 let rows_bytes: usize = rows.iter().map(row_size_bytes).sum();
                 10 + rows_bytes + dead.len() * DELTA_SIZE_BYTES
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -8,6 +8,9 @@
 use crate::zone_table::ZoneTable;
 use crate::{MemberState, Membership, MembershipMessage, MessageKind, PeerDigest};
 
+/// Least interval between two requests for an unknown sender's row, in milliseconds.
+const ASK_SENDER_INTERVAL_MS: u64 = 100;
+
 impl Membership {
     /// Handles a message that arrived from `from`.
     pub fn on_datagram(&mut self, from: SocketAddr, message: MembershipMessage, now: TimeUs) {
@@ -21,7 +24,8 @@
         if let Some(bytes) = message.digest {
             self.digests.push(PeerDigest { vm: message.from, bytes });
         }
-        self.note_sender(message.from, from, now);
+        let asks = !matches!(message.kind, MessageKind::Gossip | MessageKind::Ack { .. });
+        self.note_sender(message.from, from, asks, now);
         self.answer(from, message.kind, now);
     }
 
@@ -38,15 +42,18 @@
             MessageKind::Ack { sequence, responder } => self.on_ack(sequence, responder, now),
             MessageKind::Gossip => {}
             MessageKind::SyncDigests { shift, digests } => self.on_sync_digests(from, shift, &digests, now),
-            MessageKind::SyncPull { first, last, filling } => self.send_rows(from, first, last, filling, now),
-            MessageKind::SyncRows { first, last, filling, rows, dead } => {
-                self.on_sync_rows(first, last, filling, &rows, &dead, now);
+            MessageKind::SyncPull { first, last } => self.send_range(from, first, last, now),
+            MessageKind::SyncWant { buckets } => self.send_buckets(from, &buckets, now),
+            MessageKind::SyncRows { filled, filling, rows, dead } => {
+                self.on_sync_rows(filled, filling, &rows, &dead, now);
             }
         }
     }
 
-    /// Draws conclusions from the fact that a member sent something.
-    fn note_sender(&mut self, vm: VmId, from: SocketAddr, now: TimeUs) {
+    /// Draws conclusions from the fact that a member sent something. Only a message that asks for
+    /// something is answered with what is held against its sender: two members that hold each other
+    /// for dead would otherwise answer each other without end.
+    fn note_sender(&mut self, vm: VmId, from: SocketAddr, asks: bool, now: TimeUs) {
         let Some(slot) = self.directory.get(vm).copied() else {
             self.note_unknown_sender(vm, from, now);
             return;
@@ -57,19 +64,25 @@
         if slot.state == MemberState::Alive {
             self.probes.forget(vm);
         }
-        if matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address == from {
+        if asks && matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address == from {
             self.tell_suspicion(&slot, now);
         }
     }
 
-    /// Asks an unknown sender for its row, and drops the member that had its address before.
+    /// Asks an unknown sender for its row, and drops the member that had its address before. It asks
+    /// one sender at a time, and only within the budget: two members that don't know each other would
+    /// otherwise ask each other without end while neither can afford the answer.
     fn note_unknown_sender(&mut self, vm: VmId, from: SocketAddr, now: TimeUs) {
         let replaced = self.directory.iter().find(|slot| slot.peer_address == from && slot.state != MemberState::Dead);
         if let Some(replaced) = replaced.map(|slot| slot.vm) {
             self.bury(replaced, now);
         }
+        if now < self.timers.ask_sender_at || !self.can_afford(0) {
+            return;
+        }
+        self.timers.ask_sender_at = now.plus_ms(ASK_SENDER_INTERVAL_MS);
         let bucket = Directory::bucket_of(vm);
-        self.send(from, MessageKind::SyncPull { first: bucket, last: bucket, filling: false }, now);
+        self.send(from, MessageKind::SyncWant { buckets: vec![bucket] }, now);
     }
 
     fn on_ack(&mut self, sequence: u32, responder: VmId, now: TimeUs) {
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -9,7 +9,7 @@
 use crate::directory::BUCKETS;
 use crate::rumour::{DELTA_SIZE_BYTES, row_size_bytes};
 use crate::slot::Slot;
-use crate::{MemberDelta, MemberRow, MemberState, Membership, MessageKind, Rumour};
+use crate::{BucketRange, MemberDelta, MemberRow, MemberState, Membership, MessageKind, Rumour};
 
 /// Ranges that a new node asks for at the same time, each from another peer.
 const FILL_RANGES: usize = 8;
@@ -19,8 +19,8 @@
 const MAX_ANSWER_DATAGRAMS: usize = 3;
 /// Bytes of rows in one datagram; the rest is for the head, heartbeats and digest.
 const ROWS_BYTES: usize = 1_100;
-/// Differing buckets that one exchange repairs.
-const MAX_REPAIRED_BUCKETS: usize = 3;
+/// Differing buckets that one exchange asks for.
+const MAX_WANTED_BUCKETS: usize = 64;
 /// Interval between exchanges while differences are found, in milliseconds.
 const REPAIR_INTERVAL_MS: u64 = 1_000;
 
@@ -55,13 +55,13 @@
         !self.ranges.is_empty()
     }
 
-    /// Notes that the buckets up to `last` of the range that starts at `first` have arrived.
-    fn advance(&mut self, first: u8, last: u8) {
-        let Some(index) = self.ranges.iter().position(|range| range.first == first) else { return };
-        if last >= self.ranges[index].last {
+    /// Notes that the buckets of `filled` have arrived.
+    fn advance(&mut self, filled: BucketRange) {
+        let Some(index) = self.ranges.iter().position(|range| range.first == filled.first) else { return };
+        if filled.last >= self.ranges[index].last {
             self.ranges.remove(index);
         } else {
-            self.ranges[index].first = last + 1;
+            self.ranges[index].first = filled.last + 1;
             self.ranges[index].asked_at = None;
         }
     }
@@ -90,7 +90,7 @@
     pub(crate) fn fill_directory(&mut self, now: TimeUs) {
         for range in self.sync.due_ranges(now) {
             let Some(peer) = self.random_contact() else { return };
-            self.send(peer, MessageKind::SyncPull { first: range.first, last: range.last, filling: true }, now);
+            self.send(peer, MessageKind::SyncPull { first: range.first, last: range.last }, now);
         }
     }
 
@@ -113,19 +113,39 @@
         let own = self.directory.digests().iter().map(|digest| (digest >> shift) as u16);
         let differs = |(bucket, (own, theirs)): (usize, (u16, &u16))| (own != *theirs).then_some(bucket as u8);
         let mut differing: Vec<u8> = own.zip(digests).enumerate().filter_map(differs).collect();
-        self.sync.found_difference = !differing.is_empty();
-        for _ in 0..MAX_REPAIRED_BUCKETS {
-            if differing.is_empty() || !self.can_afford(ROWS_BYTES) {
-                return;
+        if differing.is_empty() || !self.can_afford(ROWS_BYTES) {
+            return;
+        }
+        self.sync.found_difference = true;
+        // The exchange covers as much as fits; a random start lets the next ones cover the rest.
+        let start = self.random.random_range(0..differing.len());
+        differing.rotate_left(start);
+        self.send_buckets(from, &differing, now);
+        differing.truncate(MAX_WANTED_BUCKETS);
+        self.send(from, MessageKind::SyncWant { buckets: differing }, now);
+    }
+
+    /// Sends the rows of as many of the buckets as fit into a few datagrams.
+    pub(crate) fn send_buckets(&mut self, to: SocketAddr, buckets: &[u8], now: TimeUs) {
+        if !self.can_afford(ROWS_BYTES) {
+            return;
+        }
+        let mut pages = vec![Page::default()];
+        for bucket in buckets {
+            self.add_bucket(&mut pages, *bucket, now);
+            if pages.len() > MAX_ANSWER_DATAGRAMS {
+                break;
             }
-            let bucket = differing.swap_remove(self.random.random_range(0..differing.len()));
-            self.send_rows(from, bucket, bucket, false, now);
-            self.send(from, MessageKind::SyncPull { first: bucket, last: bucket, filling: false }, now);
+        }
+        for page in pages.into_iter().take(MAX_ANSWER_DATAGRAMS) {
+            let kind = MessageKind::SyncRows { filled: None, filling: false, rows: page.rows, dead: page.dead };
+            self.send(to, kind, now);
         }
     }
 
-    /// Sends the rows of as many buckets from `first` on as fit into a few datagrams.
-    pub(crate) fn send_rows(&mut self, to: SocketAddr, first: u8, last: u8, filling: bool, now: TimeUs) {
+    /// Sends the rows of as many buckets from `first` on as fit into a few datagrams. Only the last
+    /// datagram says which buckets are complete.
+    pub(crate) fn send_range(&mut self, to: SocketAddr, first: u8, last: u8, now: TimeUs) {
         if first > last || !self.can_afford(ROWS_BYTES) {
             return;
         }
@@ -136,11 +156,20 @@
                 break;
             }
             covered = bucket;
-            for slot in self.directory.bucket(bucket) {
-                self.add_to_pages(&mut pages, slot, now);
-            }
+            self.add_bucket(&mut pages, bucket, now);
+        }
+        let count = pages.len();
+        for (index, page) in pages.into_iter().enumerate() {
+            let filled = (index + 1 == count).then_some(BucketRange { first, last: covered });
+            let kind = MessageKind::SyncRows { filled, filling: true, rows: page.rows, dead: page.dead };
+            self.send(to, kind, now);
+        }
+    }
+
+    fn add_bucket(&self, pages: &mut Vec<Page>, bucket: u8, now: TimeUs) {
+        for slot in self.directory.bucket(bucket) {
+            self.add_to_pages(pages, slot, now);
         }
-        self.send_pages(to, pages, first, covered, filling, now);
     }
 
     fn add_to_pages(&self, pages: &mut Vec<Page>, slot: &Slot, now: TimeUs) {
@@ -160,21 +189,9 @@
         }
     }
 
-    /// Sends the pages; only the last one says that the range is complete.
-    fn send_pages(&mut self, to: SocketAddr, pages: Vec<Page>, first: u8, last: u8, filling: bool, now: TimeUs) {
-        let count = pages.len();
-        for (index, page) in pages.into_iter().enumerate() {
-            let is_complete = filling && index + 1 == count;
-            let kind = MessageKind::SyncRows { first, last, filling, rows: page.rows, dead: page.dead };
-            let kind = if filling && !is_complete { as_partial(kind) } else { kind };
-            self.send(to, kind, now);
-        }
-    }
-
     pub(crate) fn on_sync_rows(
         &mut self,
-        first: u8,
-        last: u8,
+        filled: Option<BucketRange>,
         filling: bool,
         rows: &[MemberRow],
         dead: &[MemberDelta],
@@ -182,21 +199,14 @@
     ) {
         let news_rows: Vec<_> = rows.iter().filter(|row| self.apply_row(row, now)).cloned().collect();
         let news_dead: Vec<_> = dead.iter().filter(|delta| self.apply_delta(delta, now)).copied().collect();
+        if let Some(range) = filled {
+            self.sync.advance(range);
+        }
         if filling {
-            self.sync.advance(first, last);
             return;
         }
+        self.sync.found_difference |= !news_rows.is_empty() || !news_dead.is_empty();
         news_rows.into_iter().for_each(|row| self.rumours.push(Rumour::Row(row)));
         news_dead.into_iter().for_each(|delta| self.rumours.push(Rumour::Delta(delta)));
     }
 }
-
-/// Marks rows as a part of a range: an empty range that no request waits for.
-fn as_partial(kind: MessageKind) -> MessageKind {
-    match kind {
-        MessageKind::SyncRows { rows, dead, filling, .. } => {
-            MessageKind::SyncRows { first: u8::MAX, last: 0, filling, rows, dead }
-        }
-        other => other,
-    }
-}
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -29,6 +29,7 @@
     ring_at: TimeUs,
     cross_zone_at: TimeUs,
     pub gossip_at: TimeUs,
+    pub ask_sender_at: TimeUs,
     sync_at: TimeUs,
     reconnect_at: TimeUs,
     expiry_at: TimeUs,
@@ -75,6 +76,7 @@
 
     fn resume(&mut self, gap_ms: u64, now: TimeUs) {
         self.probes.clear();
+        self.timers.sync_at = now;
         self.reset_zone_clocks(now);
         for vm in self.suspects.clone() {
             let Some(slot) = self.directory.get(vm).copied() else { continue };
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -2,17 +2,22 @@
 
 #![allow(dead_code)]
 
+pub mod invariants;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use fulmartrestle_core::{AvailabilityZone, TimeUs, VmId};
 use fulmartrestle_membership::{
-    Incarnation, JoinRecord, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings,
+    Incarnation, JoinRecord, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings, MessageKind,
+    Rumour,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 pub const TICK_MS: u64 = 50;
+/// Datagrams per node in one tick above which members answer each other without end.
+const MAX_DELIVERIES_PER_NODE: usize = 100;
 /// Datagrams that a paused node's socket holds.
 const SOCKET_DATAGRAMS: usize = 64;
 
@@ -50,13 +55,26 @@
     message: MembershipMessage,
 }
 
+/// A deliberate fault that a check has to catch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Members never hear that they are held for suspect or dead.
+    LosesAccusations,
+    /// Rows arrive with a raised incarnation.
+    RaisesIncarnations,
+}
+
 pub struct Fleet {
+    pub fault: Fault,
     pub nodes: Vec<Node>,
     pub now: TimeUs,
     pub network: Network,
     pub random: ChaCha8Rng,
     pub records: Vec<JoinRecord>,
     pub measure_bytes: bool,
+    /// The first message that broke a bound on sizes or numbers.
+    pub transport_fault: Option<String>,
     settings: MembershipSettings,
     queue: BTreeMap<(TimeUs, u64), Delivery>,
     sequence: u64,
@@ -66,12 +84,14 @@
     /// Starts `count` nodes spread over `zones` zones, none of which knows another.
     pub fn new(count: usize, zones: usize, settings: MembershipSettings, seed: u64) -> Self {
         let mut fleet = Self {
+            fault: Fault::None,
             nodes: Vec::new(),
             now: TimeUs::from_ms(1),
             network: Network::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             records: Vec::new(),
             measure_bytes: false,
+            transport_fault: None,
             settings,
             queue: BTreeMap::new(),
             sequence: 0,
@@ -169,10 +189,16 @@
     /// Runs one tick of all nodes and the deliveries until then.
     pub fn step(&mut self) {
         let end = self.now.plus_ms(TICK_MS);
+        let mut deliveries = 0;
         while let Some(entry) = self.queue.first_entry() {
             if entry.key().0 > end {
                 break;
             }
+            deliveries += 1;
+            if deliveries > self.nodes.len() * MAX_DELIVERIES_PER_NODE {
+                self.transport_fault = Some(format!("more than {deliveries} datagrams in {TICK_MS} ms"));
+                break;
+            }
             let ((at, _), delivery) = entry.remove_entry();
             self.now = at;
             self.deliver(delivery);
@@ -195,11 +221,12 @@
         }
     }
 
-    fn deliver(&mut self, delivery: Delivery) {
+    fn deliver(&mut self, mut delivery: Delivery) {
         let to_zone = self.nodes[delivery.to].zone;
         if self.is_cut(delivery.from_zone, to_zone) || !self.nodes[delivery.to].running {
             return;
         }
+        self.apply_fault(delivery.to, &mut delivery.message);
         if !self.is_active(delivery.to) {
             let inbox = &mut self.nodes[delivery.to].inbox;
             if inbox.len() < SOCKET_DATAGRAMS {
@@ -212,6 +239,28 @@
         self.send_all(delivery.to);
     }
 
+    fn apply_fault(&self, to: usize, message: &mut MembershipMessage) {
+        let vm = self.vm(to);
+        match self.fault {
+            Fault::None => {}
+            Fault::LosesAccusations => {
+                message.rumours.retain(|rumour| !matches!(rumour, Rumour::Delta(delta) if delta.vm == vm));
+                if let MessageKind::SyncRows { dead, .. } = &mut message.kind {
+                    dead.retain(|delta| delta.vm != vm);
+                }
+            }
+            Fault::RaisesIncarnations => {
+                for rumour in &mut message.rumours {
+                    if let Rumour::Row(row) = rumour
+                        && row.vm != vm
+                    {
+                        row.incarnation.0 += 1;
+                    }
+                }
+            }
+        }
+    }
+
     pub fn is_cut(&self, left: usize, right: usize) -> bool {
         left != right && self.network.cuts.contains(&(left.min(right), left.max(right)))
     }
@@ -221,9 +270,7 @@
         let from_zone = self.nodes[index].zone;
         for send in self.nodes[index].membership.take_outgoing() {
             if self.measure_bytes {
-                let bytes = send.message.encode().map_or(usize::MAX, |bytes| bytes.len() + 28);
-                self.nodes[index].sent_bytes += bytes as u64;
-                self.nodes[index].sent_datagrams += 1;
+                self.measure(index, &send.message);
             }
             let Some(to) = index_of(send.to).filter(|to| *to < self.nodes.len()) else { continue };
             if self.is_cut(from_zone, self.nodes[to].zone) {
@@ -236,6 +283,21 @@
         }
     }
 
+    fn measure(&mut self, index: usize, message: &MembershipMessage) {
+        let size_bytes = match message.encode() {
+            Ok(bytes) => bytes.len(),
+            Err(error) => {
+                self.transport_fault = Some(format!("{error}: {message:?}"));
+                return;
+            }
+        };
+        if size_bytes > message.size_bytes() {
+            self.transport_fault = Some(format!("{size_bytes} bytes are over the bound: {message:?}"));
+        }
+        self.nodes[index].sent_bytes += size_bytes as u64 + 28;
+        self.nodes[index].sent_datagrams += 1;
+    }
+
     fn enqueue(&mut self, from: SocketAddr, from_zone: usize, to: usize, message: MembershipMessage) {
         if self.random.random_range(0..100) < self.network.loss_percent {
             return;
--- /dev/null
+++ b/crates/membership/tests/regression.rs
@@ -0,0 +1,58 @@
+//! Faults that were found, each with the issue it belongs to.
+
+mod fleet;
+
+use std::net::SocketAddr;
+
+use fleet::{Fleet, zone_name};
+use fulmartrestle_core::{TimeUs, VmId};
+use fulmartrestle_membership::{
+    Incarnation, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings, MessageKind,
+};
+use googletest::prelude::*;
+
+/// Issue 5: two members that did not know each other asked each other for their rows without end
+/// while neither had budget left to answer.
+#[gtest]
+fn strangers_without_budget_do_not_ask_without_end() {
+    let settings = MembershipSettings { budget_bytes_per_s: 0, ..MembershipSettings::default() };
+    let mut fleet = Fleet::new(2, 1, settings, 1);
+    fleet.network.doubling_percent = 20;
+    fleet.join_all();
+    fleet.run_ms(10_000);
+    expect_that!(fleet.transport_fault, none());
+}
+
+/// Issue 5: two members that held each other for dead told each other so without end.
+#[gtest]
+fn an_accused_member_does_not_accuse_in_return() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    let other = SocketAddr::from(([10, 0, 0, 2], 7_000));
+    let row = |vm: u64, peer_address, state| MemberRow {
+        vm: VmId(vm),
+        incarnation: Incarnation(3),
+        zone: zone_name(0),
+        peer_address,
+        state,
+        target: None,
+    };
+    let mut membership = Membership::new(row(1, address, MemberState::Alive), MembershipSettings::default(), 1);
+    let mut message = MembershipMessage {
+        from: VmId(2),
+        kind: MessageKind::Gossip,
+        beats: Vec::new(),
+        rumours: vec![fulmartrestle_membership::Rumour::Row(row(2, other, MemberState::Alive))],
+        digest: None,
+    };
+    let now = TimeUs::from_ms(10);
+    membership.on_datagram(other, message.clone(), now);
+    message.rumours = vec![fulmartrestle_membership::Rumour::Row(row(2, other, MemberState::Dead))];
+    membership.on_datagram(other, message.clone(), now);
+    expect_that!(membership.state(VmId(2)), some(eq(MemberState::Dead)));
+    expect_that!(membership.take_outgoing(), is_empty());
+
+    message.rumours.clear();
+    message.kind = MessageKind::Ping { sequence: 1, subject: VmId(1) };
+    membership.on_datagram(other, message, now);
+    expect_that!(membership.take_outgoing(), len(eq(2)), "an accusation and an answer");
+}
