Add the demo's harness, load and measuring, with the baseline policy

A policy needs a yardstick before it has figures of its own. The harness starts the targets of either deployment in one process, drives open-loop load whose clients send up to four times, plays one of ten scenarios and measures at the callers and the targets. The baseline calls targets by a static list: round robin, three tries at every hop, no limits.

--- /dev/null
+++ b/crates/demo/src/deployment/service_spec.rs
@@ -0,0 +1,47 @@
+//! One service of a deployment.
+
+use fulmartrestle_core::Service;
+use fulmartrestle_derive::local;
+use fulmartrestle_standin::{ChildCall, ServiceTime, StandinSettings};
+
+use super::KEY_MARKER;
+
+/// A service and its workers, which are spread over the zones in turn.
+#[local]
+pub struct ServiceSpec {
+    /// The service.
+    pub service: Service,
+    /// Number of targets.
+    pub workers: u32,
+    /// Slots of each.
+    pub slots: u32,
+    /// Connections that each accepts.
+    pub connections: u32,
+    /// Time of the work itself.
+    pub service_time: ServiceTime,
+    /// Services that the work of each request calls, once each.
+    pub calls: Vec<Service>,
+}
+
+impl ServiceSpec {
+    /// Returns a service whose work takes `min_us` and a tail of a quarter of that.
+    pub(super) fn new(name: &str, workers: u32, slots: u32, connections: u32, min_us: u64, calls: &[&str]) -> Self {
+        let service_time = ServiceTime { min_us, mean_extra_us: min_us / 4 };
+        let calls = calls.iter().map(|name| super::id(name)).collect();
+        Self { service: super::id(name), workers, slots, connections, service_time, calls }
+    }
+
+    /// Returns the settings of one of the service's targets.
+    pub fn settings(&self, seed: u64) -> StandinSettings {
+        let child = |service: &Service| ChildCall { path: format!("/{service}"), count: 1 };
+        StandinSettings {
+            slots: self.slots,
+            connections: self.connections,
+            service_time: self.service_time,
+            children: self.calls.iter().map(child).collect(),
+            key_markers: vec![KEY_MARKER.to_owned()],
+            seed,
+            ..StandinSettings::new(self.service.clone())
+        }
+    }
+}
--- /dev/null
+++ b/crates/demo/src/fleet/baseline_fleet.rs
@@ -0,0 +1,77 @@
+//! The yardstick: targets that callers and other targets reach by a static list.
+
+use std::sync::Arc;
+
+use fulmartrestle_platform_log::async_trait;
+use fulmartrestle_standin::{ChildCaller, StandinTarget};
+use tokio::net::TcpListener;
+
+use super::baseline_caller::{BaselineCaller, ListedTarget, TargetList};
+use super::{ClientCaller, Fleet, Surroundings};
+use crate::DemoError;
+use crate::deployment::{Deployment, Placement};
+
+/// Targets and callers without the project's nodes.
+pub(crate) struct BaselineFleet {
+    targets: Vec<StandinTarget>,
+    callers: Vec<Arc<BaselineCaller>>,
+}
+
+impl BaselineFleet {
+    /// Starts the deployment's targets.
+    pub(crate) async fn start(
+        deployment: &Deployment,
+        surroundings: &Surroundings,
+        seed: u64,
+    ) -> Result<Self, DemoError> {
+        let mut list = TargetList::new();
+        let mut listeners = Vec::new();
+        for placement in deployment.placements() {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let listed = ListedTarget { zone: placement.zone.clone(), address: listener.local_addr()? };
+            list.entry(placement.service.service.to_string()).or_default().push(listed);
+            listeners.push((placement, listener));
+        }
+        let list = Arc::new(list);
+        let caller = |zone| Arc::new(BaselineCaller::new(zone, Arc::clone(&list), Arc::clone(&surroundings.cuts)));
+        let mut targets = Vec::new();
+        for (Placement { place, zone, service }, listener) in listeners {
+            let settings = service.settings(seed.wrapping_add(place as u64));
+            let children: Arc<dyn ChildCaller> = caller(zone);
+            targets.push(StandinTarget::start_on(listener, settings, Some(children))?);
+        }
+        let callers = deployment.zones.iter().map(|zone| caller(zone.zone.clone())).collect();
+        Ok(Self { targets, callers })
+    }
+}
+
+#[async_trait]
+impl Fleet for BaselineFleet {
+    fn caller(&self, zone: usize) -> Arc<dyn ClientCaller> {
+        Arc::clone(&self.callers[zone]) as Arc<dyn ClientCaller>
+    }
+
+    fn targets(&self) -> &[StandinTarget] {
+        &self.targets
+    }
+
+    /// The list is there from the start.
+    async fn publish(&self) -> Result<u64, DemoError> {
+        Ok(0)
+    }
+
+    /// Nobody checks keys.
+    async fn withdraw_key(&self, _tenant: usize) -> Result<(), DemoError> {
+        Ok(())
+    }
+
+    async fn stop_target(&self, place: usize) {
+        self.targets[place].stop();
+    }
+
+    async fn stop(&self) {
+        for target in &self.targets {
+            target.stop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/demo/src/fleet/http_sender.rs
@@ -0,0 +1,88 @@
+//! Sends requests over HTTP/1.1 and judges the answers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use fulmartrestle_core::Outcome;
+use fulmartrestle_standin::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, TargetAnswer};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use super::{ClientRequest, SendOutcome};
+
+/// An HTTP client with its pool of connections.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpSender {
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+/// The members of a refusal that callers go by.
+#[derive(Deserialize)]
+struct Problem {
+    outcome: Outcome,
+    reason: String,
+}
+
+impl HttpSender {
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    /// Sends `request` to `address` and waits for its answer, without a time-out.
+    pub(crate) async fn send(&self, address: SocketAddr, request: &ClientRequest) -> SendOutcome {
+        match self.exchange(address, request).await {
+            Ok((status, body)) => judge(request, status, &body),
+            Err(cause) => SendOutcome::Failed { cause },
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: &ClientRequest) -> Result<(StatusCode, Bytes), String> {
+        let request = http_request(address, request).map_err(|_| "bad request".to_owned())?;
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| connection_failure(&error).to_owned())?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|_| "answer cut short".to_owned())?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
+fn connection_failure(error: &hyper_util::client::legacy::Error) -> &'static str {
+    if error.is_connect() { "no connection" } else { "connection lost" }
+}
+
+fn http_request(address: SocketAddr, request: &ClientRequest) -> Result<Request<Empty<Bytes>>, http::Error> {
+    let method = if request.idempotency_key.is_some() { Method::POST } else { Method::GET };
+    let uri = format!("http://{address}{}", request.path);
+    let mut builder = Request::builder().method(method).uri(uri).header(REQUEST_ID_HEADER, &request.request_id);
+    if let Some(key) = &request.key {
+        builder = builder.header(header::AUTHORIZATION, format!("Bearer {key}"));
+    }
+    if let Some(key) = &request.idempotency_key {
+        builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
+    }
+    builder.body(Empty::new())
+}
+
+/// Decides what an answer is worth. An answer of an earlier send of the same request is as good, so only
+/// the path is compared, which no other request has.
+fn judge(request: &ClientRequest, status: StatusCode, body: &[u8]) -> SendOutcome {
+    if status == StatusCode::OK {
+        return match serde_json::from_slice::<TargetAnswer>(body) {
+            Ok(answer) if answer.path == request.path => SendOutcome::Whole { in_target_us: answer.in_target_us },
+            Ok(_) => SendOutcome::WrongAnswer,
+            Err(_) => SendOutcome::Failed { cause: "answer can't be read".to_owned() },
+        };
+    }
+    match serde_json::from_slice::<Problem>(body) {
+        Ok(Problem { outcome: Outcome::NotRun, reason }) => SendOutcome::NotRun { reason },
+        Ok(Problem { outcome: Outcome::Unknown, reason }) => SendOutcome::Unknown { reason },
+        Err(_) => SendOutcome::Failed { cause: format!("status {}", status.as_u16()) },
+    }
+}
--- /dev/null
+++ b/crates/demo/src/fleet/mod.rs
@@ -0,0 +1,59 @@
+//! What stands between callers and targets, behind one interface.
+
+mod baseline_caller;
+mod baseline_fleet;
+mod client_request;
+mod http_sender;
+mod link_cuts;
+mod send_outcome;
+
+use std::sync::Arc;
+
+use fulmartrestle_platform_log::{MemoryLog, async_trait};
+use fulmartrestle_standin::StandinTarget;
+
+use crate::DemoError;
+
+pub(crate) use baseline_fleet::BaselineFleet;
+pub(crate) use client_request::ClientRequest;
+pub(crate) use link_cuts::LinkCuts;
+pub use send_outcome::SendOutcome;
+
+/// Faults of the surroundings, which every fleet is started with.
+#[derive(Clone, Default)]
+pub(crate) struct Surroundings {
+    /// The platform's log.
+    pub(crate) log: Arc<MemoryLog>,
+    /// Cuts between zones.
+    pub(crate) cuts: Arc<LinkCuts>,
+}
+
+/// The way by which the clients of one zone send requests.
+#[async_trait]
+pub(crate) trait ClientCaller: Send + Sync {
+    /// Sends one request and waits for its answer.
+    async fn send(&self, request: &ClientRequest) -> SendOutcome;
+}
+
+/// A policy under test with its targets. Metrics come from the targets and the callers, never from it.
+#[async_trait]
+pub(crate) trait Fleet: Send + Sync {
+    /// Returns the caller of the clients in this zone, by its place in the deployment.
+    fn caller(&self, zone: usize) -> Arc<dyn ClientCaller>;
+
+    /// Returns the targets in the order of the deployment's placements.
+    fn targets(&self) -> &[StandinTarget];
+
+    /// Makes the configuration known and waits until it is in force everywhere. Returns the time from
+    /// its confirmation until the last node acts on it, in milliseconds.
+    async fn publish(&self) -> Result<u64, DemoError>;
+
+    /// Withdraws a tenant's key, and returns when that is confirmed.
+    async fn withdraw_key(&self, tenant: usize) -> Result<(), DemoError>;
+
+    /// Stops a target that has left, with its node.
+    async fn stop_target(&self, place: usize);
+
+    /// Stops everything.
+    async fn stop(&self);
+}
--- /dev/null
+++ b/crates/demo/src/load/client.rs
@@ -0,0 +1,96 @@
+//! Clients that retry hard.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+
+use super::Arrival;
+use crate::deployment::Deployment;
+use crate::fleet::{ClientRequest, Fleet, SendOutcome};
+use crate::measure::SendRow;
+
+/// A client waits this long for an answer to one send.
+const PATIENCE_MS: u64 = 1_000;
+
+/// A client that got no whole answer sends again this often, whatever it was told about waiting.
+const MAX_RESENDS: u32 = 3;
+
+/// Pause before a client sends again, in milliseconds.
+const RESEND_PAUSE_MS: std::ops::Range<u64> = 20..60;
+
+/// Everything that the clients of one run share.
+pub(crate) struct Client {
+    pub(crate) deployment: Arc<Deployment>,
+    pub(crate) fleet: Arc<dyn Fleet>,
+    pub(crate) started: Instant,
+    pub(crate) seed: u64,
+    pub(crate) rows: Mutex<Vec<SendRow>>,
+}
+
+/// Begins each request at its time and returns when all are given up or answered.
+pub(crate) async fn drive(client: Arc<Client>, arrivals: Vec<Arrival>) {
+    let mut requests = JoinSet::new();
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        let at = client.started + Duration::from_micros(arrival.at_us);
+        if at > Instant::now() {
+            tokio::time::sleep_until(at.into()).await;
+        }
+        requests.spawn(Arc::clone(&client).run(number as u64, arrival));
+        while requests.try_join_next().is_some() {}
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+impl Client {
+    /// Sends one request until a whole answer comes or the client gives up.
+    async fn run(self: Arc<Self>, number: u64, arrival: Arrival) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(number);
+        for send in 0..=MAX_RESENDS {
+            let row = self.send(number, send, arrival).await;
+            let whole = matches!(row.outcome, SendOutcome::Whole { .. });
+            self.rows.lock().unwrap_or_else(PoisonError::into_inner).push(row);
+            if whole {
+                return;
+            }
+            let pause_ms = random.random_range(RESEND_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn send(&self, number: u64, send: u32, arrival: Arrival) -> SendRow {
+        let request = self.request(number, send, arrival);
+        let caller = self.fleet.caller(arrival.zone);
+        let sent_us = self.now_us();
+        let answer = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), caller.send(&request)).await;
+        let outcome = answer.unwrap_or_else(|_| SendOutcome::Failed { cause: "no answer in time".to_owned() });
+        SendRow { number, send, arrival, sent_us, ended_us: self.now_us(), outcome }
+    }
+
+    fn request(&self, number: u64, send: u32, arrival: Arrival) -> ClientRequest {
+        let tenant = &self.deployment.tenants[arrival.tenant];
+        let route = &self.deployment.routes[arrival.route];
+        ClientRequest {
+            path: format!("{}/{}/{number}", route.path, tenant.tenant),
+            key: Some(tenant.key.clone()),
+            request_id: request_id(number, send),
+            idempotency_key: route.at_most_once.then(|| idempotency_key(number)),
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+}
+
+/// Returns the id of one send of a request.
+pub fn request_id(number: u64, send: u32) -> String {
+    format!("{number}-{send}")
+}
+
+fn idempotency_key(number: u64) -> String {
+    format!("request-{number}")
+}
--- /dev/null
+++ b/crates/demo/src/measure/invariants.rs
@@ -0,0 +1,95 @@
+//! Checks what must hold, by what callers and targets saw.
+
+use super::rate::{Admission, RateLimit, late_admissions};
+use super::summary::RunRecord;
+use super::{Invariant, SendRow, Violation};
+use crate::deployment::TenantSpec;
+use crate::fleet::SendOutcome;
+use crate::load::request_id;
+
+/// "Within seconds" for a withdrawn key and for a configuration.
+const MAX_WITHDRAWN_KEY_MS: u64 = 5_000;
+const MAX_CONFIG_IN_FORCE_MS: u64 = 5_000;
+
+/// "After a few seconds" for a leaving target.
+const MAX_ARRIVAL_AFTER_LEAVING_MS: u64 = 2_500;
+
+/// Tries of one send over the whole chain, the first included. Three retries leave room for one at each
+/// hop below the first of a chain of four.
+const MAX_TRIES: u32 = 4;
+
+/// Returns the invariants that did not hold.
+pub(crate) fn violations(run: &RunRecord<'_>) -> Vec<Violation> {
+    let counts = [
+        (Invariant::OwnAnswer, wrong_answers(run.sends)),
+        (Invariant::NotRunIsTrue, untrue_refusals(run)),
+        (Invariant::AtMostOnce, run.targets.ran_twice),
+        (Invariant::NoKeyAtTargets, run.targets.keys_seen),
+        (Invariant::WithdrawnKeyStops, excess(withdrawn_key_ms(run).unwrap_or(0), MAX_WITHDRAWN_KEY_MS)),
+        (Invariant::RateAndBurst, admissions_over_rate(run)),
+        (Invariant::BoundedRetries, excess(max_tries(run).into(), MAX_TRIES.into())),
+        (
+            Invariant::LeavingTargetIsLeftAlone,
+            excess(run.targets.last_arrival_after_leaving_ms, MAX_ARRIVAL_AFTER_LEAVING_MS),
+        ),
+        (Invariant::GracefulStop, run.events.cut_off_by_stop),
+        (Invariant::ConfigurationInForce, excess(run.config_in_force_ms, MAX_CONFIG_IN_FORCE_MS)),
+    ];
+    let broken = counts.into_iter().filter(|(_, count)| *count > 0);
+    broken.map(|(invariant, count)| Violation { invariant, count }).collect()
+}
+
+fn excess(value: u64, limit: u64) -> u64 {
+    value.saturating_sub(limit)
+}
+
+fn wrong_answers(sends: &[SendRow]) -> u64 {
+    sends.iter().filter(|send| send.outcome == SendOutcome::WrongAnswer).count() as u64
+}
+
+/// Counts sends that were refused as "not run" and began at a target all the same.
+fn untrue_refusals(run: &RunRecord<'_>) -> u64 {
+    let refused = run.sends.iter().filter(|send| matches!(send.outcome, SendOutcome::NotRun { .. }));
+    let began = |send: &&SendRow| run.first_start_us(send).is_some();
+    refused.filter(began).count() as u64
+}
+
+fn admissions_over_rate(run: &RunRecord<'_>) -> u64 {
+    let tenants = run.deployment.tenants.iter().enumerate();
+    tenants.map(|(place, tenant)| late_admissions(limit(tenant), admissions(run, place))).sum()
+}
+
+pub(super) fn limit(tenant: &TenantSpec) -> RateLimit {
+    RateLimit { rate_per_s: tenant.rate_per_s, burst: tenant.burst }
+}
+
+fn admissions(run: &RunRecord<'_>, tenant: usize) -> Vec<Admission> {
+    let sends = run.sends.iter().filter(|send| send.arrival.tenant == tenant);
+    let admission = |send: &SendRow| {
+        let started_us = run.first_start_us(send)?;
+        Some(Admission { sent_us: send.sent_us, started_us })
+    };
+    sends.filter_map(admission).collect()
+}
+
+/// Returns the largest number of tries that one send caused over its whole chain.
+pub(super) fn max_tries(run: &RunRecord<'_>) -> u32 {
+    let extra = run.targets.extra_tries.values().copied().max().unwrap_or(0);
+    1 + extra
+}
+
+/// Returns the time from the confirmed withdrawal of a key to the last start of a request with it, in
+/// milliseconds; `None` when no key was withdrawn.
+pub(super) fn withdrawn_key_ms(run: &RunRecord<'_>) -> Option<u64> {
+    let withdrawn_us = run.events.key_withdrawn_us?;
+    let with_key = run.sends.iter().filter(|send| send.arrival.tenant == run.deployment.withdrawn_tenant);
+    let last_start_us = with_key.filter_map(|send| run.first_start_us(send)).max().unwrap_or(0);
+    Some(last_start_us.saturating_sub(withdrawn_us) / 1_000)
+}
+
+impl RunRecord<'_> {
+    /// Returns when a target first began to work on this send.
+    fn first_start_us(&self, send: &SendRow) -> Option<u64> {
+        self.targets.first_start_us.get(&request_id(send.number, send.send)).copied()
+    }
+}
--- /dev/null
+++ b/crates/demo/src/measure/summary.rs
@@ -0,0 +1,207 @@
+//! From tables to the report.
+
+use std::collections::BTreeMap;
+
+use fulmartrestle_core::Class;
+use hdrhistogram::Histogram;
+
+use super::fairness::{TenantGoodput, worst_share};
+use super::goodput::{rate_per_s, recovery_ms};
+use super::invariants::{limit, max_tries, violations, withdrawn_key_ms};
+use super::rate::conforming;
+use super::{RequestRow, SendRow, TargetView, requests};
+use crate::DemoArgs;
+use crate::deployment::Deployment;
+use crate::events::Events;
+use crate::fleet::SendOutcome;
+use crate::phase::Phase;
+use crate::report::{ClassShare, DemoReport, OutcomeCount, PhaseGoodput};
+
+/// The first tenth of a run is left out of the level before: connections are made in it.
+const WARM_UP_SHARE: u64 = 10;
+
+/// Added times are kept up to one minute with three digits.
+const MAX_ADDED_US: u64 = 60_000_000;
+const ADDED_DIGITS: u8 = 3;
+
+const US_PER_S: u64 = 1_000_000;
+
+/// Everything that was recorded in one run. The sends are in the order of request and send number.
+pub struct RunRecord<'a> {
+    /// What was asked for.
+    pub args: &'a DemoArgs,
+    /// The deployment.
+    pub deployment: &'a Deployment,
+    /// What happened when.
+    pub phases: &'a [Phase],
+    /// All sends.
+    pub sends: &'a [SendRow],
+    /// What the targets saw.
+    pub targets: &'a TargetView,
+    /// What the harness did.
+    pub events: &'a Events,
+    /// Time until the first configuration was in force.
+    pub config_in_force_ms: u64,
+}
+
+/// Measures a run.
+pub fn summarize(run: &RunRecord<'_>) -> DemoReport {
+    let requests = requests(run.sends);
+    let whole_us = whole_us(run, &requests);
+    let goodput = phase_goodput(run, &whole_us);
+    let added = added_us(run);
+    let violations = violations(run);
+    DemoReport {
+        deployment: run.args.deployment,
+        scenario: run.args.scenario,
+        policy: run.args.policy,
+        seconds: run.args.seconds,
+        seed: run.args.seed,
+        requests: requests.len() as u64,
+        sends: run.sends.len() as u64,
+        whole: count(&requests, |outcome| matches!(outcome, SendOutcome::Whole { .. })),
+        not_run: count(&requests, |outcome| matches!(outcome, SendOutcome::NotRun { .. })),
+        unknown: count(&requests, |outcome| matches!(outcome, SendOutcome::Unknown { .. })),
+        failed: count(&requests, |outcome| matches!(outcome, SendOutcome::Failed { .. } | SendOutcome::WrongAnswer)),
+        goodput_per_s: rate_per_s(&whole_us, 0, run.run_us()),
+        recovery_ms: recovery(run, &whole_us, goodput.before_per_s),
+        worst_tenant_share: worst_share(&tenant_goodput(run, &requests)),
+        refused_within_rate: refused_within_rate(run, &requests),
+        max_tries_per_request: max_tries(run),
+        ran_twice: run.targets.ran_twice,
+        keys_seen_by_targets: run.targets.keys_seen,
+        withdrawn_key_ms: withdrawn_key_ms(run),
+        config_in_force_ms: run.config_in_force_ms,
+        added_p50_us: added.value_at_quantile(0.5),
+        added_p99_us: added.value_at_quantile(0.99),
+        invariant_violations: violations.len() as u64,
+        violations,
+        goodput,
+        classes: class_shares(run, &requests),
+        outcomes: outcome_counts(run.sends),
+    }
+}
+
+impl RunRecord<'_> {
+    fn run_us(&self) -> u64 {
+        self.args.seconds * US_PER_S
+    }
+
+    fn warm_up_us(&self) -> u64 {
+        self.run_us() / WARM_UP_SHARE
+    }
+
+    /// Returns when the first trigger begins; the end of the run without one.
+    fn first_trigger_us(&self) -> u64 {
+        let begins = self.phases.iter().map(|phase| phase.begin_us(self.run_us()));
+        begins.min().unwrap_or(self.run_us())
+    }
+
+    /// Returns when the last trigger ends.
+    fn last_trigger_end_us(&self) -> Option<u64> {
+        self.phases.iter().map(|phase| phase.end_us(self.run_us())).max()
+    }
+
+    /// Returns whether a request has a right to an answer: those with a withdrawn key have none.
+    fn is_entitled(&self, request: &RequestRow) -> bool {
+        let withdrawn = self.events.key_withdrawn_us.is_some();
+        !(withdrawn && request.arrival.tenant == self.deployment.withdrawn_tenant)
+    }
+}
+
+fn count(requests: &[RequestRow], is: impl Fn(&SendOutcome) -> bool) -> u64 {
+    requests.iter().filter(|request| is(&request.outcome)).count() as u64
+}
+
+/// Returns when entitled requests were answered whole.
+fn whole_us(run: &RunRecord<'_>, requests: &[RequestRow]) -> Vec<u64> {
+    let whole = requests.iter().filter(|request| request.is_whole() && run.is_entitled(request));
+    whole.map(|request| request.ended_us).collect()
+}
+
+fn phase_goodput(run: &RunRecord<'_>, whole_us: &[u64]) -> PhaseGoodput {
+    let begin_us = run.first_trigger_us();
+    let end_us = run.last_trigger_end_us().unwrap_or(run.run_us());
+    PhaseGoodput {
+        before_per_s: rate_per_s(whole_us, run.warm_up_us(), begin_us),
+        during_per_s: rate_per_s(whole_us, begin_us, end_us),
+        after_per_s: rate_per_s(whole_us, end_us, run.run_us()),
+    }
+}
+
+/// Without a trigger there is nothing to recover from.
+fn recovery(run: &RunRecord<'_>, whole_us: &[u64], before_per_s: f64) -> Option<u64> {
+    match run.last_trigger_end_us() {
+        None => Some(0),
+        Some(end_us) => recovery_ms(whole_us, before_per_s, end_us, run.run_us()),
+    }
+}
+
+fn tenant_goodput(run: &RunRecord<'_>, requests: &[RequestRow]) -> Vec<TenantGoodput> {
+    let tenants = run.deployment.tenants.iter().enumerate();
+    let goodput = |(place, spec): (usize, &crate::deployment::TenantSpec)| {
+        let own = || requests.iter().filter(|row| row.arrival.tenant == place && run.is_entitled(row));
+        let allowed = spec.burst + spec.rate_per_s * run.args.seconds;
+        TenantGoodput {
+            weight: spec.rate_per_s as f64,
+            demand: own().count().min(allowed as usize) as f64,
+            whole: own().filter(|row| row.is_whole()).count() as f64,
+        }
+    };
+    tenants.map(goodput).collect()
+}
+
+/// Counts requests whose first send kept to the tenant's rate, with all sends counted, and that ended
+/// without a whole answer.
+fn refused_within_rate(run: &RunRecord<'_>, requests: &[RequestRow]) -> u64 {
+    let conforming = conforming_sends(run);
+    let refused = requests.iter().filter(|row| !row.is_whole() && run.is_entitled(row));
+    refused.filter(|row| conforming[row.first_send]).count() as u64
+}
+
+/// Returns for each send whether it kept to its tenant's rate.
+fn conforming_sends(run: &RunRecord<'_>) -> Vec<bool> {
+    let mut result = vec![false; run.sends.len()];
+    for (place, tenant) in run.deployment.tenants.iter().enumerate() {
+        let mut own: Vec<_> = (0..run.sends.len()).filter(|send| run.sends[*send].arrival.tenant == place).collect();
+        own.sort_by_key(|send| run.sends[*send].sent_us);
+        let sent_us: Vec<_> = own.iter().map(|send| run.sends[*send].sent_us).collect();
+        for (send, conforms) in own.into_iter().zip(conforming(limit(tenant), &sent_us)) {
+            result[send] = conforms;
+        }
+    }
+    result
+}
+
+/// Collects the times that were added to those in the target, before the first trigger.
+fn added_us(run: &RunRecord<'_>) -> Histogram<u64> {
+    let mut added = match Histogram::new_with_bounds(1, MAX_ADDED_US, ADDED_DIGITS) {
+        Ok(histogram) => histogram,
+        Err(error) => unreachable!("constant bounds are valid: {error}"),
+    };
+    let undisturbed = run.warm_up_us()..run.first_trigger_us();
+    for send in run.sends.iter().filter(|send| undisturbed.contains(&send.sent_us)) {
+        if let SendOutcome::Whole { in_target_us } = send.outcome {
+            added.saturating_record((send.ended_us - send.sent_us).saturating_sub(in_target_us));
+        }
+    }
+    added
+}
+
+fn class_shares(run: &RunRecord<'_>, requests: &[RequestRow]) -> Vec<ClassShare> {
+    let share = |class: Class| {
+        let of_class = |row: &&RequestRow| run.deployment.routes[row.arrival.route].class == class;
+        let own = || requests.iter().filter(of_class).filter(|row| run.is_entitled(row));
+        let whole = own().filter(|row| row.is_whole()).count() as u64;
+        ClassShare { class, requests: own().count() as u64, whole }
+    };
+    Class::ALL.into_iter().map(share).collect()
+}
+
+fn outcome_counts(sends: &[SendRow]) -> Vec<OutcomeCount> {
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for send in sends {
+        *counts.entry(send.outcome.label()).or_default() += 1;
+    }
+    counts.into_iter().map(|(outcome, sends)| OutcomeCount { outcome, sends }).collect()
+}
--- a/crates/platform-log/src/lib.rs
+++ b/crates/platform-log/src/lib.rs
@@ -19,6 +19,8 @@
 mod stream_name;
 mod wire;
 
+/// The attribute that implementations of [`PlatformLog`] need.
+pub use async_trait::async_trait;
 pub use client::HttpLog;
 pub use daemon::{DaemonArgs, DaemonError, run_daemon};
 pub use entry::LogEntry;
