Run the demo's scenarios through nodes, one beside each target

The harness starts a node per target, publishes the deployment by plan and confirm, and waits until every node admits every tenant. Cuts between zones act on links between nodes and on each zone's view of the log.

--- a/crates/demo/src/deployment/mod.rs
+++ b/crates/demo/src/deployment/mod.rs
@@ -29,8 +29,8 @@
 /// Bursts last this long at a tenant's rate, in seconds.
 const BURST_S: f64 = 0.5;
 
-/// Texts with this beginning are keys, which no target may see.
-pub(crate) const KEY_MARKER: &str = "demo-key-";
+/// Keys begin with this, also those that nodes grant; no target may see one.
+pub(crate) const KEY_MARKER: &str = "fk_";
 
 /// Services, routes, zones and tenants of one deployment.
 #[local]
@@ -77,13 +77,7 @@
     let spec = |(name, share): &(&str, f64)| {
         let usual_rps = usual_rps * share;
         let rate_per_s = usual_rps * RATE_OVER_USUAL;
-        TenantSpec {
-            tenant: id(name),
-            usual_rps,
-            rate_per_s: rate_per_s as u64,
-            burst: (rate_per_s * BURST_S) as u64,
-            key: format!("{KEY_MARKER}{name}"),
-        }
+        TenantSpec { tenant: id(name), usual_rps, rate_per_s: rate_per_s as u64, burst: (rate_per_s * BURST_S) as u64 }
     };
     shares.iter().map(spec).collect()
 }
--- a/crates/demo/src/deployment/tenant_spec.rs
+++ b/crates/demo/src/deployment/tenant_spec.rs
@@ -14,6 +14,4 @@
     pub rate_per_s: u64,
     /// Requests that it may send at once.
     pub burst: u64,
-    /// The key of its callers.
-    pub key: String,
 }
--- a/crates/demo/src/fleet/baseline_caller.rs
+++ b/crates/demo/src/fleet/baseline_caller.rs
@@ -87,8 +87,13 @@
 impl ChildCaller for BaselineCaller {
     async fn call(&self, request: ChildRequest) -> Result<(), ChildError> {
         let request_id = request.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let request =
-            ClientRequest { path: request.path, key: None, request_id: request_id.to_owned(), idempotency_key: None };
+        let request = ClientRequest {
+            path: request.path,
+            key: None,
+            request_id: request_id.to_owned(),
+            idempotency_key: None,
+            timeout_ms: TRY_TIMEOUT_MS,
+        };
         match self.call(&request).await {
             SendOutcome::Whole { .. } => Ok(()),
             outcome => Err(ChildError::NoAnswer(outcome.label())),
--- a/crates/demo/src/fleet/baseline_fleet.rs
+++ b/crates/demo/src/fleet/baseline_fleet.rs
@@ -9,11 +9,12 @@
 use super::baseline_caller::{BaselineCaller, ListedTarget, TargetList};
 use super::{ClientCaller, Fleet, Surroundings};
 use crate::DemoError;
-use crate::deployment::{Deployment, Placement};
+use crate::deployment::{Deployment, KEY_MARKER, Placement};
 
 /// Targets and callers without the project's nodes.
 pub(crate) struct BaselineFleet {
     targets: Vec<StandinTarget>,
+    keys: Vec<String>,
     callers: Vec<Arc<BaselineCaller>>,
 }
 
@@ -41,7 +42,8 @@
             targets.push(StandinTarget::start_on(listener, settings, Some(children))?);
         }
         let callers = deployment.zones.iter().map(|zone| caller(zone.zone.clone())).collect();
-        Ok(Self { targets, callers })
+        let keys = deployment.tenants.iter().map(|tenant| format!("{KEY_MARKER}{}", tenant.tenant)).collect();
+        Ok(Self { targets, keys, callers })
     }
 }
 
@@ -55,6 +57,10 @@
         &self.targets
     }
 
+    fn key(&self, tenant: usize) -> String {
+        self.keys[tenant].clone()
+    }
+
     /// The list is there from the start.
     async fn publish(&self) -> Result<u64, DemoError> {
         Ok(0)
@@ -65,9 +71,8 @@
         Ok(())
     }
 
-    async fn stop_target(&self, place: usize) {
-        self.targets[place].stop();
-    }
+    /// Targets stand alone.
+    async fn stop_node(&self, _place: usize) {}
 
     async fn stop(&self) {
         for target in &self.targets {
--- a/crates/demo/src/fleet/client_request.rs
+++ b/crates/demo/src/fleet/client_request.rs
@@ -8,6 +8,8 @@
     pub(crate) key: Option<String>,
     pub(crate) request_id: String,
     pub(crate) idempotency_key: Option<String>,
+    /// How long the sender waits for an answer.
+    pub(crate) timeout_ms: u64,
 }
 
 impl ClientRequest {
--- a/crates/demo/src/fleet/http_sender.rs
+++ b/crates/demo/src/fleet/http_sender.rs
@@ -14,6 +14,12 @@
 
 use super::{ClientRequest, SendOutcome};
 
+/// Header in which a caller says how long it waits, in milliseconds.
+const TIMEOUT_HEADER: &str = "fulmartrestle-timeout-ms";
+
+/// Cause of a failure before anything was sent.
+pub(super) const NO_CONNECTION: &str = "no connection";
+
 /// An HTTP client with its pool of connections.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpSender {
@@ -54,7 +60,7 @@
 }
 
 fn connection_failure(error: &hyper_util::client::legacy::Error) -> &'static str {
-    if error.is_connect() { "no connection" } else { "connection lost" }
+    if error.is_connect() { NO_CONNECTION } else { "connection lost" }
 }
 
 fn http_request(address: SocketAddr, request: &ClientRequest) -> Result<Request<Empty<Bytes>>, http::Error> {
@@ -67,7 +73,7 @@
     if let Some(key) = &request.idempotency_key {
         builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
     }
-    builder.body(Empty::new())
+    builder.header(TIMEOUT_HEADER, request.timeout_ms).body(Empty::new())
 }
 
 /// Decides what an answer is worth. An answer of an earlier send of the same request is as good, so only
--- a/crates/demo/src/fleet/link_cuts.rs
+++ b/crates/demo/src/fleet/link_cuts.rs
@@ -28,6 +28,11 @@
         from == to || !(zones.contains(from) || zones.contains(to))
     }
 
+    /// Returns whether bytes get from a zone to the platform's log.
+    pub(crate) fn allows_log(&self, from: &AvailabilityZone) -> bool {
+        !self.lock().contains(from)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeSet<AvailabilityZone>> {
         self.zones.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/demo/src/fleet/mod.rs
+++ b/crates/demo/src/fleet/mod.rs
@@ -3,9 +3,15 @@
 mod baseline_caller;
 mod baseline_fleet;
 mod client_request;
+mod fleet_intent;
 mod http_sender;
 mod link_cuts;
+mod node_caller;
+mod node_fleet;
+mod node_links;
+mod operator_client;
 mod send_outcome;
+mod zone_log;
 
 use std::sync::Arc;
 
@@ -17,6 +23,7 @@
 pub(crate) use baseline_fleet::BaselineFleet;
 pub(crate) use client_request::ClientRequest;
 pub(crate) use link_cuts::LinkCuts;
+pub(crate) use node_fleet::NodeFleet;
 pub use send_outcome::SendOutcome;
 
 /// Faults of the surroundings, which every fleet is started with.
@@ -44,6 +51,9 @@
     /// Returns the targets in the order of the deployment's placements.
     fn targets(&self) -> &[StandinTarget];
 
+    /// Returns the key of a tenant's callers.
+    fn key(&self, tenant: usize) -> String;
+
     /// Makes the configuration known and waits until it is in force everywhere. Returns the time from
     /// its confirmation until the last node acts on it, in milliseconds.
     async fn publish(&self) -> Result<u64, DemoError>;
@@ -51,8 +61,8 @@
     /// Withdraws a tenant's key, and returns when that is confirmed.
     async fn withdraw_key(&self, tenant: usize) -> Result<(), DemoError>;
 
-    /// Stops a target that has left, with its node.
-    async fn stop_target(&self, place: usize);
+    /// Stops the node of a target that has left, gracefully.
+    async fn stop_node(&self, place: usize);
 
     /// Stops everything.
     async fn stop(&self);
--- /dev/null
+++ b/crates/demo/src/fleet/node_links.rs
@@ -0,0 +1,36 @@
+//! Cuts between zones as nodes ask for them, by peer addresses.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use fulmartrestle_core::AvailabilityZone;
+use fulmartrestle_node::LinkFaults;
+
+use super::LinkCuts;
+
+/// Knows in which zone each node is. Addresses that it doesn't know are not cut off.
+pub(super) struct NodeLinks {
+    cuts: Arc<LinkCuts>,
+    zones: RwLock<HashMap<SocketAddr, AvailabilityZone>>,
+}
+
+impl NodeLinks {
+    pub(super) fn new(cuts: Arc<LinkCuts>) -> Self {
+        Self { cuts, zones: RwLock::default() }
+    }
+
+    pub(super) fn add(&self, peer_address: SocketAddr, zone: AvailabilityZone) {
+        self.zones.write().unwrap_or_else(PoisonError::into_inner).insert(peer_address, zone);
+    }
+}
+
+impl LinkFaults for NodeLinks {
+    fn allows(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let zones = self.zones.read().unwrap_or_else(PoisonError::into_inner);
+        match (zones.get(&from), zones.get(&to)) {
+            (Some(from), Some(to)) => self.cuts.allows(from, to),
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/demo/src/fleet/zone_log.rs
@@ -0,0 +1,39 @@
+//! The platform's log as one zone reaches it.
+
+use std::sync::Arc;
+
+use fulmartrestle_core::{AvailabilityZone, LogOffset};
+use fulmartrestle_platform_log::{LogError, MemoryLog, PlatformLog, ReadPage, StreamName, async_trait};
+
+use super::LinkCuts;
+
+/// A log that is out of reach while its zone is cut off.
+pub(crate) struct ZoneLog {
+    pub(crate) zone: AvailabilityZone,
+    pub(crate) log: Arc<MemoryLog>,
+    pub(crate) cuts: Arc<LinkCuts>,
+}
+
+impl ZoneLog {
+    fn check_link(&self) -> Result<(), LogError> {
+        if self.cuts.allows_log(&self.zone) { Ok(()) } else { Err(LogError::Unavailable) }
+    }
+}
+
+#[async_trait]
+impl PlatformLog for ZoneLog {
+    async fn append(&self, stream: &StreamName, records: Vec<Vec<u8>>) -> Result<LogOffset, LogError> {
+        self.check_link()?;
+        let answer = self.log.append(stream, records).await;
+        // A link that went down meanwhile takes the answer with it.
+        self.check_link().map_err(|_| LogError::AnswerLost)?;
+        answer
+    }
+
+    async fn read(&self, stream: &StreamName, from: LogOffset, max_records: usize) -> Result<ReadPage, LogError> {
+        self.check_link()?;
+        let page = self.log.read(stream, from, max_records).await;
+        self.check_link()?;
+        page
+    }
+}
--- a/crates/demo/src/load/client.rs
+++ b/crates/demo/src/load/client.rs
@@ -75,9 +75,10 @@
         let route = &self.deployment.routes[arrival.route];
         ClientRequest {
             path: format!("{}/{}/{number}", route.path, tenant.tenant),
-            key: Some(tenant.key.clone()),
+            key: Some(self.fleet.key(arrival.tenant)),
             request_id: request_id(number, send),
             idempotency_key: route.at_most_once.then(|| idempotency_key(number)),
+            timeout_ms: PATIENCE_MS,
         }
     }
 
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::deployment::Deployment;
-use crate::fleet::{BaselineFleet, Fleet, Surroundings};
+use crate::fleet::{BaselineFleet, Fleet, NodeFleet, Surroundings};
 use crate::load::{Client, LoadProfile, arrivals, drive};
 use crate::measure::{RunRecord, SendRow, TargetView, summarize};
 use crate::stage::Stage;
@@ -59,12 +59,12 @@
 
 async fn start_fleet(
     args: &DemoArgs,
-    deployment: &Deployment,
+    deployment: &Arc<Deployment>,
     surroundings: &Surroundings,
 ) -> Result<Arc<dyn Fleet>, DemoError> {
     match args.policy {
         PolicyName::Baseline => Ok(Arc::new(BaselineFleet::start(deployment, surroundings, args.seed).await?)),
-        PolicyName::Full => Err(DemoError::BadArgument("the policy `full` is not part of this build".to_owned())),
+        PolicyName::Full => Ok(Arc::new(NodeFleet::start(deployment, surroundings, args.seed).await?)),
     }
 }
 
--- a/crates/demo/src/stage.rs
+++ b/crates/demo/src/stage.rs
@@ -73,9 +73,11 @@
             Trigger::ZoneCut => self.surroundings.cuts.heal(&self.cut_zone().zone),
             Trigger::TargetLeaves => {
                 let place = self.leaving_place();
-                let record = self.fleet.targets()[place].record();
+                self.fleet.stop_node(place).await;
+                let target = &self.fleet.targets()[place];
+                let record = target.record();
                 events.cut_off_by_stop = record.running + record.queued;
-                self.fleet.stop_target(place).await;
+                target.stop();
             }
             Trigger::KeyWithdrawn | Trigger::Surge { .. } | Trigger::NoisyTenant { .. } | Trigger::PeakShift => {}
         }
--- a/crates/demo/tests/run.rs
+++ b/crates/demo/tests/run.rs
@@ -58,6 +58,20 @@
     assert_that!(line["requests"].as_u64(), some(eq(report.requests)));
 }
 
+/// Nodes find each other, take their configuration through plan and confirm, and answer. Only what must
+/// hold at any speed is checked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_with_nodes_hides_keys_and_returns_own_answers() {
+    let report = run_demo(DemoArgs { seconds: 1, ..DemoArgs::default() }).await.expect("a run");
+    assert_that!(report.whole, gt(0));
+    assert_that!(report.whole + report.not_run + report.unknown + report.failed, eq(report.requests));
+    assert_that!(report.keys_seen_by_targets, eq(0));
+    let violated: Vec<_> = report.violations.iter().map(|violation| violation.invariant).collect();
+    for invariant in [Invariant::OwnAnswer, Invariant::NotRunIsTrue, Invariant::BoundedRetries] {
+        assert_that!(violated, not(contains(eq(&invariant))));
+    }
+}
+
 #[tokio::test]
 async fn a_run_of_no_length_is_rejected() {
     let error = run_demo(DemoArgs { seconds: 0, ..DemoArgs::default() }).await.expect_err("no load");
