--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages of the operators' API, shared by the nodes that answer and the command that asks.
+//!
+//! Bodies are JSON. `docs/API.md` shows each request and answer as it looks.
+
+mod confirm_answer;
+mod decision;
+mod error_answer;
+mod plan_answer;
+mod status_answer;
+mod stop_answer;
+
+pub use confirm_answer::ConfirmAnswer;
+pub use decision::Decision;
+pub use error_answer::ErrorAnswer;
+pub use plan_answer::{GrantedKeyAnswer, PlanAnswer};
+pub use status_answer::{CounterAnswer, StatusAnswer, ZoneMembersAnswer};
+pub use stop_answer::StopAnswer;
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,80 @@
+//! Requests to a node's operators' API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fulmartrestle_api::ErrorAnswer;
+use http::header::AUTHORIZATION;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+
+use crate::CliError;
+
+/// Longest wait for an answer. A confirmation waits up to 30 s for the platform's log.
+const ANSWER_TIMEOUT_MS: u64 = 45_000;
+
+/// An operator's connection to one node.
+pub struct AdminClient {
+    node: SocketAddr,
+    operator_key: Option<String>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl AdminClient {
+    /// Returns a client of `node` that presents `operator_key`.
+    pub fn new(node: SocketAddr, operator_key: Option<String>) -> Self {
+        Self { node, operator_key, client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+
+    /// Returns what is at a path.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Unreachable`] without an answer and [`CliError::Refused`] for an error.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        self.send(Method::GET, path, String::new()).await
+    }
+
+    /// Sends a body to a path and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Unreachable`] without an answer and [`CliError::Refused`] for an error.
+    pub async fn post<T: DeserializeOwned>(&self, path: &str, body: String) -> Result<T, CliError> {
+        self.send(Method::POST, path, body).await
+    }
+
+    async fn send<T: DeserializeOwned>(&self, method: Method, path: &str, body: String) -> Result<T, CliError> {
+        let exchange =
+            tokio::time::timeout(Duration::from_millis(ANSWER_TIMEOUT_MS), self.exchange(method, path, body));
+        let bytes = exchange.await.map_err(|_| self.unreachable("no answer in time"))??;
+        serde_json::from_slice(&bytes).map_err(|error| self.unreachable(format!("answer can't be read: {error}")))
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: String) -> Result<Bytes, CliError> {
+        let mut request = Request::builder().method(method).uri(format!("http://{}{path}", self.node));
+        if let Some(key) = &self.operator_key {
+            request = request.header(AUTHORIZATION, format!("Bearer {key}"));
+        }
+        let request =
+            request.body(Full::new(Bytes::from(body))).map_err(|error| CliError::Input(format!("{path}: {error}")))?;
+        let answer = self.client.request(request).await.map_err(|error| self.unreachable(error))?;
+        let status = answer.status();
+        let bytes = answer.into_body().collect().await.map_err(|error| self.unreachable(error))?.to_bytes();
+        if status.is_success() {
+            return Ok(bytes);
+        }
+        let text = serde_json::from_slice::<ErrorAnswer>(&bytes).map(|answer| answer.error);
+        let text = text.unwrap_or_else(|_| String::from_utf8_lossy(&bytes).into_owned());
+        Err(CliError::Refused(status.as_u16(), text))
+    }
+
+    fn unreachable(&self, detail: impl ToString) -> CliError {
+        CliError::Unreachable(self.node.to_string(), detail.to_string())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,31 @@
+//! Explains decisions about requests.
+
+use fulmartrestle_api::Decision;
+
+use super::print_json;
+use crate::CliError;
+use crate::args::ExplainArgs;
+use crate::client::AdminClient;
+
+/// Prints the decisions about one request, or the latest ones.
+///
+/// # Errors
+///
+/// Returns what the node refuses, also when its explanations are off.
+pub async fn explain(client: &AdminClient, args: &ExplainArgs, json: bool) -> Result<(), CliError> {
+    let path = match &args.request_id {
+        Some(request_id) => format!("/v1/explain/{request_id}"),
+        None => "/v1/explain".to_owned(),
+    };
+    let decisions: Vec<Decision> = client.get(&path).await?;
+    if json {
+        return print_json(&decisions);
+    }
+    if decisions.is_empty() {
+        println!("This node knows nothing of that request; ask the node that it entered by.");
+    }
+    for decision in decisions {
+        println!("{} {} {}", decision.at_ms, decision.request_id, decision.text);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/key.rs
@@ -0,0 +1,27 @@
+//! Plans that grant or withdraw keys.
+
+use fulmartrestle_config::plan::{Intent, IntentChange};
+
+use super::plan::plan_intent;
+use crate::CliError;
+use crate::args::KeyCommand;
+use crate::client::AdminClient;
+
+/// Makes the plan.
+///
+/// # Errors
+///
+/// Returns what the node refuses.
+pub async fn run(client: &AdminClient, command: &KeyCommand, json: bool) -> Result<(), CliError> {
+    let (change, why) = match command {
+        KeyCommand::Grant(grant) => (IntentChange::GrantKey(grant.tenant.clone()), &grant.why),
+        KeyCommand::Withdraw(withdraw) => {
+            let key = withdraw
+                .key_id
+                .parse()
+                .map_err(|error: fulmartrestle_core::ParseError| CliError::Input(error.to_string()))?;
+            (IntentChange::WithdrawKey(key), &withdraw.why)
+        }
+    };
+    plan_intent(client, &Intent { why: why.clone(), changes: vec![change] }, json).await
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,70 @@
+//! The commands, one module each.
+
+mod demo;
+mod explain;
+mod key;
+mod plan;
+mod settings;
+mod status;
+mod stop;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::args::{Args, Command};
+use crate::client::AdminClient;
+use crate::{CliError, commands};
+
+/// Port of the operators' API in the sample settings.
+const DEFAULT_ADMIN_PORT: u16 = 7_003;
+
+/// Environment variable that names the node to ask.
+const NODE_VARIABLE: &str = "FULMARTRESTLE_NODE";
+
+/// Environment variable that holds the operator's key.
+const KEY_VARIABLE: &str = "FULMARTRESTLE_OPERATOR_KEY";
+
+/// Does what the arguments ask for and prints the result on standard output.
+///
+/// # Errors
+///
+/// Returns the error to print; [`CliError::exit_code`] gives the exit code.
+pub async fn run(args: Args) -> Result<(), CliError> {
+    match &args.command {
+        Command::Check(check) => commands::settings::check(&check.file),
+        Command::Demo(demo) => commands::demo::run(demo, args.json).await,
+        Command::Plan(plan) => commands::plan::plan_file(&client(&args)?, plan, args.json).await,
+        Command::Confirm(confirm) => commands::plan::confirm(&client(&args)?, &confirm.plan, args.json).await,
+        Command::History(_) => commands::plan::history(&client(&args)?, args.json).await,
+        Command::Status(_) => commands::status::status(&client(&args)?, args.json).await,
+        Command::Key(key) => commands::key::run(&client(&args)?, &key.command, args.json).await,
+        Command::Stop(stop) => commands::stop::plan_stop(&client(&args)?, stop, args.json).await,
+        Command::Explain(explain) => commands::explain::explain(&client(&args)?, explain, args.json).await,
+    }
+}
+
+fn client(args: &Args) -> Result<AdminClient, CliError> {
+    Ok(AdminClient::new(node_address(args)?, operator_key(args)?))
+}
+
+fn node_address(args: &Args) -> Result<SocketAddr, CliError> {
+    if let Some(node) = args.node {
+        return Ok(node);
+    }
+    match std::env::var(NODE_VARIABLE) {
+        Ok(text) => text.parse().map_err(|_| CliError::Input(format!("{NODE_VARIABLE}: not an address: {text:?}"))),
+        Err(_) => Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, DEFAULT_ADMIN_PORT))),
+    }
+}
+
+fn operator_key(args: &Args) -> Result<Option<String>, CliError> {
+    let Some(file) = &args.operator_key_file else { return Ok(std::env::var(KEY_VARIABLE).ok()) };
+    let text = std::fs::read_to_string(file).map_err(|cause| CliError::File(file.display().to_string(), cause))?;
+    Ok(Some(text.trim().to_owned()))
+}
+
+/// Prints a value as one line of JSON.
+fn print_json(value: &impl serde::Serialize) -> Result<(), CliError> {
+    let text = serde_json::to_string(value).map_err(|error| CliError::Input(error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/plan.rs
@@ -0,0 +1,133 @@
+//! Plans, confirmations and the history.
+
+use std::path::Path;
+
+use fulmartrestle_api::{ConfirmAnswer, PlanAnswer};
+use fulmartrestle_config::plan::{Intent, PlanId};
+use fulmartrestle_config::replica::{CertificationResult, HistoryEntry};
+
+use super::print_json;
+use crate::CliError;
+use crate::args::PlanArgs;
+use crate::client::AdminClient;
+
+/// Parts per million in a per cent.
+const PPM_PER_PERCENT: f64 = 10_000.0;
+
+/// Makes a plan of the intent in a file.
+///
+/// # Errors
+///
+/// Returns the fault of the file with its place, or what the node refuses.
+pub async fn plan_file(client: &AdminClient, args: &PlanArgs, json: bool) -> Result<(), CliError> {
+    let name = args.file.display().to_string();
+    let text = std::fs::read_to_string(&args.file).map_err(|cause| CliError::File(name.clone(), cause))?;
+    // Read here first, so that a fault is named with the operator's file.
+    Intent::parse(&name, &text).map_err(|error| CliError::Input(error.to_string()))?;
+    plan_text(client, text, args.diff, json).await
+}
+
+/// Makes a plan of an intent that a command has put together.
+///
+/// # Errors
+///
+/// Returns what the node refuses.
+pub async fn plan_intent(client: &AdminClient, intent: &Intent, json: bool) -> Result<(), CliError> {
+    let text = serde_json::to_string(intent).map_err(|error| CliError::Input(error.to_string()))?;
+    plan_text(client, text, false, json).await
+}
+
+async fn plan_text(client: &AdminClient, intent: String, diff: bool, json: bool) -> Result<(), CliError> {
+    let answer: PlanAnswer = client.post("/v1/plans", intent).await?;
+    if json {
+        return print_json(&answer);
+    }
+    print_plan(&answer, diff);
+    Ok(())
+}
+
+/// Confirms a plan by its id, or by the file that holds its document.
+///
+/// # Errors
+///
+/// Returns [`CliError::NotCommitted`] with the plan that it lost to.
+pub async fn confirm(client: &AdminClient, plan: &str, json: bool) -> Result<(), CliError> {
+    let answer: ConfirmAnswer = match plan.parse::<PlanId>() {
+        Ok(id) => client.post(&format!("/v1/plans/{id}/confirm"), String::new()).await?,
+        Err(_) => client.post("/v1/plans/confirm", plan_document(Path::new(plan))?).await?,
+    };
+    if json {
+        print_json(&answer)?;
+    } else {
+        println!("plan {} {}", answer.plan, answer.result);
+    }
+    match answer.result {
+        CertificationResult::Committed { .. } => Ok(()),
+        result => Err(CliError::NotCommitted(format!("plan {} did not take effect: {result}", answer.plan))),
+    }
+}
+
+/// Reads a plan's document: the plan itself, or the whole answer that `plan --json` printed.
+fn plan_document(file: &Path) -> Result<String, CliError> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|cause| CliError::File(name, cause))?;
+    match serde_json::from_str::<PlanAnswer>(&text) {
+        Ok(answer) => serde_json::to_string(&answer.plan).map_err(|error| CliError::Input(error.to_string())),
+        Err(_) => Ok(text),
+    }
+}
+
+/// Lists decided plans.
+///
+/// # Errors
+///
+/// Returns what the node refuses.
+pub async fn history(client: &AdminClient, json: bool) -> Result<(), CliError> {
+    let entries: Vec<HistoryEntry> = client.get("/v1/history").await?;
+    if json {
+        return print_json(&entries);
+    }
+    for entry in entries {
+        println!("{}  {}  {}  {:?}", entry.plan, entry.who, entry.result, entry.why);
+    }
+    Ok(())
+}
+
+fn print_plan(answer: &PlanAnswer, diff: bool) {
+    let plan = &answer.plan;
+    println!("plan     {}", plan.id);
+    println!("by       {} on version {}: {}", plan.who, plan.base, plan.why);
+    for row in &answer.diff {
+        println!("changes  {}", row.row);
+        if diff {
+            println!("  - {}", row.before.as_deref().unwrap_or("(none)"));
+            println!("  + {}", row.after.as_deref().unwrap_or("(none)"));
+        }
+    }
+    let affects = &plan.affects;
+    print_list("tenants", &affects.tenants);
+    print_list("routes", &affects.routes);
+    print_list("targets", &affects.targets);
+    let percent = affects.traffic_share.0 as f64 / PPM_PER_PERCENT;
+    println!("traffic  {percent:.1} % of the present traffic belongs to them");
+    for change in &plan.writes {
+        if let fulmartrestle_config::plan::Change::PutStop(stop) = change {
+            println!("stop     {} at {} ({})", stop.stop, stop.local_time, stop.utc_time());
+        }
+    }
+    for warning in &plan.warnings {
+        println!("warning  {warning}");
+    }
+    for key in &answer.granted {
+        println!("key      {} for {}; the secret is shown only now: {}", key.key_id, key.tenant, key.secret);
+    }
+    println!("Nothing has changed yet. To let it take effect: fulmartrestle confirm {}", plan.id);
+}
+
+fn print_list(name: &str, items: &[impl std::fmt::Display]) {
+    if items.is_empty() {
+        return;
+    }
+    let items: Vec<_> = items.iter().map(ToString::to_string).collect();
+    println!("affects  {name}: {}", items.join(", "));
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,71 @@
+//! Shows what is in force.
+
+use fulmartrestle_api::StatusAnswer;
+
+use super::print_json;
+use crate::CliError;
+use crate::client::AdminClient;
+
+/// Prints a node's status and what it knows of the fleet.
+///
+/// # Errors
+///
+/// Returns what the node refuses.
+pub async fn status(client: &AdminClient, json: bool) -> Result<(), CliError> {
+    let status: StatusAnswer = client.get("/v1/status").await?;
+    if json {
+        return print_json(&status);
+    }
+    print_node(&status);
+    print_zones(&status);
+    print_stops(&status);
+    for counter in &status.counters {
+        println!("counter  {} {}", counter.name, counter.value);
+    }
+    Ok(())
+}
+
+fn print_node(status: &StatusAnswer) {
+    let config = &status.config;
+    println!("node     {} in zone {}", status.vm, status.zone);
+    println!("version  {} in force, {}", status.version, if config.ready { "serving" } else { "not ready" });
+    match config.log_age_ms {
+        Some(age_ms) => println!("log      {}, its end was read {age_ms} ms ago", config.isolation),
+        None => println!("log      {}, not read yet", config.isolation),
+    }
+    println!("targets  {} known, {} calls run on this node's target", status.targets, status.in_flight);
+}
+
+fn print_zones(status: &StatusAnswer) {
+    for zone in &status.members {
+        println!("zone     {}: {} members reachable", zone.zone, zone.reachable);
+    }
+    for aged in &status.config.zones {
+        let report = &aged.report;
+        println!(
+            "config   {}: version {} to {}, {} of {} members behind, {} ({} ms ago)",
+            report.zone,
+            report.lowest,
+            report.highest,
+            report.behind_count,
+            report.member_count,
+            report.isolation,
+            aged.age_ms
+        );
+    }
+    for zone in &status.unconfirmed_zones {
+        println!("waiting  {zone} has not confirmed version {}", status.version);
+    }
+}
+
+fn print_stops(status: &StatusAnswer) {
+    for stop in &status.stops {
+        let state = match (stop.due, stop.own_target_drained) {
+            (false, _) => "planned",
+            (true, Some(true)) => "complete on this node",
+            (true, Some(false)) => "finishing calls on this node",
+            (true, None) => "due, not in this node's scope",
+        };
+        println!("stop     {}: {} at {} ({}), {state}", stop.stop, stop.scope, stop.local_time, stop.utc_time);
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/stop.rs
@@ -0,0 +1,40 @@
+//! Plans of graceful stops.
+
+use fulmartrestle_config::fleet::StopScope;
+use fulmartrestle_config::plan::{Intent, IntentChange, StopIntent};
+use fulmartrestle_core::ParseError;
+
+use super::plan::plan_intent;
+use crate::CliError;
+use crate::args::StopArgs;
+use crate::client::AdminClient;
+
+/// Makes the plan of a stop.
+///
+/// # Errors
+///
+/// Returns a fault of the arguments, or what the node refuses: a local time that does not exist or
+/// exists twice is refused with both readings.
+pub async fn plan_stop(client: &AdminClient, args: &StopArgs, json: bool) -> Result<(), CliError> {
+    let stop = StopIntent {
+        stop: args.name.parse().map_err(input)?,
+        scope: scope(args)?,
+        local_time: args.at.clone(),
+        time_zone: args.time_zone.clone(),
+    };
+    let intent = Intent { why: args.why.clone(), changes: vec![IntentChange::PlanStop(stop)] };
+    plan_intent(client, &intent, json).await
+}
+
+fn scope(args: &StopArgs) -> Result<StopScope, CliError> {
+    match (&args.zone, &args.service, args.target) {
+        (Some(zone), None, None) => Ok(StopScope::Zone(zone.parse().map_err(input)?)),
+        (None, Some(service), None) => Ok(StopScope::Service(service.parse().map_err(input)?)),
+        (None, None, Some(target)) => Ok(StopScope::Target(target)),
+        _ => Err(CliError::Input("expected exactly one of --zone, --service and --target".to_owned())),
+    }
+}
+
+fn input(error: ParseError) -> CliError {
+    CliError::Input(error.to_string())
+}
--- a/crates/demo/src/fleet/node_fleet.rs
+++ b/crates/demo/src/fleet/node_fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
+use fulmartrestle_api::GrantedKeyAnswer;
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::settings::SettingsBuilder;
 use fulmartrestle_core::Region;
@@ -17,7 +18,7 @@
 use super::http_sender::HttpSender;
 use super::node_caller::NodeCaller;
 use super::node_links::NodeLinks;
-use super::operator_client::{GrantedKey, OperatorClient};
+use super::operator_client::OperatorClient;
 use super::zone_log::ZoneLog;
 use super::{ClientCaller, ClientRequest, Fleet, SendOutcome, Surroundings};
 use crate::DemoError;
@@ -40,7 +41,7 @@
     callers: Vec<Arc<NodeCaller>>,
     operator: OperatorClient,
     sender: HttpSender,
-    keys: OnceLock<Vec<GrantedKey>>,
+    keys: OnceLock<Vec<GrantedKeyAnswer>>,
 }
 
 /// A node, until it is stopped.
@@ -150,7 +151,7 @@
         self.sender.send(self.nodes[place].caller_address, &request).await
     }
 
-    fn granted(&self, tenant: usize) -> Option<&GrantedKey> {
+    fn granted(&self, tenant: usize) -> Option<&GrantedKeyAnswer> {
         let name = self.deployment.tenants[tenant].tenant.as_str();
         self.keys.get()?.iter().find(|key| key.tenant == name)
     }
--- a/crates/demo/src/fleet/operator_client.rs
+++ b/crates/demo/src/fleet/operator_client.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use fulmartrestle_api::{ConfirmAnswer, GrantedKeyAnswer, PlanAnswer, StatusAnswer};
+use fulmartrestle_config::replica::CertificationResult;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -19,55 +21,28 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-/// A key that a plan grants.
-#[derive(Clone, Debug, Deserialize)]
-pub(super) struct GrantedKey {
-    pub(super) key_id: String,
-    pub(super) tenant: String,
-    pub(super) secret: String,
-}
-
-/// What this client needs of a plan's answer.
-#[derive(Deserialize)]
-struct Planned {
-    plan: PlanHead,
-    granted: Vec<GrantedKey>,
-}
-
-#[derive(Deserialize)]
-struct PlanHead {
-    id: String,
-}
-
-/// What this client needs of a node's status.
-#[derive(Deserialize)]
-struct Status {
-    members: std::collections::HashMap<String, usize>,
-    targets: usize,
-}
-
 impl OperatorClient {
     pub(super) fn new() -> Self {
         Self { client: Client::builder(TokioExecutor::new()).build_http() }
     }
 
     /// Plans an intent at one node, confirms the plan there and returns the keys that it grants.
-    pub(super) async fn publish(&self, admin: SocketAddr, intent: &Value) -> Result<Vec<GrantedKey>, DemoError> {
-        let planned: Planned = self.post(admin, "/v1/plans", intent.to_string()).await?;
+    pub(super) async fn publish(&self, admin: SocketAddr, intent: &Value) -> Result<Vec<GrantedKeyAnswer>, DemoError> {
+        let planned: PlanAnswer = self.post(admin, "/v1/plans", intent.to_string()).await?;
         let path = format!("/v1/plans/{}/confirm", planned.plan.id);
-        let confirmed: Value = self.post(admin, &path, String::new()).await?;
-        if !confirmed.to_string().contains("committed") {
-            return Err(DemoError::Fleet(format!("plan was not committed: {confirmed}")));
+        let confirmed: ConfirmAnswer = self.post(admin, &path, String::new()).await?;
+        match confirmed.result {
+            CertificationResult::Committed { .. } => Ok(planned.granted),
+            result => Err(DemoError::Fleet(format!("plan {} {result}", confirmed.plan))),
         }
-        Ok(planned.granted)
     }
 
     /// Returns whether a node knows this many members and targets.
     pub(super) async fn knows(&self, admin: SocketAddr, count: usize) -> bool {
-        let Ok(status) = self.send::<Status>(Method::GET, admin, "/v1/status", String::new()).await else {
+        let Ok(status) = self.send::<StatusAnswer>(Method::GET, admin, "/v1/status", String::new()).await else {
             return false;
         };
-        let members: usize = status.members.values().sum();
+        let members: usize = status.members.iter().map(|zone| zone.reachable).sum();
         members == count && status.targets == count
     }
 
--- a/crates/node/src/admin/error.rs
+++ b/crates/node/src/admin/error.rs
@@ -1,15 +1,14 @@
 //! Errors of the operators' API.
 
+use fulmartrestle_api::ErrorAnswer;
 use poem::Response;
 use poem::error::ResponseError;
 use poem::http::StatusCode;
-use serde::Serialize;
 
 /// An error as operators see it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
 pub struct ApiError {
-    /// HTTP status, not part of the body.
-    #[serde(skip)]
+    /// HTTP status.
     pub status: StatusCode,
     /// What is wrong, with the offending value.
     pub error: String,
@@ -36,7 +35,7 @@
     }
 
     fn as_response(&self) -> Response {
-        let body = serde_json::to_string(self).unwrap_or_default();
+        let body = serde_json::to_string(&ErrorAnswer { error: self.error.clone() }).unwrap_or_default();
         Response::builder().status(self.status).content_type("application/json").body(body)
     }
 }
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -3,6 +3,8 @@
 mod api;
 mod error;
 mod pending_plans;
+mod plans;
+mod status;
 mod targets;
 
 pub use api::{AdminState, serve_admin};
--- /dev/null
+++ b/crates/node/src/admin/plans.rs
@@ -0,0 +1,114 @@
+//! Plans: made of intents, confirmed by operators.
+
+use std::sync::Arc;
+
+use fulmartrestle_api::{ConfirmAnswer, GrantedKeyAnswer, PlanAnswer};
+use fulmartrestle_config::fleet::OperatorName;
+use fulmartrestle_config::plan::{FleetFacts, Intent, Plan, PlanId, PlanRequest, Planned, TargetFacts, diff, plan};
+use fulmartrestle_config::spread::ConfirmOutcome;
+use poem::http::StatusCode;
+use poem::web::{Data, Path};
+use poem::{Request, Response, handler};
+
+use super::api::{AdminState, json, operator};
+use super::error::ApiError;
+use crate::clock::wall_ms;
+use crate::lock::lock;
+use crate::state::NodeState;
+
+/// Makes a plan of the intent in the body.
+#[handler]
+pub fn make_plan(state: Data<&Arc<AdminState>>, request: &Request, body: String) -> Result<Response, ApiError> {
+    let who = operator(&state, request)?;
+    let bad_request = |error: &dyn std::fmt::Display| ApiError::new(StatusCode::BAD_REQUEST, error);
+    let intent = Intent::parse("intent", &body).map_err(|error| bad_request(&error))?;
+    let planned = planned(&state, &who, &intent)?;
+    let answer = PlanAnswer {
+        diff: diff(&state.node.config.get(), &planned.plan),
+        granted: granted(&planned),
+        plan: planned.plan,
+    };
+    lock(&state.pending).push(answer.plan.clone());
+    json(&answer)
+}
+
+/// Confirms a plan that this node made.
+#[handler]
+pub async fn confirm_pending(
+    state: Data<&Arc<AdminState>>,
+    request: &Request,
+    Path(id): Path<String>,
+) -> Result<Response, ApiError> {
+    operator(&state, request)?;
+    let id: PlanId = id.parse().map_err(|error| ApiError::new(StatusCode::BAD_REQUEST, error))?;
+    let plan = lock(&state.pending).get(id).cloned();
+    let unknown = || {
+        let text = format!("plan {id} was not made by this node or is too old; send its document to /v1/plans/confirm");
+        ApiError::new(StatusCode::NOT_FOUND, text)
+    };
+    confirm(&state, plan.ok_or_else(unknown)?).await
+}
+
+/// Confirms the plan whose document is the body, at any node.
+#[handler]
+pub async fn confirm_document(
+    state: Data<&Arc<AdminState>>,
+    request: &Request,
+    body: Vec<u8>,
+) -> Result<Response, ApiError> {
+    operator(&state, request)?;
+    let plan: Plan = serde_json::from_slice(&body)
+        .map_err(|error| ApiError::new(StatusCode::BAD_REQUEST, format!("plan: {error}")))?;
+    plan.validate().map_err(|error| ApiError::new(StatusCode::BAD_REQUEST, error))?;
+    confirm(&state, plan).await
+}
+
+async fn confirm(state: &AdminState, plan: Plan) -> Result<Response, ApiError> {
+    let id = plan.id;
+    let unavailable = |text: &str| ApiError::new(StatusCode::SERVICE_UNAVAILABLE, text);
+    let result = match state.node.config_io.confirm(plan).await {
+        ConfirmOutcome::Decided(result) => result,
+        ConfirmOutcome::NotAppended => {
+            return Err(unavailable("the platform's log is out of reach; nothing was confirmed"));
+        }
+        ConfirmOutcome::Unknown => return Err(unavailable("no result yet; confirm the same plan again to learn it")),
+    };
+    log::info!("config: plan {id} {result}");
+    json(&ConfirmAnswer { plan: id, result })
+}
+
+fn planned(state: &AdminState, who: &OperatorName, intent: &Intent) -> Result<Planned, ApiError> {
+    let mut random = [0; 32];
+    rand::Rng::fill_bytes(&mut rand::rng(), &mut random);
+    let facts = facts(&state.node);
+    let request =
+        PlanRequest { who, facts: &facts, time_zones: &state.time_zones, now_unix_ms: wall_ms() as i64, random };
+    let planned = plan(&state.node.config.get(), intent, &request);
+    planned.map_err(|error| ApiError::new(StatusCode::BAD_REQUEST, error))
+}
+
+fn granted(planned: &Planned) -> Vec<GrantedKeyAnswer> {
+    let keys = planned.granted.iter().map(|key| GrantedKeyAnswer {
+        key_id: key.key_id.to_string(),
+        tenant: key.tenant.to_string(),
+        secret: key.secret.reveal().to_owned(),
+    });
+    keys.collect()
+}
+
+/// Returns what this node knows of the targets in use.
+fn facts(node: &NodeState) -> FleetFacts {
+    let now = node.clock.now();
+    let membership = lock(&node.membership);
+    let targets = membership.members(now).filter(|row| row.state.takes_work()).filter_map(|row| {
+        let target = row.target?;
+        Some(TargetFacts {
+            vm: row.vm,
+            address: row.peer_address,
+            service: target.service,
+            zone: row.zone,
+            capacity_per_s: None,
+        })
+    });
+    FleetFacts { targets: targets.collect(), traffic: Vec::new() }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 
 use crate::clock::wall_ms;
-use crate::drains::should_leave;
+use crate::drains::{own_target_facts, should_leave};
 use crate::gate::OwnTarget;
 use crate::lock::lock;
 use crate::peer::{ControlEnvelope, ControlMessage};
@@ -146,7 +146,7 @@
 fn tell_gate_to_leave(state: &NodeState) {
     let Some(target) = state.gate.usable_target() else { return };
     let config = state.config.get();
-    let leave = should_leave(&config, state.own, &state.zone, &target, wall_ms() as i64);
+    let leave = should_leave(&config, &own_target_facts(state.own, &state.zone, &target), wall_ms() as i64);
     state.gate.set_told_to_leave(leave);
 }
 
--- a/crates/node/src/drains.rs
+++ b/crates/node/src/drains.rs
@@ -8,21 +8,19 @@
 use crate::gate::OwnTarget;
 
 /// Tells whether the configuration wants the own target to leave now.
-pub fn should_leave(
-    config: &FleetConfig,
-    own: VmId,
-    zone: &AvailabilityZone,
-    target: &OwnTarget,
-    now_unix_ms: i64,
-) -> bool {
-    let facts = TargetFacts {
+pub fn should_leave(config: &FleetConfig, target: &TargetFacts, now_unix_ms: i64) -> bool {
+    let drained = config.target_drains().rows().iter().any(|row| target.is_drained_by(&row.targets));
+    let mut due_stops = config.stops().rows().iter().filter(|row| row.is_due(now_unix_ms));
+    drained || due_stops.any(|row| target.is_stopped_by(&row.scope))
+}
+
+/// Returns the own target as drains and stops see it.
+pub fn own_target_facts(own: VmId, zone: &AvailabilityZone, target: &OwnTarget) -> TargetFacts {
+    TargetFacts {
         vm: own,
         address: target.announcement.address,
         service: target.announcement.service.clone(),
         zone: zone.clone(),
         capacity_per_s: None,
-    };
-    let drained = config.target_drains().rows().iter().any(|row| facts.is_drained_by(&row.targets));
-    let mut due_stops = config.stops().rows().iter().filter(|row| row.at_unix_ms <= now_unix_ms);
-    drained || due_stops.any(|row| facts.is_stopped_by(&row.scope))
+    }
 }
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -2,22 +2,11 @@
 
 use std::collections::VecDeque;
 
-use fulmartrestle_derive::record;
+use fulmartrestle_api::Decision;
 
 /// Decisions kept. At 400 bytes each this is 1.6 MB, a twentieth of the node's memory.
 const MAX_DECISIONS: usize = 4_096;
 
-/// One decision about one request.
-#[record]
-pub struct Decision {
-    /// The request.
-    pub request_id: String,
-    /// When, in milliseconds since the Unix epoch.
-    pub at_ms: u64,
-    /// What was decided and why.
-    pub text: String,
-}
-
 /// The latest decisions, oldest first.
 #[derive(Debug, Default)]
 pub struct DecisionLog {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use fulmartrestle_api::Decision;
 use fulmartrestle_config::Settings;
 use fulmartrestle_core::{AvailabilityZone, VmId};
 use fulmartrestle_membership::Membership;
@@ -17,7 +18,7 @@
 use crate::counters::Counters;
 use crate::directory::PeerDirectory;
 use crate::entry::OnceTable;
-use crate::explain::{Decision, DecisionLog};
+use crate::explain::DecisionLog;
 use crate::gate::GateRunner;
 use crate::link_faults::LinkFaults;
 use crate::lock::lock;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -153,8 +153,8 @@
         for vm in 0..self.vms.len() {
             let known = async || {
                 let status = self.status(vm).await?;
-                let members =
-                    status["members"].as_object()?.values().filter_map(serde_json::Value::as_u64).sum::<u64>();
+                let zones = status["members"].as_array()?;
+                let members = zones.iter().filter_map(|zone| zone["reachable"].as_u64()).sum::<u64>();
                 (members == count as u64 && status["targets"] == count as u64).then_some(())
             };
             wait_until("all members and targets are known", known).await;
