--- /dev/null
+++ b/crates/policy/examples/overload_model/model/deployment.rs
@@ -0,0 +1,109 @@
+//! The two deployments that the model runs, with sizes as their operators describe them.
+
+use fulmartrestle_core::Class;
+
+/// A service with equal targets.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    /// The service's name.
+    pub name: &'static str,
+    /// Number of targets.
+    pub targets: usize,
+    /// Calls that each target works on at once.
+    pub slots: usize,
+    /// Connections that each target accepts.
+    pub connections: usize,
+    /// Mean time of the service's own work, in microseconds.
+    pub work_us: u64,
+}
+
+/// A route with the chain of services that each of its calls passes.
+#[derive(Clone, Debug)]
+pub struct RouteSpec {
+    /// Indexes of the services, first the one that the entry calls.
+    pub chain: Vec<usize>,
+    /// How important the route is.
+    pub class: Class,
+    /// Share of the demand.
+    pub share: f64,
+}
+
+/// A fleet with its routes and tenants.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// The deployment's name.
+    pub name: &'static str,
+    /// Time between two VMs, in microseconds.
+    pub network_us: u64,
+    /// How long a client waits for one try, in microseconds.
+    pub client_timeout_us: u64,
+    /// The services.
+    pub services: Vec<ServiceSpec>,
+    /// The routes.
+    pub routes: Vec<RouteSpec>,
+    /// The tenants' weights, which are also their shares of the demand.
+    pub tenant_weights: Vec<u32>,
+    /// Index of the deepest service, which all routes end at.
+    pub deepest: usize,
+}
+
+/// Number of availability zones of both deployments.
+pub const ZONES: usize = 3;
+
+const TENANT_WEIGHTS: [u32; 8] = [4, 3, 2, 1, 1, 1, 1, 1];
+
+impl Deployment {
+    /// Three travel agencies in Lombardy and Veneto: departure search is the deepest service.
+    pub fn compagni() -> Self {
+        let service =
+            |name, targets, slots, connections, work_us| ServiceSpec { name, targets, slots, connections, work_us };
+        Self {
+            name: "compagni",
+            network_us: 500,
+            client_timeout_us: 1_000_000,
+            services: vec![
+                service("profile", 4, 35, 300, 10_000),
+                service("pairing", 3, 45, 400, 20_000),
+                service("itinerary", 3, 45, 400, 20_000),
+                service("search", 3, 10, 150, 20_000),
+            ],
+            routes: vec![
+                RouteSpec { chain: vec![2, 3], class: Class::Browse, share: 0.5 },
+                RouteSpec { chain: vec![0, 3], class: Class::Lookup, share: 0.4 },
+                RouteSpec { chain: vec![1, 2, 0, 3], class: Class::Protected, share: 0.1 },
+            ],
+            tenant_weights: TENANT_WEIGHTS.to_vec(),
+            deepest: 3,
+        }
+    }
+
+    /// Calibration franchisees in Gauteng: the archive is the deepest service.
+    pub fn karoo() -> Self {
+        let service =
+            |name, targets, slots, connections, work_us| ServiceSpec { name, targets, slots, connections, work_us };
+        Self {
+            name: "karoo",
+            network_us: 1_000,
+            client_timeout_us: 6_000_000,
+            services: vec![
+                service("archive", 3, 300, 1_900, 300_000),
+                service("registrar", 3, 300, 1_900, 10_000),
+                service("lineage", 5, 180, 1_200, 50_000),
+                service("verifier", 3, 35, 300, 10_000),
+            ],
+            routes: vec![
+                RouteSpec { chain: vec![1, 0], class: Class::Browse, share: 0.4 },
+                RouteSpec { chain: vec![2, 0], class: Class::Lookup, share: 0.585 },
+                RouteSpec { chain: vec![3, 1, 2, 0], class: Class::Protected, share: 0.015 },
+            ],
+            tenant_weights: TENANT_WEIGHTS.to_vec(),
+            deepest: 0,
+        }
+    }
+
+    /// Returns the calls per second that the deepest service can work on.
+    pub fn capacity_per_s(&self) -> f64 {
+        let service = &self.services[self.deepest];
+        (service.targets * service.slots) as f64 * 1e6 / service.work_us as f64
+    }
+}
--- /dev/null
+++ b/crates/policy/examples/overload_model/model/fleet.rs
@@ -0,0 +1,299 @@
+//! The state of a run of the model and the order of its events.
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+
+use fulmartrestle_core::{CallId, Class, Fingerprint, Service, Tenant, TimeUs, VmId};
+use fulmartrestle_policy::TargetRow;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::deployment::ZONES;
+use super::event::{Event, Scheduled};
+use super::node::{Node, zone_name};
+use super::settings::{Broken, Mode, ModelSettings};
+use super::stats::Stats;
+use super::table::{Attempt, Hop, Request, Send};
+
+/// Retries that one send may cause in its whole chain.
+pub const ALLOWANCE: u32 = 3;
+/// Time between two ticks of a node, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// The state of a run.
+pub struct Model {
+    pub(super) settings: ModelSettings,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now: TimeUs,
+    pub(super) nodes: Vec<Node>,
+    pub(super) requests: HashMap<u64, Request>,
+    pub(super) sends: Vec<Send>,
+    pub(super) hops: BTreeMap<u64, Hop>,
+    pub(super) attempts: BTreeMap<CallId, Attempt>,
+    pub(super) silent: HashSet<(usize, usize)>,
+    pub(super) late_until: (TimeUs, u64),
+    pub(super) stats: Stats,
+    pub(super) services: Vec<Service>,
+    pub(super) chains: Vec<Vec<Service>>,
+    pub(super) tenants: Vec<Tenant>,
+    heap: BinaryHeap<Scheduled>,
+    sequence: u64,
+    next_id: u64,
+}
+
+impl Model {
+    /// Returns a fleet at rest.
+    pub fn new(settings: ModelSettings) -> Self {
+        let parse = |name: &str| name.parse().expect("the name is valid");
+        let services: Vec<Service> = settings.deployment.services.iter().map(|spec| parse(spec.name)).collect();
+        let chain = |chain: &Vec<usize>| chain.iter().map(|index| services[*index].clone()).collect();
+        let chains = settings.deployment.routes.iter().map(|route| chain(&route.chain)).collect();
+        let tenant = |index| format!("team-{index}").parse().expect("the name is valid");
+        let tenants = (0..settings.deployment.tenant_weights.len()).map(tenant).collect();
+        let mut model = Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            now: TimeUs::default(),
+            nodes: Vec::new(),
+            requests: HashMap::new(),
+            sends: Vec::new(),
+            hops: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            silent: HashSet::new(),
+            late_until: (TimeUs::default(), 0),
+            stats: Stats::default(),
+            services,
+            chains,
+            tenants,
+            heap: BinaryHeap::new(),
+            sequence: 0,
+            next_id: 1,
+            settings,
+        };
+        model.add_nodes();
+        model.schedule_start();
+        model
+    }
+
+    /// Runs to the end and returns what was counted.
+    pub fn run(mut self) -> Stats {
+        while let Some(next) = self.heap.pop() {
+            if next.at > self.settings.end {
+                break;
+            }
+            self.now = next.at;
+            self.handle(next.event);
+        }
+        let wasted = self.sends.iter().filter(|send| !send.answered).map(|send| send.work_us).sum();
+        self.stats.wasted_us = wasted;
+        self.stats.work_us = self.sends.iter().map(|send| send.work_us).sum();
+        self.stats
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.settings.mode == Mode::Full
+    }
+
+    pub(super) fn is_broken(&self, broken: Broken) -> bool {
+        self.settings.broken == Some(broken)
+    }
+
+    pub(super) fn after_us(&mut self, us: u64, event: Event) {
+        self.sequence += 1;
+        self.heap.push(Scheduled { at: self.now.plus_us(us), sequence: self.sequence, event });
+    }
+
+    pub(super) fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub(super) fn class(&self, request: u64) -> Class {
+        let route = self.requests.get(&request).map_or(0, |request| request.route);
+        self.settings.deployment.routes[route].class
+    }
+
+    /// Returns one of the nodes that clients of a zone reach.
+    pub(super) fn entry_node(&mut self, zone: usize) -> Option<usize> {
+        let up = |node: &Node| node.vm_up && node.leaving.is_none();
+        let near: Vec<usize> =
+            (0..self.nodes.len()).filter(|n| up(&self.nodes[*n]) && self.nodes[*n].zone == zone).collect();
+        let all: Vec<usize> = (0..self.nodes.len()).filter(|n| up(&self.nodes[*n])).collect();
+        let nodes = if near.is_empty() { all } else { near };
+        if nodes.is_empty() { None } else { Some(nodes[self.rng.random_range(0..nodes.len())]) }
+    }
+
+    /// Returns a node's announcement.
+    pub(super) fn announcement(&self, node: usize) -> TargetRow {
+        let row = &self.nodes[node];
+        TargetRow {
+            target: row.vm,
+            service: self.services[row.service].clone(),
+            zone: zone_name(row.zone),
+            slots: self.settings.deployment.services[row.service].slots as u32,
+            warm_up_ms: 0,
+            leaving: row.leaving.is_some(),
+        }
+    }
+
+    pub(super) fn node_of(&self, vm: VmId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.vm == vm)
+    }
+
+    /// Puts a new node in the place of a lost one.
+    pub(super) fn replace_node(&mut self, node: usize) {
+        let (old, service, zone) = (self.nodes[node].vm, self.nodes[node].service, self.nodes[node].zone);
+        let vm = VmId(self.next_id() + 1_000_000);
+        let life = self.nodes[node].life + 1;
+        let spec = &self.settings.deployment.services[service];
+        self.nodes[node] = Node::new(vm, service, zone, spec, self.services.len());
+        self.nodes[node].life = life;
+        let row = self.announcement(node);
+        let known: Vec<TargetRow> = (0..self.nodes.len()).map(|other| self.announcement(other)).collect();
+        for other in &mut self.nodes {
+            other.table.remove(old);
+            other.table.upsert(row.clone(), self.now);
+        }
+        for row in known {
+            self.nodes[node].table.upsert(row, self.now);
+        }
+    }
+
+    fn add_nodes(&mut self) {
+        for (service, spec) in self.settings.deployment.services.iter().enumerate() {
+            for index in 0..spec.targets {
+                let vm = VmId(self.nodes.len() as u64);
+                self.nodes.push(Node::new(vm, service, index % ZONES, spec, self.services.len()));
+            }
+        }
+        let rows: Vec<TargetRow> = (0..self.nodes.len()).map(|node| self.announcement(node)).collect();
+        for node in &mut self.nodes {
+            for row in &rows {
+                node.table.upsert(row.clone(), TimeUs::default());
+            }
+        }
+    }
+
+    fn schedule_start(&mut self) {
+        for tenant in 0..self.tenants.len() {
+            self.after_us(tenant as u64, Event::NewRequest { tenant });
+        }
+        self.after_us(0, Event::Tick);
+        for (at, fault) in self.settings.faults.clone() {
+            self.after_us(at.0, Event::Fault(fault));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(resumes) = self.paused_until(&event) {
+            self.after_us(resumes.us_since(self.now), event);
+            return;
+        }
+        match event {
+            Event::NewRequest { tenant } => self.new_request(tenant),
+            Event::ClientSend { request } => self.client_send(request),
+            Event::ClientTimeout { request, send } => self.client_timeout(request, send),
+            Event::Arrive { call } => self.arrive(call),
+            Event::WorkDone { call, node, life } => self.work_done(call, node, life),
+            Event::Answered(answer) => self.answered(answer),
+            Event::Cancel { call } => self.cancel_attempt(call),
+            Event::AttemptTimeout { call } => self.attempt_timeout(call),
+            Event::Tick => self.tick(),
+            Event::Replaced { from, to } => self.connection_replaced(from, to),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Back { node } => self.back(node),
+            Event::LeavingHeard { node } => self.leaving_heard(node),
+        }
+    }
+
+    /// Returns when the node that would handle an event goes on, if it stands still.
+    fn paused_until(&self, event: &Event) -> Option<TimeUs> {
+        let node = match event {
+            Event::Arrive { call } | Event::Cancel { call } => self.attempts.get(call)?.node,
+            Event::WorkDone { node, .. } => *node,
+            Event::Answered(answer) => self.hops.get(&self.attempts.get(&answer.call)?.hop)?.node,
+            _ => return None,
+        };
+        let until = self.nodes[node].paused_until;
+        (until > self.now).then_some(until)
+    }
+
+    fn tick(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.is_full() && self.nodes[node].vm_up && self.nodes[node].paused_until <= self.now {
+                self.gate_events(node);
+                self.stop_if_drained(node);
+            }
+        }
+        self.spread_crash_marks();
+        self.after_us(TICK_MS * 1_000, Event::Tick);
+    }
+
+    fn spread_crash_marks(&mut self) {
+        for from in 0..self.nodes.len() {
+            let marks = self.nodes[from].crashes.take_marks(self.now);
+            for mark in marks {
+                for node in &mut self.nodes {
+                    node.crashes.merge(mark, self.now);
+                }
+            }
+        }
+    }
+
+    fn new_request(&mut self, tenant: usize) {
+        let Some(gap_us) = self.gap_us(tenant) else {
+            self.after_us(10_000, Event::NewRequest { tenant });
+            return;
+        };
+        self.after_us(gap_us, Event::NewRequest { tenant });
+        let route = self.draw_route();
+        self.add_request(tenant, route, false);
+        let tenants = self.tenants.len();
+        Stats::count(&mut self.stats.demanded, tenants, tenant, self.now);
+    }
+
+    pub(super) fn add_request(&mut self, tenant: usize, route: usize, crashes_targets: bool) {
+        let id = self.next_id();
+        let request = Request {
+            tenant,
+            route,
+            zone: self.rng.random_range(0..ZONES),
+            fingerprint: Fingerprint(id),
+            crashes_targets,
+            crashed: 0,
+            sends: 0,
+            done: false,
+            hop: None,
+        };
+        self.stats.by_class[self.settings.deployment.routes[route].class.index()].demanded += 1;
+        self.requests.insert(id, request);
+        self.after_us(0, Event::ClientSend { request: id });
+    }
+
+    fn gap_us(&mut self, tenant: usize) -> Option<u64> {
+        let phase = self.settings.phases.iter().rev().find(|phase| phase.from <= self.now)?;
+        let weights = &self.settings.deployment.tenant_weights;
+        let share = f64::from(weights[tenant]) / f64::from(weights.iter().sum::<u32>());
+        let greed = if self.settings.greedy_tenant == Some(tenant) { 10.0 } else { 1.0 };
+        let per_s = self.settings.deployment.capacity_per_s() * phase.demand * share * greed;
+        if per_s <= 0.0 {
+            return None;
+        }
+        Some((self.exponential() * 1e6 / per_s) as u64)
+    }
+
+    pub(super) fn exponential(&mut self) -> f64 {
+        let drawn: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        -drawn.ln()
+    }
+
+    fn draw_route(&mut self) -> usize {
+        let mut drawn: f64 = self.rng.random_range(0.0..1.0);
+        let routes = &self.settings.deployment.routes;
+        for (index, route) in routes.iter().enumerate() {
+            if drawn < route.share {
+                return index;
+            }
+            drawn -= route.share;
+        }
+        routes.len() - 1
+    }
+}
--- a/crates/policy/src/door.rs
+++ b/crates/policy/src/door.rs
@@ -7,7 +7,7 @@
 
 use fulmartrestle_core::{Class, Reason, Refusal, Service, Tenant, TimeUs, VmId};
 
-use crate::{AdmissionLevel, Permille, TenantHash};
+use crate::{AdmissionLevel, BasisPoints, LevelReport, TenantHash};
 
 use service_level::ServiceLevel;
 pub use settings::DoorSettings;
@@ -41,12 +41,24 @@
 
     /// Takes the level that rode on an answer or refusal of a target.
     pub fn observe(&mut self, service: &Service, target: VmId, level: AdmissionLevel, now: TimeUs) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), ServiceLevel::default());
-        }
-        if let Some(row) = self.services.get_mut(service) {
-            row.observe(target, level, now);
+        self.row(service).observe(target, level, now);
+    }
+
+    /// Returns what callers should hear of the services further down a call's chain; it rides on the
+    /// answer beside the gate's own level.
+    pub fn reports(&mut self, chain: &[Service], now: TimeUs) -> Vec<LevelReport> {
+        let mut reports = Vec::new();
+        for service in chain {
+            let known = self.services.get_mut(service).and_then(|row| row.report(now));
+            reports.extend(known.map(|(level, age_ms)| LevelReport { service: service.clone(), level, age_ms }));
         }
+        reports
+    }
+
+    /// Takes a report that rode on an answer of another node.
+    pub fn observe_report(&mut self, reporter: VmId, report: &LevelReport, now: TimeUs) {
+        let heard = TimeUs(now.0.saturating_sub(report.age_ms.saturating_mul(1_000)));
+        self.row(&report.service).observe_report(reporter, report.level, heard);
     }
 
     /// Decides about a call; `draw` is a uniformly random number.
@@ -56,7 +68,7 @@
     /// Returns the refusal when the service of the chain that admits least would refuse the call.
     pub fn check(&mut self, check: DoorCheck<'_>, now: TimeUs, draw: u32) -> Result<(), Refusal> {
         let share = self.share(&check, now);
-        let drawn = (u64::from(draw) * u64::from(Permille::FULL.0)) >> u32::BITS;
+        let drawn = (u64::from(draw) * u64::from(BasisPoints::FULL.0)) >> u32::BITS;
         if drawn < u64::from(share.0) {
             return Ok(());
         }
@@ -64,9 +76,9 @@
     }
 
     /// Returns the share of such calls that is let in at present.
-    pub fn share(&mut self, check: &DoorCheck<'_>, now: TimeUs) -> Permille {
+    pub fn share(&mut self, check: &DoorCheck<'_>, now: TimeUs) -> BasisPoints {
         let tenant = TenantHash::of(check.tenant);
-        let mut least = Permille::FULL;
+        let mut least = BasisPoints::FULL;
         for service in check.chain {
             if let Some(row) = self.services.get_mut(service) {
                 least = least.min(row.share(check.class, tenant, now, &self.settings));
@@ -74,4 +86,11 @@
         }
         least
     }
+
+    fn row(&mut self, service: &Service) -> &mut ServiceLevel {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), ServiceLevel::default());
+        }
+        self.services.entry(service.clone()).or_default()
+    }
 }
--- a/crates/policy/src/door/settings.rs
+++ b/crates/policy/src/door/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a door.
 
-use crate::Permille;
+use crate::BasisPoints;
 
 /// Settings of a [`super::Door`].
 #[derive(Clone, Debug, PartialEq)]
@@ -33,8 +33,8 @@
         self
     }
 
-    pub(super) fn retry_after_ms(&self, share: Permille) -> u64 {
-        let later_ms = self.min_retry_after_ms * u64::from(Permille::FULL.0) / u64::from(share.0.max(1));
+    pub(super) fn retry_after_ms(&self, share: BasisPoints) -> u64 {
+        let later_ms = self.min_retry_after_ms * u64::from(BasisPoints::FULL.0) / u64::from(share.0.max(1));
         later_ms.min(self.max_retry_after_ms)
     }
 }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -2,10 +2,12 @@
 
 mod call_row;
 mod fair_queue;
+mod lanes;
 mod level_control;
 mod limiter;
 mod messages;
 mod settings;
+mod tenant_demand;
 
 use std::collections::HashMap;
 
@@ -32,7 +34,8 @@
     limiter: Limiter,
     level: LevelControl,
     calls: HashMap<CallId, CallRow>,
-    queues: [FairQueue; 3],
+    protected: FairQueue,
+    sheddable: FairQueue,
     in_flight: usize,
     events: Vec<GateEvent>,
     next_expiry: TimeUs,
@@ -45,10 +48,11 @@
     pub fn new(settings: GateSettings) -> Self {
         Self {
             limiter: Limiter::new(&settings),
-            level: LevelControl::new(&settings),
+            level: LevelControl::new(),
             settings,
             calls: HashMap::new(),
-            queues: Default::default(),
+            protected: FairQueue::default(),
+            sheddable: FairQueue::default(),
             in_flight: 0,
             events: Vec::new(),
             next_expiry: TimeUs::default(),
@@ -68,7 +72,8 @@
     pub fn offer(&mut self, offer: Offer, now: TimeUs) -> Admission {
         self.limiter.in_use(now);
         let tenant = TenantHash::of(&offer.tenant);
-        self.level.offered(offer.class, tenant, now);
+        let queue_fill = self.queued() as f64 / self.queue_bound(Class::Lookup) as f64;
+        self.level.offered(offer.class, tenant, offer.weight, queue_fill, now);
         if self.calls.contains_key(&offer.call) {
             return Admission::Refused(Refusal::not_run(Reason::BadRequest, None));
         }
@@ -82,7 +87,7 @@
             return self.refuse_offer(offer.class, tenant, now);
         }
         if self.can_start(now) && self.queued() == 0 {
-            self.queues[offer.class.index()].charge(&offer.tenant, offer.weight);
+            self.queue(offer.class).charge(&offer.tenant, offer.weight);
             self.insert_running(&offer, now);
             return Admission::Run;
         }
@@ -97,7 +102,7 @@
             return;
         };
         let own_us = now.us_since(started).saturating_sub(row.child_us(now));
-        self.limiter.completed(completion, started, own_us, self.in_flight, now);
+        self.limiter.completed(completion, own_us, self.in_flight, now);
         self.calls.remove(&call);
         self.in_flight -= 1;
         self.start_queued(now);
@@ -109,7 +114,7 @@
         if row.started.is_some() {
             self.in_flight -= 1;
         } else {
-            self.queues[row.class.index()].remove(&row.tenant, call);
+            self.queue(row.class).remove(&row.tenant, call);
         }
         self.start_queued(now);
     }
@@ -152,7 +157,7 @@
 
     /// Returns the number of queued calls.
     pub fn queued(&self) -> usize {
-        self.queues.iter().map(FairQueue::len).sum()
+        self.protected.len() + self.sheddable.len()
     }
 
     /// Returns the most calls that may run at once at present.
@@ -164,11 +169,9 @@
     pub fn begin_drain(&mut self, _now: TimeUs) {
         self.draining = true;
         let refusal = Refusal::not_run(Reason::Draining, None);
-        for queue in &mut self.queues {
-            for call in queue.drain() {
-                self.calls.remove(&call);
-                self.events.push(GateEvent::Drop(call, refusal));
-            }
+        for call in self.protected.drain().into_iter().chain(self.sheddable.drain()) {
+            self.calls.remove(&call);
+            self.events.push(GateEvent::Drop(call, refusal));
         }
     }
 
@@ -177,6 +180,13 @@
         self.draining && self.in_flight == 0
     }
 
+    fn queue(&mut self, class: Class) -> &mut FairQueue {
+        match class {
+            Class::Protected => &mut self.protected,
+            Class::Browse | Class::Lookup => &mut self.sheddable,
+        }
+    }
+
     fn can_start(&self, now: TimeUs) -> bool {
         self.in_flight < self.limiter.limit_at(now)
     }
@@ -191,10 +201,11 @@
         row.started = Some(now);
         self.calls.insert(offer.call, row);
         self.in_flight += 1;
+        self.level.served(offer.class, now);
     }
 
     fn enqueue(&mut self, offer: Offer, tenant: TenantHash, now: TimeUs) -> Admission {
-        let ahead = self.queued_at_or_above(offer.class);
+        let ahead = if offer.class == Class::Protected { self.protected.len() } else { self.queued() };
         let start = now.plus_us(self.limiter.wait_us(ahead));
         if start.plus_us(self.limiter.least_service_us()) >= offer.deadline {
             return self.refuse_offer(offer.class, tenant, now);
@@ -202,29 +213,28 @@
         if self.queued() >= self.queue_bound(offer.class) && !self.evict_for(&offer, now) {
             return self.refuse_offer(offer.class, tenant, now);
         }
-        self.queues[offer.class.index()].push(&offer.tenant, offer.weight, offer.call);
+        self.queue(offer.class).push(&offer.tenant, offer.weight, offer.class, offer.call);
         self.calls.insert(offer.call, CallRow::queued(&offer, now));
         Admission::Queued
     }
 
-    fn queued_at_or_above(&self, class: Class) -> usize {
-        self.queues[class.index()..].iter().map(FairQueue::len).sum()
-    }
-
     fn queue_bound(&self, class: Class) -> usize {
         let scaled = (self.limiter.limit() as f64 * self.settings.queue_per_limit).ceil() as usize;
         let bound = scaled.clamp(self.settings.min_queue, self.settings.max_queue);
         if class == Class::Protected { bound * self.settings.protected_queue_factor } else { bound }
     }
 
-    /// Makes room by dropping a queued call that matters less: one of a lower class, or of the same
-    /// class from the tenant that holds the most places for its weight.
+    /// Makes room by dropping a queued call that matters less: for a protected call any other; else
+    /// one of the tenant that holds the most places for its weight, or a less important one of the
+    /// same tenant.
     fn evict_for(&mut self, offer: &Offer, now: TimeUs) -> bool {
-        let lowest = Class::ALL.into_iter().find(|class| self.queues[class.index()].len() > 0);
-        let Some(class) = lowest.filter(|class| *class <= offer.class) else { return false };
-        let queue = &mut self.queues[class.index()];
-        let evicted =
-            if class < offer.class { queue.pop_longest() } else { queue.pop_longer_than(&offer.tenant, offer.weight) };
+        let evicted = match offer.class {
+            Class::Protected => {
+                let sheddable = self.sheddable.pop_longest();
+                sheddable.or_else(|| self.protected.pop_for(&offer.tenant, offer.weight, offer.class))
+            }
+            Class::Browse | Class::Lookup => self.sheddable.pop_for(&offer.tenant, offer.weight, offer.class),
+        };
         let Some(call) = evicted else { return false };
         self.drop_shed(call, now);
         true
@@ -245,10 +255,8 @@
 
     /// A protected call is about to be shed, so nothing that matters less may stay queued.
     fn drop_all_sheddable(&mut self, now: TimeUs) {
-        for class in [Class::Browse, Class::Lookup] {
-            for call in self.queues[class.index()].drain() {
-                self.drop_shed(call, now);
-            }
+        for call in self.sheddable.drain() {
+            self.drop_shed(call, now);
         }
     }
 
@@ -256,7 +264,7 @@
         if class == Class::Protected {
             self.protected_shed = Some(now);
         }
-        self.level.refused(class, tenant, now);
+        self.level.shed(class, now);
         let retry_after_ms = self.level.retry_after_ms(class, tenant);
         Refusal::not_run(Reason::Shed, Some(retry_after_ms))
     }
@@ -267,12 +275,9 @@
         }
         let latest_start = now.plus_us(self.limiter.least_service_us());
         let calls = &self.calls;
-        let expired: Vec<CallId> = self
-            .queues
-            .iter()
-            .flat_map(FairQueue::calls)
-            .filter(|call| calls.get(call).is_none_or(|row| row.deadline <= latest_start))
-            .collect();
+        let queued = self.protected.calls().chain(self.sheddable.calls());
+        let expired: Vec<CallId> =
+            queued.filter(|call| calls.get(call).is_none_or(|row| row.deadline <= latest_start)).collect();
         for call in expired {
             self.drop_expired_call(call, now);
         }
@@ -280,8 +285,8 @@
 
     fn drop_expired_call(&mut self, call: CallId, now: TimeUs) {
         let Some(row) = self.calls.remove(&call) else { return };
-        self.queues[row.class.index()].remove(&row.tenant, call);
-        self.level.refused(row.class, TenantHash::of(&row.tenant), now);
+        self.queue(row.class).remove(&row.tenant, call);
+        self.level.shed(row.class, now);
         self.events.push(GateEvent::Drop(call, Refusal::not_run(Reason::Deadline, None)));
     }
 
@@ -289,14 +294,16 @@
     /// can't be met any more is dropped instead.
     fn start_queued(&mut self, now: TimeUs) {
         while self.can_start(now) {
-            let Some(call) = self.queues.iter_mut().rev().find_map(FairQueue::pop) else { return };
+            let Some(call) = self.protected.pop().or_else(|| self.sheddable.pop()) else { return };
             let Some(row) = self.calls.get_mut(&call) else { continue };
             if row.deadline <= now.plus_us(self.limiter.least_service_us()) {
                 self.drop_expired_call(call, now);
                 continue;
             }
             row.started = Some(now);
+            let class = row.class;
             self.in_flight += 1;
+            self.level.served(class, now);
             self.events.push(GateEvent::Start(call));
         }
     }
--- a/crates/policy/src/gate/fair_queue.rs
+++ b/crates/policy/src/gate/fair_queue.rs
@@ -1,8 +1,10 @@
 //! A queue that serves tenants in proportion to their weights.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 
-use fulmartrestle_core::{CallId, Tenant};
+use fulmartrestle_core::{CallId, Class, Tenant};
+
+use super::lanes::Lanes;
 
 /// Virtual time that one call costs a tenant of weight one. Its many divisors keep the cost of common
 /// weights exact.
@@ -11,7 +13,7 @@
 /// Tenants without queued calls that are remembered before the ones behind are forgotten.
 const MAX_IDLE_TENANTS: usize = 1_024;
 
-/// Calls of one class. Tenants are served by start-time fair queueing: each served call advances its
+/// Calls of classes of one rank. Tenants are served by start-time fair queueing: each served call advances its
 /// tenant's virtual time by the inverse of its weight, and the tenant furthest behind goes next. A
 /// tenant that was idle starts at the present virtual time, so that it saves up no credit.
 #[derive(Debug, Default)]
@@ -24,7 +26,7 @@
 
 #[derive(Debug, Default)]
 struct TenantQueue {
-    calls: VecDeque<CallId>,
+    calls: Lanes,
     virtual_time: u64,
     weight: u32,
 }
@@ -46,10 +48,7 @@
 
     /// Returns the queued calls in no particular order.
     pub fn calls(&self) -> impl Iterator<Item = CallId> {
-        self.backlogged
-            .iter()
-            .filter_map(|(_, tenant)| self.tenants.get(tenant))
-            .flat_map(|queue| queue.calls.iter().copied())
+        self.backlogged.iter().filter_map(|(_, tenant)| self.tenants.get(tenant)).flat_map(|queue| queue.calls.iter())
     }
 
     /// Counts a call that started without being queued.
@@ -61,10 +60,10 @@
         self.virtual_now = start;
     }
 
-    pub fn push(&mut self, tenant: &Tenant, weight: u32, call: CallId) {
+    pub fn push(&mut self, tenant: &Tenant, weight: u32, class: Class, call: CallId) {
         let virtual_now = self.virtual_now;
         let queue = self.tenant(tenant, weight);
-        queue.calls.push_back(call);
+        queue.calls.push(class, call);
         if queue.calls.len() == 1 {
             queue.virtual_time = queue.virtual_time.max(virtual_now);
             let key = (queue.virtual_time, tenant.clone());
@@ -73,11 +72,11 @@
         self.len += 1;
     }
 
-    /// Takes the oldest call of the tenant that is furthest behind its share.
+    /// Takes the next call of the tenant that is furthest behind its share.
     pub fn pop(&mut self) -> Option<CallId> {
         let (start, tenant) = self.backlogged.pop_first()?;
         let queue = self.tenants.get_mut(&tenant)?;
-        let call = queue.calls.pop_front();
+        let call = queue.calls.pop_first();
         queue.virtual_time = start + queue.cost();
         let key = (queue.virtual_time, tenant);
         if !queue.calls.is_empty() {
@@ -88,26 +87,30 @@
         call
     }
 
-    /// Takes the newest call of the tenant with the most queued calls for its weight.
+    /// Takes the least important call of the tenant with the most queued calls for its weight.
     pub fn pop_longest(&mut self) -> Option<CallId> {
         let tenant = self.longest()?;
-        self.pop_newest(&tenant)
+        self.take(&tenant, Lanes::pop_last)
     }
 
-    /// Like [`FairQueue::pop_longest`], but only if that tenant would still hold more places for its
-    /// weight than the given one with one call more.
-    pub fn pop_longer_than(&mut self, tenant: &Tenant, weight: u32) -> Option<CallId> {
+    /// Makes room for a call of the given tenant: takes a less important call of its own or of the
+    /// tenant with the most queued calls for its weight, if that one holds more than this one would.
+    pub fn pop_for(&mut self, tenant: &Tenant, weight: u32, class: Class) -> Option<CallId> {
         let longest = self.longest()?;
         let held = self.tenants.get(tenant).map_or(0, |queue| queue.calls.len() as u64);
         let with_one_more = (held + 1) * (CALL_COST / u64::from(weight.max(1)));
         let longer = self.tenants.get(&longest).is_some_and(|queue| queue.len_per_weight() > with_one_more);
-        if longest != *tenant && longer { self.pop_newest(&longest) } else { None }
+        if longest != *tenant && longer {
+            return self.take(&longest, Lanes::pop_last);
+        }
+        self.take(tenant, |lanes| lanes.pop_below(class))
     }
 
     pub fn remove(&mut self, tenant: &Tenant, call: CallId) {
         let Some(queue) = self.tenants.get_mut(tenant) else { return };
-        let Some(position) = queue.calls.iter().position(|queued| *queued == call) else { return };
-        queue.calls.remove(position);
+        if !queue.calls.remove(call) {
+            return;
+        }
         if queue.calls.is_empty() {
             self.backlogged.remove(&(queue.virtual_time, tenant.clone()));
         }
@@ -118,7 +121,7 @@
     pub fn drain(&mut self) -> Vec<CallId> {
         let mut calls = Vec::with_capacity(self.len);
         while let Some((_, tenant)) = self.backlogged.pop_first() {
-            calls.extend(self.tenants.get_mut(&tenant).into_iter().flat_map(|queue| queue.calls.drain(..)));
+            calls.extend(self.tenants.get_mut(&tenant).into_iter().flat_map(|queue| queue.calls.drain()));
         }
         self.len = 0;
         calls
@@ -147,9 +150,9 @@
         queues.max_by_key(|(tenant, queue)| (queue.len_per_weight(), *tenant)).map(|(tenant, _)| tenant.clone())
     }
 
-    fn pop_newest(&mut self, tenant: &Tenant) -> Option<CallId> {
+    fn take(&mut self, tenant: &Tenant, pop: impl FnOnce(&mut Lanes) -> Option<CallId>) -> Option<CallId> {
         let queue = self.tenants.get_mut(tenant)?;
-        let call = queue.calls.pop_back()?;
+        let call = pop(&mut queue.calls)?;
         if queue.calls.is_empty() {
             self.backlogged.remove(&(queue.virtual_time, tenant.clone()));
         }
--- a/crates/policy/src/gate/level_control.rs
+++ b/crates/policy/src/gate/level_control.rs
@@ -1,81 +1,110 @@
 //! Control of the admission level: how much of the traffic the doors upstream should let through.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use fulmartrestle_core::{Class, TimeUs};
 
-use super::GateSettings;
-use crate::{AdmissionLevel, MAX_TENANT_SHARES, Permille, TenantHash, TenantShare};
+use super::tenant_demand::TenantDemand;
+use crate::{AdmissionLevel, BasisPoints, MAX_TENANT_SHARES, SheddableShares, TenantHash, TenantShares};
 
 /// How often shares are adapted. It must be longer than the way of a level to the doors and back, or
 /// one overload is answered twice.
 const WINDOW_US: u64 = 100_000;
-/// Smallest factor of a share in one window. Larger cuts overshoot, because calls that the doors let
-/// through earlier are still on their way.
-const MIN_FACTOR: f64 = 0.5;
-/// Factor and step with which a share rises in a window without refusals.
-const RISE_FACTOR: f64 = 1.15;
-const RISE_STEP: f64 = 0.02;
-/// A share below this counts as nothing.
-const LEAST_SHARE: f64 = 0.02;
+/// Time constant of the smoothed rate of served calls, in microseconds.
+const SMOOTHING_US: f64 = 400_000.0;
+/// Rate let through as a multiple of the served rate, for an empty and for a full queue. A little
+/// more than is served keeps the queue in use; a full queue has to shrink.
+const EMPTY_QUEUE_FACTOR: f64 = 1.08;
+const FULL_QUEUE_FACTOR: f64 = 0.92;
+/// Growth of the rate let through in the first window without any queueing; it doubles with each
+/// further one.
+const IDLE_GROWTH: f64 = 0.1;
+/// Most doublings of the growth.
+const MAX_DOUBLINGS: u32 = 4;
+/// Queue in use on average below which a window counts as one without queueing.
+const IDLE_QUEUE_FILL: f64 = 0.05;
+/// Lowest rate let through, in calls per second, from which it can grow again soon.
+const LEAST_RATE_PER_S: f64 = 5.0;
 /// How long no call of a lower class may have been offered before protected calls are cut.
 const QUIET_BEFORE_PROTECTED_US: u64 = 500_000;
+/// Growth of the share of protected calls in one window.
+const PROTECTED_GROWTH: f64 = 1.2;
+/// A share of protected calls starts again with this.
+const LEAST_PROTECTED_SHARE: f64 = 0.01;
 /// Bounds of the advice when to come back, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 200.0;
 const MAX_RETRY_AFTER_MS: f64 = 5_000.0;
 
-/// Lowers the share of the least important class that is still admitted when the gate has to shed,
-/// and raises it again when it doesn't. Within the class each tenant has its own share: the fair
-/// queue sheds those beyond their fair share, and so these are cut.
+/// Finds the rate of calls that the doors should let through, and divides it between the tenants.
+///
+/// While calls are shed, the rate follows what the target serves; otherwise it grows. It is divided
+/// by weighted max-min fairness: a tenant that asks for less than its fair share is let through
+/// whole, and the others share what is left by their weights.
 #[derive(Debug)]
 pub(super) struct LevelControl {
-    marginal: Class,
-    tenants: HashMap<TenantHash, TenantRow>,
-    class_share: f64,
-    window_start: TimeUs,
-    offered: [u32; 3],
-    refused: [u32; 3],
+    tenants: BTreeMap<TenantHash, TenantDemand>,
+    /// Calls per second that may come through; `None` while nothing needs to be cut.
+    rate_per_s: Option<f64>,
+    served_per_s: f64,
+    protected_share: f64,
+    window: Window,
     last_sheddable: TimeUs,
+    idle_windows: u32,
     level: AdmissionLevel,
 }
 
-#[derive(Debug)]
-struct TenantRow {
-    share: f64,
+#[derive(Debug, Default)]
+struct Window {
+    start: TimeUs,
     offered: u32,
-    refused: u32,
+    offered_protected: u32,
+    served: u32,
+    shed: u32,
+    shed_protected: u32,
+    queue_fill_sum: f64,
 }
 
 impl LevelControl {
-    pub fn new(_settings: &GateSettings) -> Self {
+    pub fn new() -> Self {
         Self {
-            marginal: Class::Browse,
-            tenants: HashMap::new(),
-            class_share: 1.0,
-            window_start: TimeUs::default(),
-            offered: [0; 3],
-            refused: [0; 3],
+            tenants: BTreeMap::new(),
+            rate_per_s: None,
+            served_per_s: 0.0,
+            protected_share: 1.0,
+            window: Window::default(),
             last_sheddable: TimeUs::default(),
+            idle_windows: 0,
             level: AdmissionLevel::default(),
         }
     }
 
-    pub fn offered(&mut self, class: Class, tenant: TenantHash, now: TimeUs) {
+    /// Counts an offered call; `queue_fill` is the part of the queue that is in use.
+    pub fn offered(&mut self, class: Class, tenant: TenantHash, weight: u32, queue_fill: f64, now: TimeUs) {
         self.adapt(now);
-        self.offered[class.index()] += 1;
-        if class != Class::Protected {
-            self.last_sheddable = now;
+        self.window.offered += 1;
+        self.window.queue_fill_sum += queue_fill;
+        if class == Class::Protected {
+            self.window.offered_protected += 1;
+            return;
         }
-        if class == self.marginal {
-            self.tenant(tenant).offered += 1;
+        self.last_sheddable = now;
+        self.tenants.entry(tenant).or_default().offered(class, weight);
+    }
+
+    /// Counts a call that was handed to the target.
+    pub fn served(&mut self, class: Class, now: TimeUs) {
+        self.adapt(now);
+        if class != Class::Protected {
+            self.window.served += 1;
         }
     }
 
-    pub fn refused(&mut self, class: Class, tenant: TenantHash, now: TimeUs) {
+    /// Counts a call that was shed.
+    pub fn shed(&mut self, class: Class, now: TimeUs) {
         self.adapt(now);
-        self.refused[class.index()] += 1;
-        if class == self.marginal {
-            self.tenant(tenant).refused += 1;
+        self.window.shed += 1;
+        if class == Class::Protected {
+            self.window.shed_protected += 1;
         }
     }
 
@@ -87,129 +116,117 @@
     /// Advises a refused caller when to come back: the lower its share, the later.
     pub fn retry_after_ms(&self, class: Class, tenant: TenantHash) -> u64 {
         let share = self.level.share(class, tenant).fraction();
-        (MIN_RETRY_AFTER_MS / share.max(LEAST_SHARE)).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64
-    }
-
-    fn tenant(&mut self, tenant: TenantHash) -> &mut TenantRow {
-        let share = self.class_share;
-        self.tenants.entry(tenant).or_insert(TenantRow { share, offered: 0, refused: 0 })
+        (MIN_RETRY_AFTER_MS / share.max(f64::EPSILON)).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64
     }
 
     fn adapt(&mut self, now: TimeUs) {
-        let age_us = now.us_since(self.window_start);
+        let age_us = now.us_since(self.window.start);
         if age_us < WINDOW_US {
             return;
         }
-        let quiet_windows = (age_us / WINDOW_US - 1).min(64);
-        self.close_window(now, age_us);
-        for _ in 0..quiet_windows {
-            self.raise();
-            self.move_margin(now);
-        }
-        self.publish(age_us);
-        self.window_start = now;
-        self.offered = [0; 3];
-        self.refused = [0; 3];
-        self.tenants.retain(|_, row| row.share < 1.0);
-        for row in self.tenants.values_mut() {
-            row.offered = 0;
-            row.refused = 0;
+        let window = std::mem::take(&mut self.window);
+        self.window.start = now;
+        self.learn_rates(&window, age_us);
+        self.adapt_rate(&window, age_us);
+        self.adapt_protected(&window, now);
+        self.divide();
+        self.publish(&window, age_us);
+        self.tenants.retain(|_, tenant| !tenant.is_idle());
+    }
+
+    fn learn_rates(&mut self, window: &Window, age_us: u64) {
+        let weight = 1.0 - (-(age_us as f64) / SMOOTHING_US).exp();
+        let served_per_s = f64::from(window.served) * 1e6 / age_us as f64;
+        self.served_per_s += (served_per_s - self.served_per_s) * weight;
+        for tenant in self.tenants.values_mut() {
+            tenant.close_window(age_us);
         }
     }
 
-    fn close_window(&mut self, now: TimeUs, _age_us: u64) {
-        let refused: u32 = self.refused.iter().sum();
-        if refused == 0 {
-            self.raise();
+    fn adapt_rate(&mut self, window: &Window, age_us: u64) {
+        let queue_fill = window.queue_fill_sum / f64::from(window.offered.max(1));
+        let factor = EMPTY_QUEUE_FACTOR - (EMPTY_QUEUE_FACTOR - FULL_QUEUE_FACTOR) * queue_fill.min(1.0);
+        if window.shed > 0 {
+            self.idle_windows = 0;
+            let followed = self.served_per_s * factor;
+            self.rate_per_s = Some(self.rate_per_s.map_or(followed, |rate_per_s| rate_per_s.min(followed)));
+        } else if queue_fill > IDLE_QUEUE_FILL {
+            self.idle_windows = 0;
+            self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s * factor);
         } else {
-            self.lower();
+            let windows = (age_us / WINDOW_US).min(u64::from(MAX_DOUBLINGS)) as u32;
+            let growth = IDLE_GROWTH * f64::from(1 << self.idle_windows.min(MAX_DOUBLINGS));
+            self.idle_windows += windows;
+            self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s * (1.0 + growth).powi(windows as i32));
         }
-        self.move_margin(now);
+        self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s.max(LEAST_RATE_PER_S));
     }
 
-    fn raise(&mut self) {
-        for row in self.tenants.values_mut() {
-            row.share = raised(row.share);
+    fn adapt_protected(&mut self, window: &Window, now: TimeUs) {
+        let only_protected = now.us_since(self.last_sheddable) >= QUIET_BEFORE_PROTECTED_US;
+        if window.shed_protected == 0 {
+            self.protected_share = (self.protected_share * PROTECTED_GROWTH).clamp(LEAST_PROTECTED_SHARE, 1.0);
+        } else if only_protected {
+            self.protected_share *= 1.0 - f64::from(window.shed_protected) / f64::from(window.offered_protected.max(1));
+            self.protected_share = self.protected_share.max(LEAST_PROTECTED_SHARE);
         }
-        self.class_share = raised(self.class_share);
     }
 
-    fn lower(&mut self) {
-        let margin = self.marginal.index();
-        let refused_above: u32 = self.refused[margin + 1..].iter().sum();
-        let spill = factor(refused_above, self.offered[margin].max(refused_above / 2));
-        for row in self.tenants.values_mut() {
-            let own = factor(row.refused, row.offered);
-            row.share =
-                if row.refused == 0 && refused_above == 0 { raised(row.share) } else { row.share * own.min(spill) };
+    /// Divides the rate between the tenants, the least demand for its weight first.
+    fn divide(&mut self) {
+        let demand_per_s: f64 = self.tenants.values().map(TenantDemand::per_s).sum();
+        if self.rate_per_s.is_some_and(|rate_per_s| rate_per_s >= demand_per_s) {
+            self.rate_per_s = None;
         }
-        let unlisted_refused = self.tenants.values().any(|row| row.refused > 0 && row.share >= 1.0);
-        if refused_above > 0 || unlisted_refused {
-            self.class_share *= spill;
-        } else {
-            self.class_share = raised(self.class_share);
+        let fair_per_s = self.rate_per_s.map_or(f64::INFINITY, |rate_per_s| self.fair_per_weight(rate_per_s));
+        for tenant in self.tenants.values_mut() {
+            tenant.allow(fair_per_s * tenant.weight());
         }
     }
 
-    /// Moves on to the next class when the marginal one is shed or admitted whole.
-    fn move_margin(&mut self, now: TimeUs) {
-        let (offered, admitted) = self.tenants.values().fold((0.0, 0.0), |(offered, admitted), row| {
-            let weight = f64::from(row.offered.max(1));
-            (offered + weight, admitted + weight * row.share)
-        });
-        let mean = if offered > 0.0 { admitted / offered } else { self.class_share };
-        let all_full = self.class_share >= 1.0 && self.tenants.values().all(|row| row.share >= 1.0);
-        if mean < LEAST_SHARE && self.marginal != Class::Protected {
-            let next = Class::ALL[self.marginal.index() + 1];
-            let quiet = now.us_since(self.last_sheddable) >= QUIET_BEFORE_PROTECTED_US;
-            if next != Class::Protected || quiet {
-                self.start_margin(next, 1.0);
+    /// Returns the calls per second for each unit of weight, so that the sum over all tenants is
+    /// `rate_per_s`.
+    fn fair_per_weight(&self, rate_per_s: f64) -> f64 {
+        let mut rows: Vec<(f64, f64)> =
+            self.tenants.values().map(|tenant| (tenant.per_s() / tenant.weight(), tenant.weight())).collect();
+        rows.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        let mut left_per_s = rate_per_s;
+        let mut left_weight: f64 = rows.iter().map(|(_, weight)| weight).sum();
+        for (per_weight, weight) in rows {
+            let fair_per_s = left_per_s / left_weight;
+            if per_weight > fair_per_s {
+                return fair_per_s;
             }
-        } else if all_full && self.marginal != Class::Browse {
-            self.start_margin(Class::ALL[self.marginal.index() - 1], RISE_STEP);
+            left_per_s -= per_weight * weight;
+            left_weight -= weight;
         }
+        f64::INFINITY
     }
 
-    fn start_margin(&mut self, class: Class, share: f64) {
-        self.marginal = class;
-        self.class_share = share;
-        self.tenants.clear();
-    }
-
-    fn publish(&mut self, age_us: u64) {
-        let mut level = AdmissionLevel { marginal: self.marginal, ..AdmissionLevel::default() };
-        for class in Class::ALL {
-            let share = match class.cmp(&self.marginal) {
-                std::cmp::Ordering::Less => 0.0,
-                std::cmp::Ordering::Equal => self.class_share,
-                std::cmp::Ordering::Greater => 1.0,
-            };
-            level.classes[class.index()] = published(share);
+    /// Writes the level. Tenants that aren't listed share the mean of their shares.
+    fn publish(&mut self, window: &Window, age_us: u64) {
+        let mut rows: Vec<_> = self.tenants.iter().map(|(tenant, row)| (row.shares(), *tenant, row.per_s())).collect();
+        rows.retain(|(shares, ..)| *shares != SheddableShares::default());
+        rows.sort_unstable_by_key(|(shares, tenant, _)| (shares.lookup, shares.browse, *tenant));
+        let mut level =
+            AdmissionLevel { protected: BasisPoints::from_fraction(self.protected_share), ..AdmissionLevel::default() };
+        for (entry, (shares, tenant, _)) in level.tenants.iter_mut().zip(&rows) {
+            *entry = TenantShares { tenant: *tenant, shares: *shares };
         }
-        let mut shares: Vec<_> = self.tenants.iter().map(|(tenant, row)| (published(row.share), *tenant)).collect();
-        shares.retain(|(share, _)| *share != level.classes[self.marginal.index()]);
-        shares.sort_unstable();
-        for (entry, (share, tenant)) in level.tenants.iter_mut().zip(shares.into_iter().take(MAX_TENANT_SHARES)) {
-            *entry = TenantShare { tenant, share };
+        if rows.len() > MAX_TENANT_SHARES {
+            level.common = mean_shares(rows[MAX_TENANT_SHARES..].iter().map(|(shares, _, per_s)| (*shares, *per_s)));
         }
-        let offered: u32 = self.offered.iter().sum();
-        level.offered_per_s = (u64::from(offered) * 1_000_000 / age_us.max(1)) as u32;
+        level.offered_per_s = (u64::from(window.offered) * 1_000_000 / age_us.max(1)) as u32;
         self.level = level;
     }
 }
 
-fn published(share: f64) -> Permille {
-    Permille::from_fraction(if share < LEAST_SHARE { 0.0 } else { share })
-}
-
-fn raised(share: f64) -> f64 {
-    (share * RISE_FACTOR + RISE_STEP).min(1.0)
-}
-
-/// Returns the factor that removes `refused` of `offered` calls.
-fn factor(refused: u32, offered: u32) -> f64 {
-    if refused == 0 {
-        return 1.0;
+fn mean_shares(shares: impl Iterator<Item = (SheddableShares, f64)>) -> SheddableShares {
+    let (weight, browse, lookup) = shares.fold((0.0, 0.0, 0.0), |(weight, browse, lookup), (shares, part)| {
+        (weight + part, browse + part * shares.browse.fraction(), lookup + part * shares.lookup.fraction())
+    });
+    SheddableShares {
+        browse: BasisPoints::from_fraction(browse / weight),
+        lookup: BasisPoints::from_fraction(lookup / weight),
     }
-    (1.0 - f64::from(refused) / f64::from(offered.max(1))).max(MIN_FACTOR)
 }
--- a/crates/policy/src/gate/limiter.rs
+++ b/crates/policy/src/gate/limiter.rs
@@ -3,7 +3,7 @@
 use fulmartrestle_core::TimeUs;
 
 use super::{Completion, GateSettings, TargetHints};
-use crate::Permille;
+use crate::BasisPoints;
 
 /// Shortest time over which latencies are averaged. Shorter windows hold too few calls to tell a
 /// trend from chance.
@@ -11,7 +11,7 @@
 /// Longest time over which latencies are averaged when calls are rare.
 const MAX_WINDOW_US: u64 = 2_000_000;
 /// Fewest calls in a window that closes before the longest time.
-const MIN_WINDOW_CALLS: u64 = 16;
+const MIN_WINDOW_CALLS: u64 = 32;
 /// Latency above the baseline that counts as waiting inside the target. Tighter bounds take the
 /// normal spread of service times for overload.
 const QUEUEING_RATIO: f64 = 1.5;
@@ -25,15 +25,23 @@
 const TIMEOUT_SHARE: f64 = 0.1;
 /// Part of a limit's lowering that must show in the latency, or the lowering is undone.
 const EXPECTED_EFFECT: f64 = 0.5;
-/// Time constant with which the baseline follows higher latencies, in microseconds. It outlasts
-/// surges, so that a surge is not taken for the normal state.
+/// Time constant with which the baseline follows higher latencies while the limit isn't reached, in
+/// microseconds. It outlasts surges, so that a surge is not taken for the normal state.
 const BASELINE_RISE_US: f64 = 60_000_000.0;
-/// Weight of a window whose latency is below the baseline.
-const BASELINE_FALL: f64 = 0.5;
+/// Weight of a window whose latency is a little below the baseline, so that chance doesn't pull the
+/// baseline down.
+const BASELINE_FALL: f64 = 0.1;
+/// Weight of a window whose latency is far below the baseline.
+const BASELINE_DROP: f64 = 0.5;
+/// Ratio of latency to baseline that counts as far below.
+const DROP_RATIO: f64 = 0.6;
+/// Length of a window, and of the pause after a change of the limit, as a multiple of the mean
+/// latency. In a shorter one mostly the fast calls would have ended.
+const WINDOW_LATENCIES: f64 = 2.0;
 /// Share of the limit that a target starts with when it is cold.
 const COLD_SHARE: f64 = 0.2;
 /// Load from which on a report stops the limit from rising.
-const FULL_LOAD: Permille = Permille(950);
+const FULL_LOAD: BasisPoints = BasisPoints(950);
 
 /// Finds how many calls a target can work on at once.
 ///
@@ -55,7 +63,8 @@
     least_us: f64,
     window: Window,
     lowering: Option<Lowering>,
-    changed: TimeUs,
+    /// End of the pause after the last change of the limit.
+    settled: TimeUs,
 }
 
 #[derive(Debug, Default)]
@@ -91,7 +100,7 @@
             least_us: 0.0,
             window: Window::default(),
             lowering: None,
-            changed: TimeUs::default(),
+            settled: TimeUs::default(),
         }
     }
 
@@ -142,10 +151,10 @@
     }
 
     /// Learns from a call that ended after `own_us` microseconds of work of the target itself.
-    pub fn completed(&mut self, how: Completion, started: TimeUs, own_us: u64, in_flight: usize, now: TimeUs) {
+    pub fn completed(&mut self, how: Completion, own_us: u64, in_flight: usize, now: TimeUs) {
         self.window.most_in_flight = self.window.most_in_flight.max(in_flight);
         match how {
-            Completion::Answered if started >= self.changed => self.window.add(own_us),
+            Completion::Answered if now >= self.settled => self.window.add(own_us),
             Completion::TargetRefused => self.window.refused += 1,
             Completion::TimedOut => self.window.timed_out += 1,
             Completion::Answered | Completion::Failed | Completion::Cancelled => {}
@@ -160,7 +169,7 @@
         self.window.start = now;
         let saturated = window.most_in_flight as f64 >= self.limit * 0.9;
         if window.calls > 0 {
-            self.learn_latency(&window, now);
+            self.learn_latency(&window, saturated, now);
         }
         if window.refused > 0 {
             self.set_limit((window.most_in_flight as f64).min(self.limit) * REFUSED_FACTOR, now);
@@ -175,13 +184,17 @@
         }
     }
 
-    fn learn_latency(&mut self, window: &Window, now: TimeUs) {
+    fn learn_latency(&mut self, window: &Window, saturated: bool, now: TimeUs) {
         self.mean_us = window.latency_sum_us as f64 / window.calls as f64;
         let least_us = window.least_us.unwrap_or(0) as f64;
         self.least_us = if least_us < self.least_us { least_us } else { self.least_us * 0.9 + least_us * 0.1 };
         let baseline_us = self.baseline_us.unwrap_or(self.mean_us);
-        let weight = if self.mean_us < baseline_us {
+        let weight = if self.mean_us < baseline_us * DROP_RATIO {
+            BASELINE_DROP
+        } else if self.mean_us < baseline_us {
             BASELINE_FALL
+        } else if saturated {
+            0.0
         } else {
             (now.us_since(window.start) as f64 / BASELINE_RISE_US).min(1.0)
         };
@@ -193,7 +206,7 @@
         let Some(baseline_us) = self.baseline_us else { return };
         let ratio = self.mean_us / baseline_us.max(1.0);
         if ratio <= QUEUEING_RATIO {
-            self.raise(now);
+            self.raise();
             return;
         }
         let factor = ratio.sqrt().recip().max(MIN_LATENCY_FACTOR);
@@ -212,18 +225,18 @@
         }
     }
 
-    fn raise(&mut self, now: TimeUs) {
+    fn raise(&mut self) {
         if !self.load_is_full {
-            let changed = self.changed;
-            self.set_limit(self.limit + self.limit.sqrt().max(1.0), now);
-            self.changed = changed;
+            self.limit += self.limit.sqrt().max(1.0);
+            self.clamp();
         }
     }
 
     fn set_limit(&mut self, limit: f64, now: TimeUs) {
         self.limit = limit;
         self.clamp();
-        self.changed = now;
+        self.settled = now.plus_us((self.mean_us * WINDOW_LATENCIES) as u64);
+        self.window = Window { start: self.settled, ..Window::default() };
     }
 
     fn clamp(&mut self) {
@@ -242,6 +255,8 @@
     fn is_complete(&self, now: TimeUs) -> bool {
         let age_us = now.us_since(self.start);
         let calls = self.calls + self.refused + self.timed_out;
-        age_us >= MAX_WINDOW_US || (age_us >= WINDOW_US && calls >= MIN_WINDOW_CALLS)
+        let mean_us = self.latency_sum_us as f64 / self.calls.max(1) as f64;
+        let enough = calls >= MIN_WINDOW_CALLS && age_us as f64 >= mean_us * WINDOW_LATENCIES;
+        age_us >= MAX_WINDOW_US || (age_us >= WINDOW_US && enough)
     }
 }
--- a/crates/policy/src/gate/messages.rs
+++ b/crates/policy/src/gate/messages.rs
@@ -3,7 +3,7 @@
 use fulmartrestle_core::{CallId, Class, Refusal, Tenant, TimeUs};
 use fulmartrestle_derive::{local, record, value};
 
-use crate::Permille;
+use crate::BasisPoints;
 
 /// A call that asks to be run.
 #[local]
@@ -68,5 +68,5 @@
     /// Time in milliseconds that a cold target takes to reach its full speed.
     pub warm_up_ms: Option<u64>,
     /// Load as the target reports it, where the whole means that it is full.
-    pub reported_load: Option<Permille>,
+    pub reported_load: Option<BasisPoints>,
 }
--- a/crates/policy/src/gate/settings.rs
+++ b/crates/policy/src/gate/settings.rs
@@ -21,9 +21,9 @@
             min_limit: 2,
             max_limit: 1_000,
             warm_up_ms: 0,
-            min_queue: 4,
+            min_queue: 16,
             max_queue: 128,
-            queue_per_limit: 0.5,
+            queue_per_limit: 1.0,
             protected_queue_factor: 4,
             protected_hold_ms: 1_000,
         }
@@ -56,12 +56,13 @@
         max_limit: u32,
         /// Sets how long the limit rises after the start, in milliseconds; 0 by default.
         warm_up_ms: u64,
-        /// Sets the queue's length for the smallest limits, 4 calls by default.
+        /// Sets the queue's length for the smallest limits, 16 calls by default: a shorter one sheds calls that
+        /// merely arrive together.
         min_queue: usize,
         /// Sets the longest queue, 128 calls by default.
         max_queue: usize,
-        /// Sets the queue's length as a multiple of the limit; 0.5 by default, so that a queued call
-        /// waits about half a service time.
+        /// Sets the queue's length as a multiple of the limit; 1.0 by default, so that a queued call
+        /// waits at most about one service time.
         queue_per_limit: f64,
         /// Sets how many times longer the queue may grow for protected calls; 4 by default.
         protected_queue_factor: usize,
--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -1,13 +1,14 @@
 //! How much of a target's traffic its gate admits, as it rides on every answer.
 
-use fulmartrestle_core::{Class, Tenant, number_newtype};
-use fulmartrestle_derive::value;
+use fulmartrestle_core::{Class, Service, Tenant, number_newtype};
+use fulmartrestle_derive::{record, value};
 
 number_newtype!(
-    /// A share in thousandths.
-    Permille,
+    /// A share in ten-thousandths. Thousandths would be too coarse for a tenant that sends a hundred
+    /// times what can be admitted.
+    BasisPoints,
     u16,
-    "share in thousandths"
+    "share in basis points"
 );
 number_newtype!(
     /// Short hash of a tenant's name, so that a level stays small on the wire.
@@ -17,12 +18,12 @@
 );
 
 /// Most tenants that a level names. Eight cover the tenants far beyond their fair share; the rest
-/// use the class's share, and a longer list would cost bytes on every answer.
+/// use the common share, and a longer list would cost bytes on every answer.
 pub const MAX_TENANT_SHARES: usize = 8;
 
-impl Permille {
+impl BasisPoints {
     /// The whole.
-    pub const FULL: Self = Self(1_000);
+    pub const FULL: Self = Self(10_000);
     /// Nothing.
     pub const ZERO: Self = Self(0);
 
@@ -47,27 +48,41 @@
     }
 }
 
-/// The admitted share of one tenant in the marginal class.
+/// The admitted shares of the two classes that may be shed. Browsing is cut first: while some of it
+/// is admitted, lookups are admitted whole.
+#[value]
+pub struct SheddableShares {
+    /// The admitted share of browsing.
+    pub browse: BasisPoints,
+    /// The admitted share of lookups.
+    pub lookup: BasisPoints,
+}
+
+impl Default for SheddableShares {
+    fn default() -> Self {
+        Self { browse: BasisPoints::FULL, lookup: BasisPoints::FULL }
+    }
+}
+
+/// The admitted shares of one tenant.
 #[value]
 #[derive(Default)]
-pub struct TenantShare {
+pub struct TenantShares {
     /// The tenant; zero in an unused entry.
     pub tenant: TenantHash,
-    /// The share of its calls that is admitted.
-    pub share: Permille,
+    /// The shares of its calls that are admitted.
+    pub shares: SheddableShares,
 }
 
-/// The admitted shares of one target. Classes are shed in order: at most one class, the marginal
-/// one, has a share between nothing and the whole. See `docs/ADMISSION.md`.
+/// The admitted shares of one target. See `docs/ADMISSION.md`.
 #[value]
 pub struct AdmissionLevel {
-    /// The admitted share of each class, in the order of [`Class::ALL`]. In the marginal class it
-    /// holds for the tenants that aren't listed.
-    pub classes: [Permille; 3],
-    /// The class that is shed in part: those below are shed whole, those above admitted whole.
-    pub marginal: Class,
-    /// Tenants whose share in the marginal class differs, lowest share first.
-    pub tenants: [TenantShare; MAX_TENANT_SHARES],
+    /// The admitted share of protected calls, below the whole only when nothing else is admitted.
+    pub protected: BasisPoints,
+    /// The shares of all tenants that aren't listed.
+    pub common: SheddableShares,
+    /// Tenants whose shares are lower, lowest first.
+    pub tenants: [TenantShares; MAX_TENANT_SHARES],
     /// Calls offered to the target per second, the weight of this level among the service's targets.
     pub offered_per_s: u32,
 }
@@ -75,9 +90,9 @@
 impl Default for AdmissionLevel {
     fn default() -> Self {
         Self {
-            classes: [Permille::FULL; 3],
-            marginal: Class::Browse,
-            tenants: [TenantShare::default(); MAX_TENANT_SHARES],
+            protected: BasisPoints::FULL,
+            common: SheddableShares::default(),
+            tenants: [TenantShares::default(); MAX_TENANT_SHARES],
             offered_per_s: 0,
         }
     }
@@ -86,17 +101,39 @@
 impl AdmissionLevel {
     /// Returns whether calls of some class or tenant are shed.
     pub fn sheds(&self) -> bool {
-        let listed = self.tenants.iter().any(|entry| entry.tenant != TenantHash::default());
-        listed || self.classes.iter().any(|share| *share != Permille::FULL)
+        let whole = self.protected == BasisPoints::FULL && self.common == SheddableShares::default();
+        !whole || self.listed().next().is_some()
+    }
+
+    /// Returns the tenants that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = &TenantShares> {
+        self.tenants.iter().filter(|entry| entry.tenant != TenantHash::default())
+    }
+
+    /// Returns the shares of a tenant's calls that may be shed.
+    pub fn sheddable(&self, tenant: TenantHash) -> SheddableShares {
+        self.listed().find(|entry| entry.tenant == tenant).map_or(self.common, |entry| entry.shares)
     }
 
     /// Returns the admitted share of a tenant's calls of one class.
-    pub fn share(&self, class: Class, tenant: TenantHash) -> Permille {
-        let of_class = self.classes[class.index()];
-        if self.marginal != class {
-            return of_class;
+    pub fn share(&self, class: Class, tenant: TenantHash) -> BasisPoints {
+        match class {
+            Class::Protected => self.protected,
+            Class::Lookup => self.sheddable(tenant).lookup,
+            Class::Browse => self.sheddable(tenant).browse,
         }
-        let listed = self.tenants.iter().find(|entry| entry.tenant == tenant);
-        listed.map_or(of_class, |entry| entry.share)
     }
 }
+
+/// What a node knows of a service further down the chain, as it tells its callers.
+#[record]
+#[derive(Eq)]
+pub struct LevelReport {
+    /// The service.
+    pub service: Service,
+    /// The level, put together from the service's targets.
+    pub level: AdmissionLevel,
+    /// How long ago a target sent news of it, in milliseconds. Reports that go round keep their age,
+    /// so that nodes can't keep an old level alive among themselves.
+    pub age_ms: u64,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,7 +15,9 @@
 pub use crash::{CrashMark, CrashSettings, CrashTable, CrashVerdict};
 pub use door::{Door, DoorCheck, DoorSettings};
 pub use gate::{Admission, Completion, Gate, GateEvent, GateSettings, Offer, TargetHints};
-pub use level::{AdmissionLevel, MAX_TENANT_SHARES, Permille, TenantHash, TenantShare};
+pub use level::{
+    AdmissionLevel, BasisPoints, LevelReport, MAX_TENANT_SHARES, SheddableShares, TenantHash, TenantShares,
+};
 pub use retry::{
     AttemptResult, FailedAttempt, Reservation, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryDecision,
     RetryQuestion, decide_retry,
--- a/crates/policy/src/retry/budgets.rs
+++ b/crates/policy/src/retry/budgets.rs
@@ -4,29 +4,32 @@
 
 use fulmartrestle_core::{Service, TimeUs};
 
-use crate::Permille;
+use crate::BasisPoints;
 
-/// A retry in the unit of the budget, thousandths.
-const ONE_RETRY: u64 = Permille::FULL.0 as u64;
+/// A retry in the unit of the budgets, ten-thousandths.
+const ONE_RETRY: u64 = BasisPoints::FULL.0 as u64;
+
+const MS_PER_S: u64 = 1_000;
 
 /// Settings of [`RetryBudgets`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct RetryBudgetSettings {
-    success_share: Permille,
+    success_share: BasisPoints,
     burst: u64,
     trickle_per_s: u64,
 }
 
 impl Default for RetryBudgetSettings {
     fn default() -> Self {
-        Self { success_share: Permille(100), burst: 10, trickle_per_s: 1 }
+        Self { success_share: BasisPoints(1_000), burst: 10, trickle_per_s: 1 }
     }
 }
 
 impl RetryBudgetSettings {
-    /// Sets how many retries each success earns, in thousandths; 100 by default.
+    /// Sets how many retries each success earns, in basis points; 1,000 by default, a
+    /// tenth.
     #[must_use]
-    pub fn success_share(mut self, success_share: Permille) -> Self {
+    pub fn success_share(mut self, success_share: BasisPoints) -> Self {
         self.success_share = success_share;
         self
     }
@@ -56,7 +59,7 @@
 
 #[derive(Debug)]
 struct Budget {
-    thousandths: u64,
+    ten_thousandths: u64,
     refilled: TimeUs,
 }
 
@@ -81,7 +84,7 @@
     pub fn spend_one(&mut self, service: &Service, now: TimeUs) -> bool {
         let granted = self.may_retry(service, now);
         if granted && let Some(row) = self.rows.get_mut(service) {
-            row.thousandths -= ONE_RETRY;
+            row.ten_thousandths -= ONE_RETRY;
         }
         granted
     }
@@ -90,14 +93,14 @@
     fn add(&mut self, service: &Service, earned: u64, now: TimeUs) -> u64 {
         let most = self.settings.burst * ONE_RETRY;
         if !self.rows.contains_key(service) {
-            self.rows.insert(service.clone(), Budget { thousandths: most, refilled: now });
+            self.rows.insert(service.clone(), Budget { ten_thousandths: most, refilled: now });
         }
         let Some(row) = self.rows.get_mut(service) else { return 0 };
-        let trickled = now.ms_since(row.refilled) * self.settings.trickle_per_s;
+        let trickled = now.ms_since(row.refilled) * self.settings.trickle_per_s * ONE_RETRY / MS_PER_S;
         if trickled > 0 {
             row.refilled = now;
         }
-        row.thousandths = (row.thousandths + trickled + earned).min(most);
-        row.thousandths
+        row.ten_thousandths = (row.ten_thousandths + trickled + earned).min(most);
+        row.ten_thousandths
     }
 }
--- a/crates/policy/src/retry/decision.rs
+++ b/crates/policy/src/retry/decision.rs
@@ -128,7 +128,9 @@
         }
         match self.attempt.result {
             AttemptResult::Refused(refusal) => match refusal.reason {
-                Reason::Draining | Reason::NotReady | Reason::TargetFailed | Reason::BadAnswer => true,
+                Reason::Draining | Reason::NotReady | Reason::NoTarget | Reason::TargetFailed | Reason::BadAnswer => {
+                    true
+                }
                 Reason::Shed => self.tried.len() < MAX_SHED_TARGETS,
                 _ => false,
             },
