Policy: gates estimate demand from the share that the door admitted

Cause: a gate divided the offered rate by its own published share, but doors apply the mean over a service's targets. Gates that differed by chance drifted apart until one published almost nothing and was flooded all the same. Now the share that a door applied travels with the call, and each call counts for the ones refused beside it.

The limiter lowers by a small step only when latency rose far more than the number of calls.

--- a/crates/policy/examples/overload_model/model/client.rs
+++ b/crates/policy/examples/overload_model/model/client.rs
@@ -2,7 +2,7 @@
 
 use fulmartrestle_core::{Outcome, Refusal};
 use fulmartrestle_policy::checks::Invariant;
-use fulmartrestle_policy::{DoorCheck, RetryAllowance};
+use fulmartrestle_policy::{BasisPoints, DoorCheck, RetryAllowance};
 use rand::RngExt;
 
 use super::event::Event;
@@ -24,10 +24,8 @@
         let Some(node) = self.entry_node(zone) else { return self.client_failed(id) };
         let timeout_us = self.settings.deployment.client_timeout_us;
         self.after_us(timeout_us, Event::ClientTimeout { request: id, send: number });
-        if self.is_full() && !self.door_admits(node, tenant, route) {
-            return self.client_failed(id);
-        }
-        self.sends.push(Send::default());
+        let Some(door_share) = self.door_share(node, tenant, route) else { return self.client_failed(id) };
+        self.sends.push(Send { door_share, ..Send::default() });
         let hop = Hop {
             send: self.sends.len() as u64 - 1,
             request: id,
@@ -49,7 +47,11 @@
         self.try_hop(key);
     }
 
-    fn door_admits(&mut self, node: usize, tenant: usize, route: usize) -> bool {
+    /// Returns the share that the entry's door admits, if it admits this call.
+    fn door_share(&mut self, node: usize, tenant: usize, route: usize) -> Option<BasisPoints> {
+        if !self.is_full() {
+            return Some(BasisPoints::FULL);
+        }
         let draw = self.rng.random();
         let check = DoorCheck {
             chain: &self.chains[route],
@@ -57,7 +59,7 @@
             tenant: &self.tenants[tenant],
             weight: self.settings.deployment.tenant_weights[tenant],
         };
-        self.nodes[node].door.check(check, self.now, draw).is_ok()
+        self.nodes[node].door.check(check, self.now, draw).ok()
     }
 
     pub(super) fn client_answered(&mut self, id: u64, send: u64) {
--- a/crates/policy/examples/overload_model/model/table.rs
+++ b/crates/policy/examples/overload_model/model/table.rs
@@ -1,7 +1,7 @@
 //! Requests, sends, hops and attempts that are under way.
 
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
-use fulmartrestle_policy::{Reservation, RetryAllowance};
+use fulmartrestle_policy::{BasisPoints, Reservation, RetryAllowance};
 
 /// What a client wants answered, over all its sends.
 #[derive(Debug)]
@@ -29,6 +29,8 @@
 /// Work and retries of one send in its whole chain.
 #[derive(Debug, Default)]
 pub struct Send {
+    /// The share that the entry's door admitted.
+    pub door_share: BasisPoints,
     /// Work done for it, in microseconds.
     pub work_us: u64,
     /// Retries at all its hops.
--- a/crates/policy/examples/overload_model/model/targets.rs
+++ b/crates/policy/examples/overload_model/model/targets.rs
@@ -23,7 +23,7 @@
         attempt.offered = self.now;
         let (node, life, key) = (attempt.node, attempt.life, attempt.hop);
         let Some(hop) = self.hops.get(&key) else { return };
-        let (caller, request, deadline) = (hop.node, hop.request, hop.deadline);
+        let (caller, request, deadline, send) = (hop.node, hop.request, hop.deadline, hop.send);
         if self.silent.contains(&(caller, node)) {
             return;
         }
@@ -46,6 +46,7 @@
             weight: self.settings.deployment.tenant_weights[asked.tenant],
             class,
             deadline,
+            door_share: self.sends[send as usize].door_share,
         };
         let admission = self.nodes[node].gate.offer(offer, self.now);
         self.gate_events(node);
--- a/crates/policy/src/door.rs
+++ b/crates/policy/src/door.rs
@@ -61,16 +61,17 @@
         self.row(&report.service).observe_report(reporter, report.level, heard);
     }
 
-    /// Decides about a call; `draw` is a uniformly random number.
+    /// Decides about a call; `draw` is a uniformly random number. Returns the share of such calls that
+    /// is let in, which travels with the call to each gate of its chain.
     ///
     /// # Errors
     ///
     /// Returns the refusal when the service of the chain that admits least would refuse the call.
-    pub fn check(&mut self, check: DoorCheck<'_>, now: TimeUs, draw: u32) -> Result<(), Refusal> {
+    pub fn check(&mut self, check: DoorCheck<'_>, now: TimeUs, draw: u32) -> Result<BasisPoints, Refusal> {
         let share = self.share(&check, now);
         let drawn = (u64::from(draw) * u64::from(BasisPoints::FULL.0)) >> u32::BITS;
         if drawn < u64::from(share.0) {
-            return Ok(());
+            return Ok(share);
         }
         Err(Refusal::not_run(Reason::Shed, Some(self.settings.retry_after_ms(share))))
     }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -73,7 +73,7 @@
         self.limiter.in_use(now);
         let tenant = TenantHash::of(&offer.tenant);
         let queue_fill = self.queued() as f64 / self.queue_bound(Class::Lookup) as f64;
-        self.level.offered(offer.class, tenant, offer.weight, queue_fill, now);
+        self.level.offered(&offer, tenant, queue_fill, now);
         if self.calls.contains_key(&offer.call) {
             return Admission::Refused(Refusal::not_run(Reason::BadRequest, None));
         }
--- a/crates/policy/src/gate/level_control.rs
+++ b/crates/policy/src/gate/level_control.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_core::{Class, TimeUs};
 
+use super::Offer;
 use super::tenant_demand::TenantDemand;
 use crate::{AdmissionLevel, BasisPoints, MAX_TENANT_SHARES, SheddableShares, TenantHash, TenantShares};
 
@@ -23,6 +24,9 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Queue in use on average below which a window counts as one without queueing.
 const IDLE_QUEUE_FILL: f64 = 0.05;
+/// Lowest rate let through as a part of the served rate. The doors follow the mean of a service's
+/// targets, so that one target alone can't lower its own traffic much.
+const LEAST_SERVED_PART: f64 = 0.8;
 /// Lowest rate let through, in calls per second, from which it can grow again soon.
 const LEAST_RATE_PER_S: f64 = 5.0;
 /// How long no call of a lower class may have been offered before protected calls are cut.
@@ -79,16 +83,17 @@
     }
 
     /// Counts an offered call; `queue_fill` is the part of the queue that is in use.
-    pub fn offered(&mut self, class: Class, tenant: TenantHash, weight: u32, queue_fill: f64, now: TimeUs) {
+    pub fn offered(&mut self, offer: &Offer, tenant: TenantHash, queue_fill: f64, now: TimeUs) {
         self.adapt(now);
         self.window.offered += 1;
         self.window.queue_fill_sum += queue_fill;
-        if class == Class::Protected {
+        if offer.class == Class::Protected {
             self.window.offered_protected += 1;
             return;
         }
         self.last_sheddable = now;
-        self.tenants.entry(tenant).or_default().offered(class, weight);
+        let demand = self.tenants.entry(tenant).or_default();
+        demand.offered(offer.class, offer.weight, offer.door_share);
     }
 
     /// Counts a call that was handed to the target.
@@ -159,7 +164,8 @@
             self.idle_windows += windows;
             self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s * (1.0 + growth).powi(windows as i32));
         }
-        self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s.max(LEAST_RATE_PER_S));
+        let lowest = LEAST_RATE_PER_S.max(self.served_per_s * LEAST_SERVED_PART);
+        self.rate_per_s = self.rate_per_s.map(|rate_per_s| rate_per_s.max(lowest));
     }
 
     fn adapt_protected(&mut self, window: &Window, now: TimeUs) {
--- a/crates/policy/src/gate/limiter.rs
+++ b/crates/policy/src/gate/limiter.rs
@@ -15,8 +15,13 @@
 /// Latency above the baseline that counts as waiting inside the target. Tighter bounds take the
 /// normal spread of service times for overload.
 const QUEUEING_RATIO: f64 = 1.5;
+/// Latency above the baseline that counts as none.
+const CALM_RATIO: f64 = 1.2;
 /// Smallest factor of one lowering because of latency.
 const MIN_LATENCY_FACTOR: f64 = 0.7;
+/// Factor of one lowering when latency rose far more than the number of calls. Most likely the target
+/// is slow for another reason, and a small step is enough to find out.
+const TRIAL_FACTOR: f64 = 0.9;
 /// Factor of the limit after the target refused calls itself.
 const REFUSED_FACTOR: f64 = 0.9;
 /// Factor of the limit after a window with many timeouts.
@@ -62,6 +67,8 @@
     mean_us: f64,
     least_us: f64,
     window: Window,
+    /// Most calls that ran at once in the last window with the baseline's latency.
+    calm_in_flight: f64,
     lowering: Option<Lowering>,
     /// End of the pause after the last change of the limit.
     settled: TimeUs,
@@ -99,6 +106,7 @@
             mean_us: 0.0,
             least_us: 0.0,
             window: Window::default(),
+            calm_in_flight: 0.0,
             lowering: None,
             settled: TimeUs::default(),
         }
@@ -180,7 +188,7 @@
             return;
         }
         if window.calls > 0 && saturated {
-            self.follow_latency(now);
+            self.follow_latency(window.most_in_flight as f64, now);
         }
     }
 
@@ -198,10 +206,14 @@
         } else {
             (now.us_since(window.start) as f64 / BASELINE_RISE_US).min(1.0)
         };
-        self.baseline_us = Some(baseline_us + (self.mean_us - baseline_us) * weight);
+        let new_baseline_us = baseline_us + (self.mean_us - baseline_us) * weight;
+        self.baseline_us = Some(new_baseline_us);
+        if self.mean_us <= new_baseline_us * CALM_RATIO {
+            self.calm_in_flight = window.most_in_flight as f64;
+        }
     }
 
-    fn follow_latency(&mut self, now: TimeUs) {
+    fn follow_latency(&mut self, in_flight: f64, now: TimeUs) {
         self.judge_lowering(now);
         let Some(baseline_us) = self.baseline_us else { return };
         let ratio = self.mean_us / baseline_us.max(1.0);
@@ -209,7 +221,9 @@
             self.raise();
             return;
         }
-        let factor = ratio.sqrt().recip().max(MIN_LATENCY_FACTOR);
+        let explained = (in_flight / self.calm_in_flight.max(1.0)).max(1.0) * QUEUEING_RATIO;
+        let lowered = ratio.sqrt().recip().max(MIN_LATENCY_FACTOR);
+        let factor = if ratio > explained { TRIAL_FACTOR } else { lowered };
         self.lowering = Some(Lowering { limit: self.limit, mean_us: self.mean_us });
         self.set_limit(self.limit * factor, now);
     }
--- a/crates/policy/src/gate/tenant_demand.rs
+++ b/crates/policy/src/gate/tenant_demand.rs
@@ -20,27 +20,29 @@
     browse: ClassDemand,
 }
 
-/// The calls of one class that reach the gate, and the share that the doors let through meanwhile.
+/// The calls of one class that clients send, and the share that may come through.
 #[derive(Debug)]
 struct ClassDemand {
-    offered: u32,
-    rate_per_s: f64,
-    mean_share: f64,
+    sent: f64,
+    sent_per_s: f64,
     share: f64,
 }
 
 impl Default for ClassDemand {
     fn default() -> Self {
-        Self { offered: 0, rate_per_s: 0.0, mean_share: 1.0, share: 1.0 }
+        Self { sent: 0.0, sent_per_s: 0.0, share: 1.0 }
     }
 }
 
 impl TenantDemand {
-    pub fn offered(&mut self, class: Class, weight: u32) {
+    /// Counts a call that came through a door which admitted the given share. Such a call stands for
+    /// the ones that the door refused meanwhile.
+    pub fn offered(&mut self, class: Class, weight: u32, door_share: BasisPoints) {
         self.weight = weight.max(1);
+        let sent = door_share.fraction().max(LEAST_SHARE).recip();
         match class {
-            Class::Browse => self.browse.offered += 1,
-            Class::Lookup | Class::Protected => self.lookup.offered += 1,
+            Class::Browse => self.browse.sent += sent,
+            Class::Lookup | Class::Protected => self.lookup.sent += sent,
         }
     }
 
@@ -55,7 +57,7 @@
 
     /// Returns the calls per second that the tenant would send if none were refused at the doors.
     pub fn per_s(&self) -> f64 {
-        self.lookup.per_s() + self.browse.per_s()
+        self.lookup.sent_per_s + self.browse.sent_per_s
     }
 
     pub fn is_idle(&self) -> bool {
@@ -64,7 +66,7 @@
 
     /// Sets the shares so that `allowed_per_s` calls come through: lookups first, then browsing.
     pub fn allow(&mut self, allowed_per_s: f64) {
-        let lookups_per_s = self.lookup.per_s();
+        let lookups_per_s = self.lookup.sent_per_s;
         self.lookup.allow(allowed_per_s);
         self.browse.allow(allowed_per_s - lookups_per_s);
     }
@@ -81,19 +83,13 @@
     fn close_window(&mut self, window_us: u64) {
         let window_us = window_us.max(1) as f64;
         let weight = 1.0 - (-window_us / SMOOTHING_US).exp();
-        let rate_per_s = f64::from(self.offered) * 1e6 / window_us;
-        self.rate_per_s += (rate_per_s - self.rate_per_s) * weight;
-        self.mean_share += (self.share - self.mean_share) * weight;
-        self.offered = 0;
-    }
-
-    fn per_s(&self) -> f64 {
-        self.rate_per_s / self.mean_share.max(LEAST_SHARE)
+        let sent_per_s = self.sent * 1e6 / window_us;
+        self.sent_per_s += (sent_per_s - self.sent_per_s) * weight;
+        self.sent = 0.0;
     }
 
     fn allow(&mut self, allowed_per_s: f64) {
-        let demand_per_s = self.per_s();
-        let share = if demand_per_s > 0.0 { allowed_per_s / demand_per_s } else { 1.0 };
+        let share = if self.sent_per_s > 0.0 { allowed_per_s / self.sent_per_s } else { 1.0 };
         self.share = share.clamp(LEAST_SHARE, 1.0);
     }
 }
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -1,7 +1,7 @@
 //! Admission at the gate of one target.
 
 use fulmartrestle_core::{CallId, Class, Outcome, Reason, TimeUs};
-use fulmartrestle_policy::{Admission, Completion, Gate, GateEvent, GateSettings, Offer, TargetHints};
+use fulmartrestle_policy::{Admission, BasisPoints, Completion, Gate, GateEvent, GateSettings, Offer, TargetHints};
 use googletest::prelude::*;
 
 fn offer(call: u64, tenant: &str, class: Class) -> Offer {
@@ -11,6 +11,7 @@
         weight: 1,
         class,
         deadline: TimeUs::from_s(10),
+        door_share: BasisPoints::FULL,
     }
 }
 
