--- a/crates/policy/src/gate/messages.rs
+++ b/crates/policy/src/gate/messages.rs
@@ -3,7 +3,7 @@
 use fulmartrestle_core::{CallId, Class, Refusal, Tenant, TimeUs};
 use fulmartrestle_derive::{local, record, value};
 
-use crate::Permille;
+use crate::BasisPoints;
 
 /// A call that asks to be run.
 #[local]
@@ -18,6 +18,10 @@
     pub class: Class,
     /// When the caller stops waiting.
     pub deadline: TimeUs,
+    /// The share that the entry's door admitted when it let the call in, as returned by
+    /// [`crate::Door::check`]. It must travel with the call: from it the gate knows how many calls
+    /// were refused for each one that it sees.
+    pub door_share: BasisPoints,
 }
 
 /// What a gate decides about an offered call.
@@ -68,5 +72,5 @@
     /// Time in milliseconds that a cold target takes to reach its full speed.
     pub warm_up_ms: Option<u64>,
     /// Load as the target reports it, where the whole means that it is full.
-    pub reported_load: Option<Permille>,
+    pub reported_load: Option<BasisPoints>,
 }
