Claims: a second refusal no longer hides a record of the first

Cause: a batcher that refused a claim as possibly written forgot it; when that reply was lost and the entry asked again, the second refusal said 'not written', so the entry sent no release and the key stayed claimed without a runner (FULMARTRESTLE_SEED=1500, 120 s: 1 of 9 open calls stuck until the next re-send). The batcher now remembers such claims for twice the claim timeout, and an entry that wakes after its timeout ignores late refusals. Also a reader with a hole starts over from the first kept record in place of refusing young keys, unless the log trimmed sooner than it promises.

--- a/crates/claims/src/batcher.rs
+++ b/crates/claims/src/batcher.rs
@@ -79,6 +79,9 @@
     reader: StreamReader,
     claims: BTreeMap<ClaimId, PendingClaim>,
     releases: BTreeMap<ClaimId, PendingRelease>,
+    /// Claims that were refused although a record of them may stand. Their entries may not have
+    /// heard that and ask again; a second refusal must not say that nothing was written.
+    doubtful: BTreeMap<ClaimId, TimeUs>,
     append: Option<InFlightAppend>,
     next_append_at: TimeUs,
     read: Option<InFlightRead>,
@@ -99,6 +102,7 @@
             reader: StreamReader::new(),
             claims: BTreeMap::new(),
             releases: BTreeMap::new(),
+            doubtful: BTreeMap::new(),
             append: None,
             next_append_at: TimeUs(0),
             read: None,
@@ -115,7 +119,7 @@
     }
 
     pub(crate) fn is_idle(&self) -> bool {
-        self.claims.is_empty() && self.releases.is_empty()
+        self.claims.is_empty() && self.releases.is_empty() && self.doubtful.is_empty()
     }
 
     pub(crate) fn key_count(&self) -> usize {
@@ -131,9 +135,10 @@
             pending.from = from;
             return;
         }
+        let lost_before = self.doubtful.contains_key(&new.claim);
         if self.log_down {
             let reason = NotRunReason::LogUnavailable;
-            self.reply(from, new.claim, BatcherReply::Refused { reason, may_be_written: false });
+            self.reply(from, new.claim, BatcherReply::Refused { reason, may_be_written: lost_before });
             return;
         }
         let pending = PendingClaim {
@@ -142,7 +147,7 @@
             key_age_ms: new.key_age_ms,
             received_at: now,
             phase: RecordPhase::Queued,
-            lost_before: false,
+            lost_before,
         };
         self.read_wanted |= self.reader.holder(&new.key).is_some();
         self.claims.insert(new.claim, pending);
@@ -153,11 +158,11 @@
         self.releases.insert(claim, PendingRelease { key, from });
     }
 
-    pub(crate) fn on_append_result(&mut self, token: LogToken, result: AppendResult) {
+    pub(crate) fn on_append_result(&mut self, token: LogToken, result: AppendResult, now: TimeUs) {
         let Some(append) = self.append.take_if(|append| append.token == token) else { return };
         match result {
             AppendResult::Written(_) => self.on_written(append),
-            AppendResult::Unavailable => self.on_not_written(),
+            AppendResult::Unavailable => self.on_not_written(now),
             AppendResult::AnswerLost => self.on_answer_lost(),
         }
     }
@@ -172,7 +177,7 @@
         let Some(read) = self.read.take_if(|read| read.token == token) else { return };
         match result {
             ReadResult::Page(page) => self.on_page(page, read.sent_at, settings, now),
-            ReadResult::Unavailable => self.on_log_down(),
+            ReadResult::Unavailable => self.on_log_down(now),
         }
     }
 
@@ -198,12 +203,12 @@
     }
 
     /// Refuses the claims of a batch that was certainly not written, and those that would come next.
-    fn on_not_written(&mut self) {
+    fn on_not_written(&mut self, now: TimeUs) {
         for pending in self.claims.values_mut().filter(|pending| pending.phase == RecordPhase::InAppend) {
             pending.phase = RecordPhase::Queued;
         }
         self.log_down = true;
-        self.refuse_where(NotRunReason::LogUnavailable, |pending| pending.phase == RecordPhase::Queued);
+        self.refuse_where(NotRunReason::LogUnavailable, now, |pending| pending.phase == RecordPhase::Queued);
     }
 
     /// The records are written again: a repeated record changes nothing, while waiting for the lost
@@ -218,19 +223,26 @@
 
     /// Refuses all claims at once, so that callers needn't wait for a log that is out of reach.
     /// Releases stay until they are written.
-    fn on_log_down(&mut self) {
+    fn on_log_down(&mut self, now: TimeUs) {
         self.log_down = true;
-        self.refuse_where(NotRunReason::LogUnavailable, |_| true);
+        self.refuse_where(NotRunReason::LogUnavailable, now, |_| true);
     }
 
-    fn refuse_where(&mut self, reason: NotRunReason, matches: impl Fn(&PendingClaim) -> bool) {
+    fn refuse_where(&mut self, reason: NotRunReason, now: TimeUs, matches: impl Fn(&PendingClaim) -> bool) {
         let refused: Vec<(ClaimId, PendingClaim)> = self.claims.extract_if(.., |_, pending| matches(pending)).collect();
         for (claim, pending) in refused {
-            let reply = BatcherReply::Refused { reason, may_be_written: pending.may_be_written() };
-            self.reply(pending.from, claim, reply);
+            self.refuse(claim, &pending, reason, now);
         }
     }
 
+    fn refuse(&mut self, claim: ClaimId, pending: &PendingClaim, reason: NotRunReason, now: TimeUs) {
+        let may_be_written = pending.may_be_written();
+        if may_be_written {
+            self.doubtful.insert(claim, now);
+        }
+        self.reply(pending.from, claim, BatcherReply::Refused { reason, may_be_written });
+    }
+
     fn on_page(&mut self, page: &ReadPage, read_at: TimeUs, settings: &ClaimSettings, now: TimeUs) {
         self.log_down = false;
         self.reader.apply(page, read_at, settings, now);
@@ -275,9 +287,7 @@
             self.claims.iter().filter(|(_, pending)| !covered(pending)).map(|(claim, _)| *claim).collect();
         for claim in uncovered {
             if let Some(pending) = self.claims.remove(&claim) {
-                let reason = NotRunReason::OutsideWindow;
-                let may_be_written = pending.may_be_written();
-                self.reply(pending.from, claim, BatcherReply::Refused { reason, may_be_written });
+                self.refuse(claim, &pending, NotRunReason::OutsideWindow, now);
             }
         }
     }
@@ -286,16 +296,18 @@
         let silent = |sent_at: TimeUs| now.ms_since(sent_at) >= settings.log_timeout_ms;
         if self.append.take_if(|append| silent(append.sent_at)).is_some() {
             self.on_answer_lost();
-            self.on_log_down();
+            self.on_log_down(now);
         }
         if self.read.take_if(|read| silent(read.sent_at)).is_some() {
-            self.on_log_down();
+            self.on_log_down(now);
         }
     }
 
     /// Entries have given up on claims of this age; writing them would only cost releases.
     fn drop_stale(&mut self, settings: &ClaimSettings, now: TimeUs) {
-        self.claims.retain(|_, pending| now.ms_since(pending.received_at) < 2 * settings.claim_timeout_ms);
+        let kept_ms = 2 * settings.claim_timeout_ms;
+        self.claims.retain(|_, pending| now.ms_since(pending.received_at) < kept_ms);
+        self.doubtful.retain(|_, refused_at| now.ms_since(*refused_at) < kept_ms);
     }
 
     /// Appends what is queued. While the log is down only reads are tried, since a read that fails
--- a/crates/claims/src/node.rs
+++ b/crates/claims/src/node.rs
@@ -86,7 +86,7 @@
     /// Takes in the result of an append.
     pub fn on_append_result(&mut self, token: LogToken, result: AppendResult, now: TimeUs) {
         for batcher in self.batchers.values_mut() {
-            batcher.on_append_result(token, result);
+            batcher.on_append_result(token, result, now);
         }
         self.advance_batchers(now);
     }
@@ -162,9 +162,14 @@
         })
     }
 
-    /// Takes in a batcher's reply. Any claim but an asking one has had its verdict, which stands.
+    /// Takes in a batcher's reply. Any claim but an asking one has had its verdict, which stands. A
+    /// reply that waited while this node was paused comes too late: batchers forget, after twice the
+    /// claim timeout, what they may have written.
     fn on_reply(&mut self, from: VmId, claim: ClaimId, reply: BatcherReply, now: TimeUs) {
         let batchers = self.directory.zone_count();
+        if self.entries.get(&claim).is_some_and(|entry| entry.is_timed_out(&self.settings, now)) {
+            self.give_up(claim, NotRunReason::Timeout, now);
+        }
         let Some(entry) = self.entries.get_mut(&claim) else { return };
         if entry.phase != EntryPhase::Asking {
             if reply == BatcherReply::Won {
--- a/crates/claims/src/stream_reader.rs
+++ b/crates/claims/src/stream_reader.rs
@@ -12,6 +12,7 @@
 pub(crate) struct StreamReader {
     pub(crate) next: LogOffset,
     caught_up: bool,
+    caught_up_at: TimeUs,
     coverage: Coverage,
     keys: HashMap<ClaimKey, KeyState>,
     seen: VecDeque<(TimeUs, ClaimKey)>,
@@ -22,6 +23,7 @@
         Self {
             next: LogOffset(0),
             caught_up: false,
+            caught_up_at: TimeUs(0),
             coverage: Coverage::Unknown,
             keys: HashMap::new(),
             seen: VecDeque::new(),
@@ -32,8 +34,9 @@
         self.caught_up
     }
 
-    /// Applies a page that was asked for at `read_at`. Records trimmed before they were read leave a hole, and what lies before it
-    /// is no longer covered.
+    /// Applies a page that was asked for at `read_at`. When records were trimmed before they were
+    /// read, it starts over from the first that is kept. Records trimmed sooner than the log promises
+    /// may concern any key that exists by now, so that only later ones are covered.
     pub(crate) fn apply(&mut self, page: &ReadPage, read_at: TimeUs, settings: &ClaimSettings, now: TimeUs) {
         self.note_trimmed(page.trimmed_before, read_at, settings, now);
         for batch in page.batches.iter().filter(|batch| batch.offset >= page.trimmed_before) {
@@ -46,6 +49,9 @@
             self.next = LogOffset(batch.offset.0 + 1);
         }
         self.caught_up = self.next >= page.end;
+        if self.caught_up {
+            self.caught_up_at = read_at;
+        }
     }
 
     /// Returns what the records read so far say about a claim, or `None` when they say nothing.
@@ -90,19 +96,21 @@
     }
 
     fn note_trimmed(&mut self, trimmed_before: LogOffset, read_at: TimeUs, settings: &ClaimSettings, now: TimeUs) {
-        let first_page = self.coverage == Coverage::Unknown;
-        let hole = self.next < trimmed_before;
-        self.coverage = match (first_page, hole) {
-            (true, false) => Coverage::Whole,
-            (true, true) => Coverage::Since { since: read_at, known_ms: settings.retention_ms },
-            (false, true) => Coverage::Since { since: now, known_ms: 0 },
-            (false, false) => self.coverage,
-        };
-        if hole {
-            self.keys.clear();
-            self.seen.clear();
-            self.next = trimmed_before;
+        if self.next >= trimmed_before {
+            if self.coverage == Coverage::Unknown {
+                self.coverage = Coverage::Whole;
+            }
+            return;
         }
+        let trimmed_early = self.caught_up && now.ms_since(self.caught_up_at) < settings.retention_ms;
+        self.coverage = if trimmed_early {
+            Coverage::Since { since: now, known_ms: 0 }
+        } else {
+            Coverage::Since { since: read_at, known_ms: settings.retention_ms }
+        };
+        self.keys.clear();
+        self.seen.clear();
+        self.next = trimmed_before;
     }
 
     fn apply_record(&mut self, record: ClaimRecord, now: TimeUs) {
