Quota: a node that was paused counts as just started

Cause: a node paused 0.1 s after its start woke 9 s later with a member view of itself alone. Freshness now restarts after a second without any call. Ruled out: dropping the join grace before lending; 50 nodes with 3 restarts a second then admitted nothing in 30 s.

--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -113,7 +113,10 @@
     /// Moves on through the phases. Returns whether lending starts now.
     pub(crate) fn advance(&mut self, loans_gone_us: u64, now: TimeUs) -> bool {
         if !self.is_valid(now) {
-            self.phase = LeasePhase::Candidate;
+            if self.phase != LeasePhase::Candidate {
+                self.phase = LeasePhase::Candidate;
+                self.next_request_at = now;
+            }
             return false;
         }
         match self.phase {
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -13,6 +13,10 @@
 /// Hint for tenants without a rate and for nodes without configuration, in milliseconds.
 const UNKNOWN_TENANT_RETRY_MS: u64 = 1_000;
 
+/// Time without any call after which a node takes itself to have been paused, in microseconds. Ticks
+/// come every 10 ms.
+const PAUSE_US: u64 = 1_000_000;
+
 /// The rate limiter of one node: holder of loans, member that acknowledges owners, and owner of the
 /// shards for which its zone's members acknowledge it. It does no I/O; the caller delivers
 /// [`QuotaNode::take_outgoing`] and passes the present time.
@@ -26,7 +30,8 @@
     owner: Owner,
     promises: BTreeMap<QuotaShard, Promise>,
     wallets: BTreeMap<Tenant, Wallet>,
-    started_at: Option<TimeUs>,
+    running_since: Option<TimeUs>,
+    seen_at: TimeUs,
     next_seq: u64,
     outgoing: Vec<QuotaSend>,
     ready: Vec<Tenant>,
@@ -44,7 +49,8 @@
             config: None,
             promises: BTreeMap::new(),
             wallets: BTreeMap::new(),
-            started_at: None,
+            running_since: None,
+            seen_at: TimeUs(0),
             next_seq: own.0,
             outgoing: Vec::new(),
             ready: Vec::new(),
@@ -332,15 +338,19 @@
     }
 
     /// Returns whether an owner may hold a lease that this node knows nothing of: one that an
-    /// earlier process at this place acknowledged, or one from before this node was seen to join.
+    /// earlier process at this place acknowledged, or one from before this node was seen to join. A
+    /// node that was paused counts as just started, since its member view is as old as the pause.
     fn is_fresh(&self, now: TimeUs) -> bool {
         let members = self.directory.member_count(&self.zone);
-        let started_at = self.started_at.unwrap_or(now);
-        now.us_since(started_at) < self.settings.fresh_us(members)
+        let running_since = self.running_since.unwrap_or(now);
+        now.us_since(running_since) < self.settings.fresh_us(members)
     }
 
     fn note_time(&mut self, now: TimeUs) {
-        self.started_at.get_or_insert(now);
+        if self.running_since.is_none() || now.us_since(self.seen_at) > PAUSE_US {
+            self.running_since = Some(now);
+        }
+        self.seen_at = self.seen_at.max(now);
     }
 
     fn take_seq(&mut self) -> u64 {
