--- a/crates/claims/tests/support/log.rs
+++ b/crates/claims/tests/support/log.rs
@@ -32,6 +32,7 @@
     pub down_until: TimeUs,
     pub appends: u64,
     pub records: u64,
+    pub bytes: u64,
     streams: BTreeMap<ClaimStream, SimStream>,
     late: Vec<(TimeUs, ClaimStream, Vec<ClaimRecord>)>,
 }
@@ -44,6 +45,7 @@
             down_until: TimeUs(0),
             appends: 0,
             records: 0,
+            bytes: 0,
             streams: BTreeMap::new(),
             late: Vec::new(),
         }
@@ -105,6 +107,8 @@
         let offset = LogOffset(found.next);
         found.next += 1;
         self.records += records.len() as u64;
+        let encoded = bincode::serde::encode_to_vec(&records, bincode::config::standard());
+        self.bytes += encoded.expect("records encode").len() as u64;
         found.batches.push_back((now, ClaimBatch { offset, records }));
         offset
     }
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -47,6 +47,8 @@
     requests: VecDeque<LeaseRound>,
     acks: BTreeMap<VmId, Ack>,
     valid_until: TimeUs,
+    /// Whether acknowledgements came in since the last review.
+    acked: bool,
     next_request_at: TimeUs,
 }
 
@@ -57,6 +59,7 @@
             requests: VecDeque::new(),
             acks: BTreeMap::new(),
             valid_until: TimeUs(0),
+            acked: false,
             next_request_at: TimeUs(0),
         }
     }
@@ -69,6 +72,12 @@
         self.phase == LeasePhase::Lending && self.is_valid(now)
     }
 
+    /// Returns whether a review may prolong the lease. Without new acknowledgements it can't, and
+    /// in a large zone each review costs a walk over all members.
+    pub(crate) fn needs_review(&self) -> bool {
+        self.acked
+    }
+
     pub(crate) fn request_due(&self, now: TimeUs) -> bool {
         now >= self.next_request_at
     }
@@ -87,6 +96,7 @@
         let Some(round) = self.requests.iter().find(|round| round.seq == seq) else { return };
         let ack = Ack { until: round.lease_ends_at, fresh };
         let known = self.acks.entry(from).or_insert(ack);
+        self.acked = true;
         if known.until <= ack.until {
             *known = ack;
         }
@@ -95,6 +105,7 @@
     /// Recomputes until when all members of the present view have acknowledged.
     pub(crate) fn review(&mut self, members: impl Iterator<Item = VmId>, now: TimeUs) {
         let established = self.phase != LeasePhase::Candidate && self.is_valid(now);
+        self.acked = false;
         let mut valid_until = None;
         for member in members {
             let missing = if established { now.plus_us(JOIN_GRACE_US) } else { TimeUs(0) };
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -87,7 +87,9 @@
             self.leases.entry(shard).or_insert_with(Lease::candidate);
         }
         let Some(lease) = self.leases.get_mut(&shard) else { return };
-        lease.review(directory.members(zone), now);
+        if lease.needs_review() {
+            lease.review(directory.members(zone), now);
+        }
         let starts = lease.advance(settings.outlasting_us(settings.loan_us()), now);
         if starts {
             self.open_buckets(shard, now);
