Directed tests of single faults; a starting node takes records from the first one on

Cause: a started node that got the log's first records from a peer, while the log was down, could not apply them and never became ready. A plan confirmed twice at one node could be reported as not written although the first append was.

Change: records from offset zero give a node its state, wherever they come from. A plan that waits already is not appended again.

--- a/crates/config/src/spread/append_result.rs
+++ b/crates/config/src/spread/append_result.rs
@@ -52,7 +52,8 @@
 pub enum ConfirmOutcome {
     /// The plan was decided on, the same on every node.
     Decided(CertificationResult),
-    /// The log is out of reach and holds nothing of the plan; nothing will change.
+    /// The log is out of reach and this confirm wrote nothing; nothing changes unless the plan is
+    /// confirmed elsewhere.
     NotAppended,
     /// The log did not answer in time; the plan may commit later. Confirming it again is harmless.
     Unknown,
--- a/crates/config/src/spread/confirmations.rs
+++ b/crates/config/src/spread/confirmations.rs
@@ -36,13 +36,18 @@
 }
 
 impl Confirmations {
-    pub(super) fn start(&mut self, now: TimeUs, plan: &Plan, ticket: LogTicket) -> ConfigEffect {
+    /// Starts a confirm and returns its append. A plan that waits already is not appended again: its
+    /// one outcome answers both, where a refused second append would deny a first that was written.
+    pub(super) fn start(&mut self, now: TimeUs, plan: &Plan, ticket: LogTicket) -> Option<ConfigEffect> {
+        if self.pending.iter().any(|pending| pending.plan == plan.id) {
+            return None;
+        }
         let record = LogRecord::Confirm(plan.clone()).encode();
         let stage = Stage::Appending { ticket, since: now };
         let pending =
             Pending { plan: plan.id, record: record.clone(), stage, attempts: 1, since: now, may_be_written: false };
         self.pending.push(pending);
-        ConfigEffect::Append { ticket, record }
+        Some(ConfigEffect::Append { ticket, record })
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/config/src/spread/node.rs
+++ b/crates/config/src/spread/node.rs
@@ -127,9 +127,6 @@
         let asked_at = self.reader.finish(ticket);
         match result {
             ReadResult::Records { from, records, end } => {
-                if from.0 == 0 {
-                    self.replica.on_first_retained(from);
-                }
                 self.take_records(now, from, &records);
                 self.after_read(now, asked_at, end);
             }
@@ -154,7 +151,7 @@
     pub fn confirm(&mut self, now: TimeUs, plan: &Plan) -> Vec<ConfigEffect> {
         let ticket = self.next_ticket();
         let effect = self.confirmations.start(now, plan, ticket);
-        self.effects.push(effect);
+        self.effects.extend(effect);
         self.after_change(now);
         std::mem::take(&mut self.effects)
     }
@@ -237,8 +234,12 @@
         self.effects.push(ConfigEffect::Send { to, message });
     }
 
-    /// Applies records in a row and keeps them for peers.
+    /// Applies records in a row and keeps them for peers. Records from the log's very first on give
+    /// a starting node its state.
     pub(super) fn take_records(&mut self, now: TimeUs, from: LogOffset, records: &[Vec<u8>]) {
+        if from == LogOffset(0) {
+            self.replica.on_first_retained(from);
+        }
         for (offset, bytes) in (from.0..).map(LogOffset).zip(records) {
             let record = LogRecord::decode(bytes);
             match self.replica.apply_record(offset, &record) {
--- /dev/null
+++ b/crates/config/tests/spread.rs
@@ -0,0 +1,249 @@
+//! Single faults of the spread of configuration, one by one.
+
+mod support;
+
+use fulmartrestle_config::fleet::RouteRow;
+use fulmartrestle_config::plan::IntentChange;
+use fulmartrestle_config::replica::{LogRecord, Replica};
+use fulmartrestle_config::settings::IsolationSettings;
+use fulmartrestle_config::spread::{
+    ConfigDigest, ConfigEffect, ConfigMember, ConfigMessage, ConfigNode, ConfigNodeSettings, ConfirmOutcome, Isolation,
+    PullId, ReadResult,
+};
+use fulmartrestle_core::{LogOffset, TimeUs, VmId};
+use googletest::prelude::*;
+use support::sim::Sim;
+use support::{first_plan, id, key_id, plan_of, route_row, tenant_row};
+
+fn withdraw(sim: &mut Sim, node: usize, secret: &str) {
+    let config = sim.slots[node].node.replica().config().unwrap().clone();
+    let plan = plan_of(&config, vec![IntentChange::WithdrawKey(key_id(secret))], 1);
+    sim.confirm(node, &plan);
+}
+
+fn started(seed: u64, node_count: usize) -> Sim {
+    let mut sim = Sim::new(seed, node_count, &first_plan());
+    sim.run_ms(6_000).unwrap();
+    sim.check_converged().unwrap();
+    sim
+}
+
+#[gtest]
+fn withdrawn_key_stops_within_two_seconds() {
+    struct Case {
+        name: &'static str,
+        node_count: usize,
+        lossy: bool,
+        log_cut: [bool; 3],
+    }
+    let cases = [
+        Case { name: "all well", node_count: 12, lossy: false, log_cut: [false; 3] },
+        Case { name: "lossy", node_count: 12, lossy: true, log_cut: [false; 3] },
+        Case { name: "zone cut from the log", node_count: 12, lossy: false, log_cut: [false, true, false] },
+        Case {
+            name: "lossy and two zones cut from the log",
+            node_count: 50,
+            lossy: true,
+            log_cut: [false, true, true],
+        },
+    ];
+    for case in cases {
+        for seed in 1..=5 {
+            let mut sim = started(seed, case.node_count);
+            (sim.lossy, sim.log_cut) = (case.lossy, case.log_cut);
+            sim.run_ms(7_000).unwrap();
+            withdraw(&mut sim, 0, "lago-1");
+            let time = sim.run_until(2_000, |sim| sim.nodes_accepting("lago-1") == 0);
+            expect_that!(time, ok(anything()), "case: {}, seed {seed}", case.name);
+        }
+    }
+}
+
+#[gtest]
+fn isolated_zone_is_reported_and_goes_on_as_set() {
+    let mut sim = started(1, 9);
+    sim.log_cut[1] = true;
+    sim.run_ms(10_000).unwrap();
+    let isolation = sim.slots[1].node.isolation(sim.now);
+    assert_that!(isolation, eq(Isolation::Connected), "the log is heard through other zones");
+    sim.zone_cut[1] = true;
+    withdraw(&mut sim, 0, "lago-1");
+    sim.run_ms(15_000).unwrap();
+    let isolated = sim.slots[1].node.isolation(sim.now);
+    assert_that!(isolated, pat!(Isolation::Isolated { .. }));
+    assert_that!(sim.slots[0].node.isolation(sim.now), eq(Isolation::Connected));
+    assert_that!(sim.nodes_accepting("lago-1"), eq(3));
+
+    sim.slots.iter_mut().for_each(|slot| drop(slot.node.request_status()));
+    let version = sim.reference().version();
+    let now = sim.now;
+    let tailer = (0..9).find(|index| index % 3 == 0 && sim.slots[*index].node.status(now).zones.len() > 1).unwrap();
+    let status = sim.slots[tailer].node.status(now);
+    assert_that!(status.unconfirmed_zones(version), elements_are![eq(&id("milano"))]);
+    assert_that!(status.divergences, eq(0));
+
+    let settings = IsolationSettings { keyed_calls_for_ms: 60_000, open_calls_for_ms: None };
+    let keyed = route_row("a", "/a", "a");
+    let once = RouteRow { at_most_once: true, retryable: false, ..keyed.clone() };
+    let open = RouteRow { open_to_all: true, ..keyed.clone() };
+    let later = now.plus_ms(60_000);
+    let permits = |route, at| isolated.permits(route, &settings, at);
+    assert_that!([permits(&keyed, now), permits(&once, now), permits(&open, now)], eq([true, false, true]));
+    assert_that!([permits(&keyed, later), permits(&once, later), permits(&open, later)], eq([false, false, true]));
+
+    sim.heal();
+    let time = sim.run_until(2_000, |sim| sim.nodes_accepting("lago-1") == 0);
+    assert_that!(time, ok(anything()));
+}
+
+#[gtest]
+fn log_down_everywhere_is_told_apart_from_isolation() {
+    let mut sim = started(1, 6);
+    sim.log_is_down = true;
+    sim.run_ms(15_000).unwrap();
+    let isolation = sim.slots[0].node.isolation(sim.now);
+    assert_that!(isolation, pat!(Isolation::LogOnlyLost { .. }));
+}
+
+#[gtest]
+fn restarted_node_takes_the_configuration_of_peers_while_the_log_is_down() {
+    let mut sim = started(1, 9);
+    sim.log_is_down = true;
+    sim.run_ms(1_000).unwrap();
+    sim.restart(4);
+    let time = sim.run_until(8_000, |sim| sim.slots[4].node.is_ready());
+    assert_that!(time, ok(anything()));
+    assert_that!(sim.slots[4].node.replica().version(), eq(sim.reference().version()));
+    (0..9).for_each(|index| sim.restart(index));
+    sim.run_ms(10_000).unwrap();
+    let ready = sim.slots.iter().filter(|slot| slot.node.is_ready()).count();
+    assert_that!(ready, eq(0), "nobody knows the configuration any more");
+    sim.heal();
+    sim.run_ms(6_000).unwrap();
+    sim.check_converged().unwrap();
+}
+
+#[gtest]
+fn configuration_outlives_the_retention_of_its_records() {
+    let mut sim = started(1, 6);
+    sim.run_ms(400_000).unwrap();
+    let version = sim.reference().version();
+    (0..6).for_each(|index| sim.restart(index));
+    sim.run_ms(6_000).unwrap();
+    sim.check_converged().unwrap();
+    assert_that!(sim.slots[0].node.config().unwrap().version(), eq(version));
+}
+
+#[gtest]
+fn node_far_behind_takes_a_snapshot_from_a_peer() {
+    let mut sim = started(1, 6);
+    sim.pause(3, 200_000);
+    for round in 0..300 {
+        let config = sim.slots[0].node.replica().config().unwrap().clone();
+        sim.confirm(0, &plan_of(&config, vec![IntentChange::SetTenant(tenant_row("alpi", round))], 1));
+        sim.run_ms(100).unwrap();
+    }
+    sim.log_cut[0] = true;
+    sim.pause(3, 0);
+    let time = sim.run_until(2_000, |sim| sim.check_converged().is_ok());
+    assert_that!(time, ok(anything()));
+}
+
+#[gtest]
+fn confirms_are_settled_whatever_the_log_answers() {
+    let mut sim = started(1, 6);
+    for (round, lost_appends) in [0, 1, 2, 3, 4].into_iter().enumerate() {
+        let config = sim.slots[5].node.replica().config().unwrap().clone();
+        let plan = plan_of(&config, vec![IntentChange::SetTenant(tenant_row("alpi", round as u64))], round as u8);
+        sim.lost_appends = lost_appends;
+        sim.confirm(5, &plan);
+        sim.run_ms(31_000).unwrap();
+        expect_that!(sim.settled.get(&plan.id), some(pat!(ConfirmOutcome::Decided(anything()))), "{lost_appends} lost");
+    }
+    sim.log_is_down = true;
+    let config = sim.slots[5].node.replica().config().unwrap().clone();
+    let plan = plan_of(&config, vec![IntentChange::SetTenant(tenant_row("alpi", 99))], 9);
+    sim.confirm(5, &plan);
+    sim.run_ms(1_000).unwrap();
+    assert_that!(sim.settled.get(&plan.id), some(eq(&ConfirmOutcome::NotAppended)));
+}
+
+/// A node that has just started and knows one peer.
+struct Starting {
+    node: ConfigNode,
+    pull: PullId,
+}
+
+const PEER: VmId = VmId(2);
+const START: TimeUs = TimeUs::from_s(100);
+
+impl Starting {
+    fn new() -> Self {
+        let member = |vm| ConfigMember { vm, zone: id("milano") };
+        let settings = ConfigNodeSettings { own: member(VmId(1)), log_retention_ms: 3_600_000, seed: 1 };
+        let mut node = ConfigNode::new(settings, START);
+        node.set_members(&[member(VmId(1)), member(PEER)]);
+        let effects = node.tick(START, 0);
+        let pull = effects.iter().find_map(|effect| match effect {
+            ConfigEffect::Send { message: ConfigMessage::PullSince { pull, .. }, .. } => Some(*pull),
+            _ => None,
+        });
+        Self { node, pull: pull.unwrap() }
+    }
+
+    /// The peer's digest after the first record.
+    fn digest(log_age_ms: Option<u64>) -> ConfigDigest {
+        let mut replica = Replica::default();
+        replica.on_first_retained(LogOffset(0));
+        replica.apply_record(LogOffset(0), &LogRecord::Confirm(first_plan()));
+        ConfigDigest {
+            version: replica.version(),
+            next_offset: replica.applied_offset(),
+            hash: replica.hash(),
+            ready: true,
+            log_age_ms,
+            outside_age_ms: None,
+        }
+    }
+
+    /// Gives the node the state without a word on the log's end.
+    fn with_state() -> Self {
+        let mut starting = Self::new();
+        let records = vec![LogRecord::Confirm(first_plan()).encode()];
+        let result = ReadResult::Records { from: LogOffset(0), records, end: LogOffset(2) };
+        starting.node.on_read_result(START.plus_ms(1), fulmartrestle_config::spread::LogTicket(1_000), result);
+        starting
+    }
+
+    fn on_reply(&mut self, at: TimeUs, pull: PullId, log_age_ms: u64) {
+        let (records, digest) = (Vec::new(), Self::digest(Some(log_age_ms)));
+        let message = ConfigMessage::Records { pull, from: LogOffset(1), records, digest };
+        self.node.on_message(at, PEER, message);
+    }
+}
+
+#[gtest]
+fn started_node_serves_only_a_view_that_was_current_after_its_start() {
+    let mut unasked = Starting::with_state();
+    let message = ConfigMessage::Digest { digest: Starting::digest(Some(0)), urgent: Vec::new() };
+    unasked.node.on_message(START.plus_ms(50), PEER, message);
+    assert_that!(unasked.node.is_ready(), is_false(), "a digest may be late");
+
+    let mut other_pull = Starting::with_state();
+    other_pull.on_reply(START.plus_ms(50), PullId(77), 1);
+    assert_that!(other_pull.node.is_ready(), is_false(), "the answer to a pull that was given up");
+
+    let mut before_start = Starting::with_state();
+    let pull = before_start.pull;
+    before_start.on_reply(START.plus_ms(50), pull, 20);
+    assert_that!(before_start.node.is_ready(), is_false(), "the peer may have been current only before the start");
+
+    let mut later = Starting::with_state();
+    let effects = (1..9).flat_map(|tick| later.node.tick(START.plus_ms(100 * tick), 0)).collect::<Vec<_>>();
+    let pull = effects.iter().rev().find_map(|effect| match effect {
+        ConfigEffect::Send { message: ConfigMessage::PullSince { pull, .. }, .. } => Some(*pull),
+        _ => None,
+    });
+    later.on_reply(START.plus_ms(850), pull.unwrap(), 20);
+    assert_that!(later.node.is_ready(), is_true(), "the peer was current after the start");
+}
--- a/crates/config/tests/spread_random.rs
+++ b/crates/config/tests/spread_random.rs
@@ -62,6 +62,13 @@
     Lossy {
         lossy: bool,
     },
+    /// All messages between nodes are lost, or no longer.
+    Mute {
+        mute: bool,
+    },
+    SlowLog {
+        delay_ms: u64,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -77,6 +84,8 @@
         1 => any::<bool>().prop_map(|down| Step::LogDown { down }),
         1 => (1..4_u32).prop_map(|count| Step::LoseAppends { count }),
         1 => any::<bool>().prop_map(|lossy| Step::Lossy { lossy }),
+        2 => any::<bool>().prop_map(|mute| Step::Mute { mute }),
+        1 => (3..1_200_u64).prop_map(|delay_ms| Step::SlowLog { delay_ms }),
     ]
 }
 
@@ -137,6 +146,8 @@
         Step::LogDown { down } => sim.log_is_down = *down,
         Step::LoseAppends { count } => sim.lost_appends += count,
         Step::Lossy { lossy } => sim.lossy = *lossy,
+        Step::Mute { mute } => sim.mute = *mute,
+        Step::SlowLog { delay_ms } => sim.log_delay_ms = *delay_ms,
     }
     Ok(())
 }
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim.rs
@@ -18,6 +18,7 @@
 pub const ZONES: [&str; 3] = ["brescia", "milano", "verona"];
 const STEP_MS: u64 = 10;
 const TICK_MS: u64 = 100;
+const LOG_DELAY_MS: u64 = 3;
 const RETENTION_MS: u64 = 300_000;
 const MAX_READ_RECORDS: usize = 50;
 
@@ -67,6 +68,10 @@
     pub log_cut: [bool; 3],
     pub zone_cut: [bool; 3],
     pub lossy: bool,
+    /// Whether all messages between nodes are lost.
+    pub mute: bool,
+    /// Time of each way to the log, in milliseconds.
+    pub log_delay_ms: u64,
     pub lost_appends: u32,
     pub broken: Option<Broken>,
     pub settled: BTreeMap<fulmartrestle_config::plan::PlanId, ConfirmOutcome>,
@@ -97,6 +102,8 @@
             log_cut: [false; 3],
             zone_cut: [false; 3],
             lossy: false,
+            mute: false,
+            log_delay_ms: LOG_DELAY_MS,
             lost_appends: 0,
             broken: None,
             settled: BTreeMap::new(),
@@ -173,6 +180,8 @@
         self.zone_cut = [false; 3];
         self.lost_appends = 0;
         self.lossy = false;
+        self.mute = false;
+        self.log_delay_ms = LOG_DELAY_MS;
         let now = self.now;
         self.slots.iter_mut().for_each(|slot| slot.paused_until = now);
     }
@@ -246,8 +255,12 @@
         let vm = self.slots[index].member.vm;
         for effect in effects {
             match effect {
-                ConfigEffect::ReadLog { ticket, from } => self.schedule(3, Event::Read { vm, ticket, from }),
-                ConfigEffect::Append { ticket, record } => self.schedule(3, Event::Append { vm, ticket, record }),
+                ConfigEffect::ReadLog { ticket, from } => {
+                    self.schedule(self.log_delay_ms, Event::Read { vm, ticket, from });
+                }
+                ConfigEffect::Append { ticket, record } => {
+                    self.schedule(self.log_delay_ms, Event::Append { vm, ticket, record });
+                }
                 ConfigEffect::Send { to, message } => self.send(vm, to, message),
                 ConfigEffect::NewConfig(_) => {}
                 ConfigEffect::Settled { plan, outcome } => self.note_settled(plan, outcome),
@@ -269,6 +282,7 @@
         self.sent_messages += 1;
         let draw: u32 = self.rng.random_range(0..100);
         let copies = match draw {
+            _ if self.mute => 0,
             0..5 if self.lossy => 0,
             5..8 if self.lossy => 2,
             _ => 1,
@@ -332,11 +346,11 @@
         match event {
             Event::Read { ticket, from, .. } => {
                 let result = if is_reachable { self.read(vm, from) } else { ReadResult::Unavailable };
-                self.schedule(3, Event::ReadAnswer { vm, ticket, result });
+                self.schedule(self.log_delay_ms, Event::ReadAnswer { vm, ticket, result });
             }
             Event::Append { ticket, record, .. } => {
                 let result = self.append(is_reachable, record);
-                self.schedule(3, Event::AppendAnswer { vm, ticket, result });
+                self.schedule(self.log_delay_ms, Event::AppendAnswer { vm, ticket, result });
             }
             _ => {}
         }
@@ -442,6 +456,18 @@
         Ok(())
     }
 
+    /// Runs until `is_done`, at most `max_ms`, and returns the time it took.
+    pub fn run_until(&mut self, max_ms: u64, is_done: impl Fn(&Self) -> bool) -> Result<u64, String> {
+        let start = self.now;
+        while !is_done(self) {
+            if self.now.ms_since(start) >= max_ms {
+                return Err(format!("not done after {max_ms} ms"));
+            }
+            self.step()?;
+        }
+        Ok(self.now.ms_since(start))
+    }
+
     /// Checks that all nodes serve the log's end.
     pub fn check_converged(&self) -> Result<(), String> {
         let end = self.log_end();
