--- a/crates/config/tests/spread.rs
+++ b/crates/config/tests/spread.rs
@@ -3,14 +3,14 @@
 mod support;
 
 use fulmartrestle_config::fleet::RouteRow;
-use fulmartrestle_config::plan::IntentChange;
+use fulmartrestle_config::plan::{Change, IntentChange};
 use fulmartrestle_config::replica::{LogRecord, Replica};
 use fulmartrestle_config::settings::IsolationSettings;
 use fulmartrestle_config::spread::{
     ConfigDigest, ConfigEffect, ConfigMember, ConfigMessage, ConfigNode, ConfigNodeSettings, ConfirmOutcome, Isolation,
-    PullId, ReadResult,
+    PullId, ReadResult, UrgentChange,
 };
-use fulmartrestle_core::{LogOffset, TimeUs, VmId};
+use fulmartrestle_core::{LogOffset, TimeUs, Version, VmId};
 use googletest::prelude::*;
 use support::sim::Sim;
 use support::{first_plan, id, key_id, plan_of, route_row, tenant_row};
@@ -74,7 +74,6 @@
     assert_that!(sim.slots[0].node.isolation(sim.now), eq(Isolation::Connected));
     assert_that!(sim.nodes_accepting("lago-1"), eq(3));
 
-    sim.slots.iter_mut().for_each(|slot| drop(slot.node.request_status()));
     let version = sim.reference().version();
     let now = sim.now;
     let tailer = (0..9).find(|index| index % 3 == 0 && sim.slots[*index].node.status(now).zones.len() > 1).unwrap();
@@ -215,6 +214,16 @@
         starting
     }
 
+    /// Lets the node pull for a while and returns its last pull.
+    fn last_pull(&mut self) -> PullId {
+        let effects: Vec<_> = (1..9).flat_map(|tick| self.node.tick(START.plus_ms(100 * tick), 0)).collect();
+        let mut pulls = effects.iter().filter_map(|effect| match effect {
+            ConfigEffect::Send { message: ConfigMessage::PullSince { pull, .. }, .. } => Some(*pull),
+            _ => None,
+        });
+        pulls.next_back().unwrap()
+    }
+
     fn on_reply(&mut self, at: TimeUs, pull: PullId, log_age_ms: u64) {
         let (records, digest) = (Vec::new(), Self::digest(Some(log_age_ms)));
         let message = ConfigMessage::Records { pull, from: LogOffset(1), records, digest };
@@ -229,9 +238,11 @@
     unasked.node.on_message(START.plus_ms(50), PEER, message);
     assert_that!(unasked.node.is_ready(), is_false(), "a digest may be late");
 
-    let mut other_pull = Starting::with_state();
-    other_pull.on_reply(START.plus_ms(50), PullId(77), 1);
-    assert_that!(other_pull.node.is_ready(), is_false(), "the answer to a pull that was given up");
+    let mut given_up = Starting::with_state();
+    let first_pull = given_up.pull;
+    given_up.last_pull();
+    given_up.on_reply(START.plus_ms(850), first_pull, 20);
+    assert_that!(given_up.node.is_ready(), is_false(), "the answer to a pull that was given up");
 
     let mut before_start = Starting::with_state();
     let pull = before_start.pull;
@@ -239,11 +250,42 @@
     assert_that!(before_start.node.is_ready(), is_false(), "the peer may have been current only before the start");
 
     let mut later = Starting::with_state();
-    let effects = (1..9).flat_map(|tick| later.node.tick(START.plus_ms(100 * tick), 0)).collect::<Vec<_>>();
-    let pull = effects.iter().rev().find_map(|effect| match effect {
-        ConfigEffect::Send { message: ConfigMessage::PullSince { pull, .. }, .. } => Some(*pull),
-        _ => None,
-    });
-    later.on_reply(START.plus_ms(850), pull.unwrap(), 20);
+    let pull = later.last_pull();
+    later.on_reply(START.plus_ms(850), pull, 20);
     assert_that!(later.node.is_ready(), is_true(), "the peer was current after the start");
 }
+
+#[gtest]
+fn withdrawal_is_in_force_before_its_records_are_read() {
+    let mut starting = Starting::with_state();
+    let pull = starting.last_pull();
+    starting.on_reply(START.plus_ms(850), pull, 20);
+    let works = |node: &ConfigNode| node.config().unwrap().tenant_for_key("lago-1").is_some();
+    assert_that!(works(&starting.node), is_true());
+    let urgent = UrgentChange { version: Version(7), change: Change::WithdrawKey(key_id("lago-1")) };
+    let message = ConfigMessage::Digest { digest: Starting::digest(None), urgent: vec![urgent] };
+    starting.node.on_message(START.plus_ms(900), PEER, message);
+    assert_that!(works(&starting.node), is_false());
+    assert_that!(starting.node.config().unwrap().version(), eq(Version(1)));
+    let lower = UrgentChange { version: Version(8), change: Change::PutTenant(tenant_row("alpi", 1)) };
+    let message = ConfigMessage::Digest { digest: Starting::digest(None), urgent: vec![lower] };
+    starting.node.on_message(START.plus_ms(950), PEER, message);
+    let alpi = starting.node.config().unwrap().tenants().get(&id("alpi")).unwrap().rate_per_s;
+    assert_that!(alpi.0, eq(100), "only withdrawals may travel ahead");
+}
+
+#[gtest]
+fn any_node_can_ask_for_the_status_of_all_zones() {
+    let mut sim = started(1, 15);
+    for index in 0..sim.slots.len() {
+        sim.ask_status(index);
+    }
+    sim.run_ms(100).unwrap();
+    let now = sim.now;
+    for slot in &mut sim.slots {
+        let status = slot.node.status(now);
+        expect_that!(status.missing_zones, is_empty(), "{}", slot.member.vm);
+        expect_that!(status.unconfirmed_zones(status.version), is_empty(), "{}", slot.member.vm);
+        expect_that!(status.unconfirmed_zones(Version(1_000)), len(eq(3)));
+    }
+}
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim.rs
@@ -191,6 +191,11 @@
         self.perform(index, effects);
     }
 
+    pub fn ask_status(&mut self, index: usize) {
+        let effects = self.slots[index].node.request_status();
+        self.perform(index, effects);
+    }
+
     pub fn log_end(&self) -> LogOffset {
         LogOffset(self.records.len() as u64)
     }
