Measure what the fleet adds to a call without other load

Pairs of one direct call and one call through two nodes, before the load, show the overhead alone; the time under load stays in the report under its own name.

--- a/crates/demo/examples/demo.rs
+++ b/crates/demo/examples/demo.rs
@@ -21,6 +21,6 @@
 async fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
     let args: Vec<_> = std::env::args().skip(1).collect();
     let report = run_demo(parse(&args)?).await?;
-    println!("{report}");
+    println!("{report}\n{}", report.to_json_line());
     Ok(ExitCode::from(report.exit_code()))
 }
--- a/crates/demo/src/fleet/baseline_fleet.rs
+++ b/crates/demo/src/fleet/baseline_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fulmartrestle_core::Service;
 use fulmartrestle_platform_log::async_trait;
 use fulmartrestle_standin::{ChildCaller, StandinTarget};
 use tokio::net::TcpListener;
@@ -53,6 +54,10 @@
         Arc::clone(&self.callers[zone]) as Arc<dyn ClientCaller>
     }
 
+    fn remote_caller(&self, _service: &Service) -> Arc<dyn ClientCaller> {
+        self.caller(0)
+    }
+
     fn targets(&self) -> &[StandinTarget] {
         &self.targets
     }
--- a/crates/demo/src/fleet/mod.rs
+++ b/crates/demo/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 use std::sync::Arc;
 
+use fulmartrestle_core::Service;
 use fulmartrestle_platform_log::{MemoryLog, async_trait};
 use fulmartrestle_standin::StandinTarget;
 
@@ -22,6 +23,7 @@
 
 pub(crate) use baseline_fleet::BaselineFleet;
 pub(crate) use client_request::ClientRequest;
+pub(crate) use http_sender::HttpSender;
 pub(crate) use link_cuts::LinkCuts;
 pub(crate) use node_fleet::NodeFleet;
 pub use send_outcome::SendOutcome;
@@ -48,6 +50,9 @@
     /// Returns the caller of the clients in this zone, by its place in the deployment.
     fn caller(&self, zone: usize) -> Arc<dyn ClientCaller>;
 
+    /// Returns a caller whose calls to `service` pass all parts of the fleet that a call can pass.
+    fn remote_caller(&self, service: &Service) -> Arc<dyn ClientCaller>;
+
     /// Returns the targets in the order of the deployment's placements.
     fn targets(&self) -> &[StandinTarget];
 
--- a/crates/demo/src/fleet/node_fleet.rs
+++ b/crates/demo/src/fleet/node_fleet.rs
@@ -6,7 +6,7 @@
 
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::settings::SettingsBuilder;
-use fulmartrestle_core::Region;
+use fulmartrestle_core::{Region, Service};
 use fulmartrestle_node::{Node, NodeHandle, NodeOptions};
 use fulmartrestle_platform_log::async_trait;
 use fulmartrestle_standin::{StandinSettings, StandinTarget};
@@ -162,6 +162,13 @@
         Arc::clone(&self.callers[zone]) as Arc<dyn ClientCaller>
     }
 
+    /// Sends to nodes whose own target is of another service, so that each call passes two nodes.
+    fn remote_caller(&self, service: &Service) -> Arc<dyn ClientCaller> {
+        let nodes = self.nodes.iter().zip(&self.targets);
+        let remote = nodes.filter(|(_, target)| target.settings().service != *service);
+        Arc::new(NodeCaller::new(remote.map(|(node, _)| node.caller_address).collect()))
+    }
+
     fn targets(&self) -> &[StandinTarget] {
         &self.targets
     }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -15,6 +15,7 @@
 mod report;
 mod run;
 mod scenario;
+mod speed;
 mod stage;
 
 pub use args::{DemoArgs, DeploymentName, PolicyName};
@@ -35,4 +36,5 @@
         summarize, worst_share,
     };
     pub use crate::phase::{Phase, Trigger};
+    pub use crate::speed::Speed;
 }
--- a/crates/demo/src/measure/summary.rs
+++ b/crates/demo/src/measure/summary.rs
@@ -16,14 +16,11 @@
 use crate::fleet::SendOutcome;
 use crate::phase::Phase;
 use crate::report::{ClassShare, DemoReport, OutcomeCount, PhaseGoodput};
+use crate::speed::{Speed, time_histogram};
 
 /// The first tenth of a run is left out of the level before: connections are made in it.
 const WARM_UP_SHARE: u64 = 10;
 
-/// Added times are kept up to one minute with three digits.
-const MAX_ADDED_US: u64 = 60_000_000;
-const ADDED_DIGITS: u8 = 3;
-
 const US_PER_S: u64 = 1_000_000;
 
 /// Everything that was recorded in one run. The sends are in the order of request and send number.
@@ -42,6 +39,8 @@
     pub events: &'a Events,
     /// Time until the first configuration was in force.
     pub config_in_force_ms: u64,
+    /// What the fleet adds to a call.
+    pub speed: &'a Speed,
 }
 
 /// Measures a run.
@@ -49,7 +48,7 @@
     let requests = requests(run.sends);
     let whole_us = whole_us(run, &requests);
     let goodput = phase_goodput(run, &whole_us);
-    let added = added_us(run);
+    let loaded = loaded_us(run);
     let violations = violations(run);
     DemoReport {
         deployment: run.args.deployment,
@@ -72,8 +71,12 @@
         keys_seen_by_targets: run.targets.keys_seen,
         withdrawn_key_ms: withdrawn_key_ms(run),
         config_in_force_ms: run.config_in_force_ms,
-        added_p50_us: added.value_at_quantile(0.5),
-        added_p99_us: added.value_at_quantile(0.99),
+        added_p50_us: run.speed.added_us(0.5),
+        added_p99_us: run.speed.added_us(0.99),
+        direct_p50_us: run.speed.direct_us.value_at_quantile(0.5),
+        direct_p99_us: run.speed.direct_us.value_at_quantile(0.99),
+        loaded_p50_us: loaded.value_at_quantile(0.5),
+        loaded_p99_us: loaded.value_at_quantile(0.99),
         invariant_violations: violations.len() as u64,
         violations,
         goodput,
@@ -173,19 +176,17 @@
     result
 }
 
-/// Collects the times that were added to those in the target, before the first trigger.
-fn added_us(run: &RunRecord<'_>) -> Histogram<u64> {
-    let mut added = match Histogram::new_with_bounds(1, MAX_ADDED_US, ADDED_DIGITS) {
-        Ok(histogram) => histogram,
-        Err(error) => unreachable!("constant bounds are valid: {error}"),
-    };
+/// Collects the times outside the target under load, before the first trigger. They hold all waiting
+/// that doesn't happen in the target.
+fn loaded_us(run: &RunRecord<'_>) -> Histogram<u64> {
+    let mut loaded = time_histogram();
     let undisturbed = run.warm_up_us()..run.first_trigger_us();
     for send in run.sends.iter().filter(|send| undisturbed.contains(&send.sent_us)) {
         if let SendOutcome::Whole { in_target_us } = send.outcome {
-            added.saturating_record((send.ended_us - send.sent_us).saturating_sub(in_target_us));
+            loaded.saturating_record((send.ended_us - send.sent_us).saturating_sub(in_target_us));
         }
     }
-    added
+    loaded
 }
 
 fn class_shares(run: &RunRecord<'_>, requests: &[RequestRow]) -> Vec<ClassShare> {
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -84,10 +84,19 @@
     pub withdrawn_key_ms: Option<u64>,
     /// Time from the confirmation of the first configuration until every node acted on it.
     pub config_in_force_ms: u64,
-    /// Median of the time added to that in the target, before the first trigger.
+    /// What the fleet adds to a direct call at the median, without other load.
     pub added_p50_us: u64,
-    /// 99th percentile of the same.
+    /// What it adds at the 99th percentile.
     pub added_p99_us: u64,
+    /// Median time of direct calls outside the target, without other load.
+    pub direct_p50_us: u64,
+    /// 99th percentile of the same.
+    pub direct_p99_us: u64,
+    /// Median time outside the target under the load before the first trigger, with all waiting that
+    /// doesn't happen in the target.
+    pub loaded_p50_us: u64,
+    /// 99th percentile of the same.
+    pub loaded_p99_us: u64,
     /// Number of invariants that did not hold.
     pub invariant_violations: u64,
     /// Which ones.
@@ -140,7 +149,16 @@
         writeln!(formatter, "  ran twice {}, keys seen {}", self.ran_twice, self.keys_seen_by_targets)?;
         writeln!(formatter, "  withdrawn key stopped after {}", optional_ms(self.withdrawn_key_ms, "-"))?;
         writeln!(formatter, "  configuration in force after {} ms", self.config_in_force_ms)?;
-        writeln!(formatter, "  added time: median {} us, p99 {} us", self.added_p50_us, self.added_p99_us)?;
+        writeln!(
+            formatter,
+            "  added to a direct call: median {} us, p99 {} us (direct {} us, {} us)",
+            self.added_p50_us, self.added_p99_us, self.direct_p50_us, self.direct_p99_us
+        )?;
+        writeln!(
+            formatter,
+            "  outside the target under load: median {} us, p99 {} us",
+            self.loaded_p50_us, self.loaded_p99_us
+        )?;
         writeln!(formatter, "  sends by outcome:")?;
         for outcome in &self.outcomes {
             writeln!(formatter, "    {:>7}  {}", outcome.sends, outcome.outcome)?;
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{BaselineFleet, Fleet, NodeFleet, Surroundings};
 use crate::load::{Client, LoadProfile, arrivals, drive};
 use crate::measure::{RunRecord, SendRow, TargetView, summarize};
+use crate::speed::measure_speed;
 use crate::stage::Stage;
 use crate::{DemoArgs, DemoError, DemoReport, PolicyName};
 
@@ -26,6 +27,7 @@
     let surroundings = Surroundings::default();
     let fleet = start_fleet(&args, &deployment, &surroundings).await?;
     let config_in_force_ms = fleet.publish().await?;
+    let speed = measure_speed(&*fleet, &deployment.deepest).await;
     let run_us = args.seconds * US_PER_S;
     let phases = args.scenario.phases();
     let profile = LoadProfile { deployment: &deployment, phases: &phases, run_us };
@@ -54,6 +56,7 @@
         targets: &targets,
         events: &events?,
         config_in_force_ms,
+        speed: &speed,
     }))
 }
 
--- a/crates/demo/tests/invariants.rs
+++ b/crates/demo/tests/invariants.rs
@@ -1,6 +1,8 @@
 //! Each invariant's check catches a record in which it is broken.
 
-use fulmartrestle_demo::tables::{Arrival, Events, RunRecord, SendOutcome, SendRow, TargetView, request_id, summarize};
+use fulmartrestle_demo::tables::{
+    Arrival, Events, RunRecord, SendOutcome, SendRow, Speed, TargetView, request_id, summarize,
+};
 use fulmartrestle_demo::{DemoArgs, Deployment, Invariant};
 use googletest::prelude::*;
 
@@ -54,6 +56,7 @@
         targets: &tables.targets,
         events: &tables.events,
         config_in_force_ms: tables.config_in_force_ms,
+        speed: &Speed::default(),
     };
     let report = summarize(&run);
     assert_that!(report.exit_code(), eq(u8::from(!report.violations.is_empty())));
