--- a/crates/demo/src/measure/summary.rs
+++ b/crates/demo/src/measure/summary.rs
@@ -80,6 +80,7 @@
         invariant_violations: violations.len() as u64,
         violations,
         goodput,
+        goodput_by_s: goodput_by_s(run, &whole_us),
         classes: class_shares(run, &requests),
         outcomes: outcome_counts(run.sends),
     }
@@ -132,6 +133,11 @@
     }
 }
 
+fn goodput_by_s(run: &RunRecord<'_>, whole_us: &[u64]) -> Vec<u64> {
+    let second = |second: u64| rate_per_s(whole_us, second * US_PER_S, (second + 1) * US_PER_S) as u64;
+    (0..run.args.seconds).map(second).collect()
+}
+
 /// Without a trigger there is nothing to recover from.
 fn recovery(run: &RunRecord<'_>, whole_us: &[u64], before_per_s: f64) -> Option<u64> {
     match run.last_trigger_end_us() {
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -103,6 +103,8 @@
     pub violations: Vec<Violation>,
     /// Goodput before, during and after the triggers.
     pub goodput: PhaseGoodput,
+    /// Requests answered whole in each second of the load.
+    pub goodput_by_s: Vec<u64>,
     /// Requests by class.
     pub classes: Vec<ClassShare>,
     /// Sends by how they ended.
@@ -139,6 +141,7 @@
             "  goodput {:.0}/s: before {:.0}, during {:.0}, after {:.0}",
             self.goodput_per_s, self.goodput.before_per_s, self.goodput.during_per_s, self.goodput.after_per_s
         )?;
+        writeln!(formatter, "  goodput by second {:?}", self.goodput_by_s)?;
         for class in &self.classes {
             writeln!(formatter, "  {:<9} {:>6} of {:>6} whole", class.class.as_str(), class.whole, class.requests)?;
         }
