--- a/crates/policy/examples/overload_model/model/deployment.rs
+++ b/crates/policy/examples/overload_model/model/deployment.rs
@@ -101,6 +101,29 @@
         }
     }
 
+    /// A small fleet for randomised runs with faults.
+    pub fn small() -> Self {
+        let service = |name, slots, work_us| ServiceSpec { name, targets: 3, slots, connections: 60, work_us };
+        Self {
+            name: "small",
+            network_us: 500,
+            client_timeout_us: 500_000,
+            services: vec![service("front", 8, 5_000), service("middle", 8, 5_000), service("deep", 4, 20_000)],
+            routes: vec![
+                RouteSpec { chain: vec![0, 2], class: Class::Browse, share: 0.4 },
+                RouteSpec { chain: vec![1, 2], class: Class::Lookup, share: 0.4 },
+                RouteSpec { chain: vec![0, 1, 2], class: Class::Protected, share: 0.2 },
+            ],
+            tenant_weights: vec![3, 2, 1],
+            deepest: 2,
+        }
+    }
+
+    /// Returns the number of targets of all services.
+    pub fn targets(&self) -> usize {
+        self.services.iter().map(|service| service.targets).sum()
+    }
+
     /// Returns the calls per second that the deepest service can work on.
     pub fn capacity_per_s(&self) -> f64 {
         let service = &self.services[self.deepest];
--- a/crates/policy/examples/overload_model/model/event.rs
+++ b/crates/policy/examples/overload_model/model/event.rs
@@ -10,6 +10,8 @@
 pub struct Answer {
     /// The attempt that it answers.
     pub call: CallId,
+    /// Key of the attempt's hop.
+    pub hop: u64,
     /// What became of the attempt.
     pub result: AnswerResult,
     /// The gate's level.
--- a/crates/policy/examples/overload_model/model/fleet.rs
+++ b/crates/policy/examples/overload_model/model/fleet.rs
@@ -84,10 +84,19 @@
         }
         let wasted = self.sends.iter().filter(|send| !send.answered).map(|send| send.work_us).sum();
         self.stats.wasted_us = wasted;
+        self.stats.left_over = self.left_over();
         self.stats.work_us = self.sends.iter().map(|send| send.work_us).sum();
         self.stats
     }
 
+    /// Returns how many calls are still counted anywhere.
+    fn left_over(&self) -> usize {
+        let at_gates: usize = self.nodes.iter().map(|node| node.gate.in_flight() + node.gate.queued()).sum();
+        let targets = || self.nodes.iter().map(|node| node.vm);
+        let in_table = |node: &Node| targets().map(|vm| node.table.in_flight(vm) as usize).sum::<usize>();
+        at_gates + self.nodes.iter().map(in_table).sum::<usize>() + self.hops.len()
+    }
+
     pub(super) fn is_full(&self) -> bool {
         self.settings.mode == Mode::Full
     }
@@ -155,6 +164,11 @@
         for row in known {
             self.nodes[node].table.upsert(row, self.now);
         }
+        let peer = (0..self.nodes.len()).find(|other| *other != node && self.nodes[*other].vm_up);
+        let marks = peer.map(|peer| self.nodes[peer].crashes.all_marks(self.now)).unwrap_or_default();
+        for mark in marks {
+            self.nodes[node].crashes.merge(mark, self.now);
+        }
     }
 
     fn add_nodes(&mut self) {
--- a/crates/policy/examples/overload_model/model/stats.rs
+++ b/crates/policy/examples/overload_model/model/stats.rs
@@ -39,6 +39,8 @@
     /// Targets crashed by the requests sent as [`super::settings::Fault::CrashRequest`], the most
     /// for one request.
     pub most_crashes: u32,
+    /// Calls that gates and tables still count at the end, though their clients are gone.
+    pub left_over: usize,
     /// Violations of what must always hold.
     pub violations: InvariantCounters,
 }
--- a/crates/policy/examples/overload_model/model/targets.rs
+++ b/crates/policy/examples/overload_model/model/targets.rs
@@ -250,12 +250,12 @@
 
     pub(super) fn answer(&mut self, call: CallId, result: AnswerResult) {
         let Some(attempt) = self.attempts.get(&call) else { return };
-        let (node, unspent) = (attempt.node, attempt.unspent);
-        let Some(hop) = self.hops.get(&attempt.hop) else { return };
+        let (node, unspent, key) = (attempt.node, attempt.unspent, attempt.hop);
+        let Some(hop) = self.hops.get(&key) else { return };
         let further = &self.chains[self.requests[&hop.request].route][hop.depth + 1..];
         let reports = self.nodes[node].door.reports(further, self.now);
         let level = self.nodes[node].gate.level(self.now);
-        let answer = Answer { call, result, level, reports, unspent };
+        let answer = Answer { call, hop: key, result, level, reports, unspent };
         let way_us = self.settings.deployment.network_us + self.late_by_us();
         self.after_us(way_us, Event::Answered(answer));
     }
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -5,15 +5,11 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use fulmartrestle_core::{Fingerprint, TimeUs, VmId};
+use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 
 pub use messages::{CrashMark, CrashVerdict};
 pub use settings::CrashSettings;
 
-/// Reports about the same request and target within this time are about one crash: both the
-/// target's node and the caller's notice it.
-const SAME_CRASH_MS: u64 = 2_000;
-
 /// Remembers which requests were running when a target's connection was lost, and blocks a request
 /// after the second crash. Memory is bounded: the oldest rows go first.
 #[derive(Debug, Default)]
@@ -21,21 +17,26 @@
     settings: CrashSettings,
     rows: HashMap<Fingerprint, CrashRow>,
     by_age: VecDeque<Fingerprint>,
-    unsent: VecDeque<UnsentMark>,
+    unsent: VecDeque<(Fingerprint, Crash)>,
 }
 
 #[derive(Debug)]
 struct CrashRow {
-    target: VmId,
-    crashed: TimeUs,
-    blocked: Option<TimeUs>,
+    first: Crash,
+    second: Option<Crash>,
 }
 
-#[derive(Debug)]
-struct UnsentMark {
-    fingerprint: Fingerprint,
+#[derive(Clone, Copy, Debug)]
+struct Crash {
     target: VmId,
-    crashed: TimeUs,
+    attempt: CallId,
+    at: TimeUs,
+}
+
+impl Crash {
+    fn mark(self, fingerprint: Fingerprint, now: TimeUs) -> CrashMark {
+        CrashMark { fingerprint, target: self.target, attempt: self.attempt, age_ms: now.ms_since(self.at) }
+    }
 }
 
 impl CrashTable {
@@ -44,17 +45,16 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Notes that a target's connection was lost while it ran a request.
-    pub fn connection_lost(&mut self, fingerprint: Fingerprint, target: VmId, now: TimeUs) {
-        if self.mark(fingerprint, target, now, now) {
-            self.queue(fingerprint, target, now);
-        }
+    /// Notes that a target's connection was lost while it ran an attempt of a request. Both the
+    /// target's node and the caller's may report it; with the same attempt it counts once.
+    pub fn connection_lost(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
+        self.mark(fingerprint, Crash { target, attempt, at: now }, now);
     }
 
     /// Notes that a target answered the request, which clears it of a first crash: it only happened
     /// to run when something else crashed the target.
     pub fn answered(&mut self, fingerprint: Fingerprint) {
-        if self.rows.get(&fingerprint).is_some_and(|row| row.blocked.is_none()) {
+        if self.rows.get(&fingerprint).is_some_and(|row| row.second.is_none()) {
             self.rows.remove(&fingerprint);
         }
     }
@@ -62,32 +62,33 @@
     /// Returns what is known of a request.
     pub fn check(&self, fingerprint: Fingerprint, now: TimeUs) -> CrashVerdict {
         let Some(row) = self.rows.get(&fingerprint) else { return CrashVerdict::Clear };
-        if let Some(blocked) = row.blocked {
-            let until = blocked.plus_ms(self.settings.block_ms);
+        if let Some(second) = row.second {
+            let until = second.at.max(row.first.at).plus_ms(self.settings.block_ms);
             return if now < until { CrashVerdict::Blocked { until } } else { CrashVerdict::Clear };
         }
-        let expires = row.crashed.plus_ms(self.settings.mark_ms);
+        let expires = row.first.at.plus_ms(self.settings.mark_ms);
         if now < expires { CrashVerdict::Marked } else { CrashVerdict::Clear }
     }
 
     /// Takes a mark from another node and returns whether it was news, which is then passed on.
     pub fn merge(&mut self, mark: CrashMark, now: TimeUs) -> bool {
-        let crashed = TimeUs(now.0.saturating_sub(mark.age_ms.saturating_mul(1_000)));
-        let news = self.mark(mark.fingerprint, mark.target, crashed, now);
-        if news {
-            self.queue(mark.fingerprint, mark.target, crashed);
-        }
-        news
+        let at = TimeUs(now.0.saturating_sub(mark.age_ms.saturating_mul(1_000)));
+        self.mark(mark.fingerprint, Crash { target: mark.target, attempt: mark.attempt, at }, now)
     }
 
     /// Takes the marks that other nodes should hear of.
     pub fn take_marks(&mut self, now: TimeUs) -> Vec<CrashMark> {
-        let message = |unsent: UnsentMark| CrashMark {
-            fingerprint: unsent.fingerprint,
-            target: unsent.target,
-            age_ms: now.ms_since(unsent.crashed),
+        self.unsent.drain(..).map(|(fingerprint, crash)| crash.mark(fingerprint, now)).collect()
+    }
+
+    /// Returns all marks, for a node that joins: it would run blocked requests without them.
+    pub fn all_marks(&self, now: TimeUs) -> Vec<CrashMark> {
+        let crashes = |row: &CrashRow| std::iter::once(row.first).chain(row.second);
+        let marks = |fingerprint: &Fingerprint| {
+            let row = self.rows.get(fingerprint)?;
+            Some(crashes(row).map(|crash| crash.mark(*fingerprint, now)).collect::<Vec<_>>())
         };
-        self.unsent.drain(..).map(message).collect()
+        self.by_age.iter().filter_map(marks).flatten().collect()
     }
 
     /// Returns the number of remembered requests.
@@ -101,18 +102,19 @@
     }
 
     /// Enters a crash and returns whether it was not known yet.
-    fn mark(&mut self, fingerprint: Fingerprint, target: VmId, crashed: TimeUs, now: TimeUs) -> bool {
+    fn mark(&mut self, fingerprint: Fingerprint, crash: Crash, now: TimeUs) -> bool {
         if self.check(fingerprint, now) == CrashVerdict::Clear {
-            self.insert(fingerprint, CrashRow { target, crashed, blocked: None });
+            self.insert(fingerprint, CrashRow { first: crash, second: None });
+            self.queue(fingerprint, crash);
             return true;
         }
         let Some(row) = self.rows.get_mut(&fingerprint) else { return false };
-        let apart_us = crashed.0.abs_diff(row.crashed.0);
-        let same_crash = row.target == target && apart_us < SAME_CRASH_MS * 1_000;
-        if same_crash || row.blocked.is_some() {
+        let same_crash = row.first.target == crash.target && row.first.attempt == crash.attempt;
+        if same_crash || row.second.is_some() {
             return false;
         }
-        row.blocked = Some(crashed.max(row.crashed));
+        row.second = Some(crash);
+        self.queue(fingerprint, crash);
         true
     }
 
@@ -126,10 +128,10 @@
         }
     }
 
-    fn queue(&mut self, fingerprint: Fingerprint, target: VmId, crashed: TimeUs) {
+    fn queue(&mut self, fingerprint: Fingerprint, crash: Crash) {
         if self.unsent.len() >= self.settings.max_rows {
             self.unsent.pop_front();
         }
-        self.unsent.push_back(UnsentMark { fingerprint, target, crashed });
+        self.unsent.push_back((fingerprint, crash));
     }
 }
--- a/crates/policy/src/crash/messages.rs
+++ b/crates/policy/src/crash/messages.rs
@@ -1,6 +1,6 @@
 //! What crash tables tell each other and their users.
 
-use fulmartrestle_core::{Fingerprint, TimeUs, VmId};
+use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 use fulmartrestle_derive::value;
 
 /// One crash, as nodes tell each other. It carries an age in place of a time, because the clocks of
@@ -11,6 +11,8 @@
     pub fingerprint: Fingerprint,
     /// The target whose connection was lost.
     pub target: VmId,
+    /// The attempt that ran there, as numbered by the caller's node.
+    pub attempt: CallId,
     /// How long ago, in milliseconds.
     pub age_ms: u64,
 }
