--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -14,6 +14,9 @@
 /// Calls that run while a node stops; two targets have eight slots.
 const CALLS_DURING_STOP: usize = 8;
 
+/// Sends of one request that is refused for the rate, before a test gives up.
+const MAX_SENDS: usize = 200;
+
 /// One service with a target in each of three zones.
 fn three_targets() -> FleetPlan {
     let target = |zone| TargetPlan { service: "search", zone, child: None };
@@ -139,12 +142,15 @@
 /// Sends a request again while it is refused as not run for the rate: owners of tokens that were held
 /// up for a while lend none, which is no fault of the stop. Any other answer is final.
 async fn send_until_let_in(client: &Client, request: &Request) -> u16 {
-    wait_until("the request is let in", async || {
+    for _ in 0..MAX_SENDS {
         let answer = client.send(request).await;
         let is_over_rate = answer.status == 429 && answer.json()["outcome"] == "not_run";
-        (!is_over_rate).then_some(answer.status)
-    })
-    .await
+        if !is_over_rate {
+            return answer.status;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("refused for the rate {MAX_SENDS} times")
 }
 
 #[tokio::test(flavor = "multi_thread")]
