--- /dev/null
+++ b/crates/policy/benches/decision.rs
@@ -0,0 +1,99 @@
+//! Cost of one whole decision: door, choice of target, admission, completion and the answer's level.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fulmartrestle_core::{AvailabilityZone, CallId, Class, Service, Tenant, TimeUs, VmId};
+use fulmartrestle_policy::{
+    CallEnd, ChooseRequest, Completion, Door, DoorCheck, DoorSettings, EndResult, Gate, GateSettings, Offer, TargetRow,
+    TargetSettings, TargetTable,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ZONES: usize = 3;
+/// Time between two decisions, in microseconds.
+const STEP_US: u64 = 50;
+/// How long a call runs, as a number of decisions; with the gate's 20 places it is often full.
+const CALL_STEPS: u64 = 18;
+
+/// A node's tables with the gate of one target.
+struct Node {
+    table: TargetTable,
+    door: Door,
+    gate: Gate,
+    rng: ChaCha8Rng,
+    service: Service,
+    zones: Vec<AvailabilityZone>,
+    tenants: Vec<Tenant>,
+    step: u64,
+}
+
+impl Node {
+    fn new(targets: u64, tenants: usize) -> Self {
+        let service: Service = "archive".parse().expect("the name is valid");
+        let zone = |zone| format!("zone-{zone}").parse().expect("the name is valid");
+        let zones: Vec<AvailabilityZone> = (0..ZONES).map(zone).collect();
+        let mut table = TargetTable::new(TargetSettings::default());
+        for id in 0..targets {
+            let row = TargetRow {
+                target: VmId(id),
+                service: service.clone(),
+                zone: zones[id as usize % ZONES].clone(),
+                slots: 35,
+                warm_up_ms: 0,
+                leaving: false,
+            };
+            table.upsert(row, TimeUs::default());
+        }
+        let tenant = |tenant| format!("team-{tenant}").parse().expect("the name is valid");
+        Self {
+            table,
+            door: Door::new(DoorSettings::default()),
+            gate: Gate::new(GateSettings::default().max_limit(20)),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            service,
+            zones,
+            tenants: (0..tenants).map(tenant).collect(),
+            step: 0,
+        }
+    }
+
+    fn decide(&mut self) -> Option<VmId> {
+        self.step += 1;
+        let now = TimeUs(self.step * STEP_US);
+        let tenant = &self.tenants[self.step as usize % self.tenants.len()];
+        let class = Class::ALL[self.step as usize % Class::ALL.len()];
+        let check = DoorCheck { chain: std::slice::from_ref(&self.service), class, tenant, weight: 1 };
+        let door_share = self.door.check(check, now, self.rng.random()).ok()?;
+        let request = ChooseRequest { service: &self.service, own_zone: &self.zones[0], exclude: &[] };
+        let target = self.table.choose(&request, &mut self.rng, now)?;
+        self.table.started(target, now);
+        let deadline = now.plus_ms(1_000);
+        let offer = Offer { call: CallId(self.step), tenant: tenant.clone(), weight: 1, class, deadline, door_share };
+        black_box(self.gate.offer(offer, now));
+        let ended = CallId(self.step.saturating_sub(CALL_STEPS));
+        self.gate.complete(ended, Completion::Answered, now);
+        black_box(self.gate.take_events(now));
+        let level = self.gate.level(now);
+        self.table.ended(target, CallEnd { latency_us: 900, result: EndResult::Answered }, now);
+        self.door.observe(&self.service, target, level, now);
+        Some(target)
+    }
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    group.sample_size(30);
+    for targets in [10, 100, 1_000] {
+        for tenants in [8, 500] {
+            let mut node = Node::new(targets, tenants);
+            let id = BenchmarkId::from_parameter(format!("{targets} targets, {tenants} tenants"));
+            group.bench_function(id, |bencher| bencher.iter(|| node.decide()));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
