Policy: waits are estimated from the whole time that a call holds its place

Cause: the gate estimated the wait in its queue from the target's own work, without the calls that the target waits for, so that it admitted calls that could not meet their deadline. Also, a protected call with too little time left counted as shed and stopped all other calls for a second; it is now refused for its deadline.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -18,7 +18,7 @@
 use call_row::CallRow;
 use fair_queue::FairQueue;
 use level_control::LevelControl;
-use limiter::Limiter;
+use limiter::{Latency, Limiter};
 pub use messages::{Admission, Completion, GateEvent, Offer, TargetHints};
 pub use settings::GateSettings;
 
@@ -101,8 +101,9 @@
             self.cancel(call, now);
             return;
         };
-        let own_us = now.us_since(started).saturating_sub(row.child_us(now));
-        self.limiter.completed(completion, own_us, self.in_flight, now);
+        let total_us = now.us_since(started);
+        let latency = Latency { own_us: total_us.saturating_sub(row.child_us(now)), total_us };
+        self.limiter.completed(completion, latency, self.in_flight, now);
         self.calls.remove(&call);
         self.in_flight -= 1;
         self.start_queued(now);
@@ -208,7 +209,7 @@
         let ahead = if offer.class == Class::Protected { self.protected.len() } else { self.queued() };
         let start = now.plus_us(self.limiter.wait_us(ahead));
         if start.plus_us(self.limiter.least_service_us()) >= offer.deadline {
-            return self.refuse_offer(offer.class, tenant, now);
+            return self.refuse_as_late(offer.class, now);
         }
         if self.queued() >= self.queue_bound(offer.class) && !self.evict_for(&offer, now) {
             return self.refuse_offer(offer.class, tenant, now);
@@ -253,6 +254,13 @@
         Admission::Refused(self.shed(class, tenant, now))
     }
 
+    /// Refuses a call that would be too late after its wait. For a protected one this is not shedding:
+    /// only protected calls are ahead of it.
+    fn refuse_as_late(&mut self, class: Class, now: TimeUs) -> Admission {
+        self.level.shed(class, now);
+        Admission::Refused(Refusal::not_run(Reason::Deadline, None))
+    }
+
     /// A protected call is about to be shed, so nothing that matters less may stay queued.
     fn drop_all_sheddable(&mut self, now: TimeUs) {
         for call in self.sheddable.drain() {
--- a/crates/policy/src/gate/limiter.rs
+++ b/crates/policy/src/gate/limiter.rs
@@ -43,6 +43,8 @@
 /// Length of a window, and of the pause after a change of the limit, as a multiple of the mean
 /// latency. In a shorter one mostly the fast calls would have ended.
 const WINDOW_LATENCIES: f64 = 2.0;
+/// Weight of a window whose fastest call is slower than the fastest known one.
+const LEAST_RISE: f64 = 0.1;
 /// Share of the limit that a target starts with when it is cold.
 const COLD_SHARE: f64 = 0.2;
 /// Load from which on a report stops the limit from rising.
@@ -64,8 +66,11 @@
     first_seen: Option<TimeUs>,
     load_is_full: bool,
     baseline_us: Option<f64>,
+    /// Mean time of the target's own work in the last window.
     mean_us: f64,
-    least_us: f64,
+    /// Mean and least time that a call occupied a place, with the calls that it waited for.
+    mean_total_us: f64,
+    least_total_us: f64,
     window: Window,
     /// Most calls that ran at once in the last window with the baseline's latency.
     calm_in_flight: f64,
@@ -74,12 +79,22 @@
     settled: TimeUs,
 }
 
+/// How long a call took.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Latency {
+    /// Without the time in which it waited for calls of its own.
+    pub own_us: u64,
+    /// From its start to its end.
+    pub total_us: u64,
+}
+
 #[derive(Debug, Default)]
 struct Window {
     start: TimeUs,
     calls: u64,
-    latency_sum_us: u64,
-    least_us: Option<u64>,
+    own_sum_us: u64,
+    total_sum_us: u64,
+    least_total_us: Option<u64>,
     refused: u64,
     timed_out: u64,
     most_in_flight: usize,
@@ -104,7 +119,8 @@
             load_is_full: false,
             baseline_us: None,
             mean_us: 0.0,
-            least_us: 0.0,
+            mean_total_us: 0.0,
+            least_total_us: 0.0,
             window: Window::default(),
             calm_in_flight: 0.0,
             lowering: None,
@@ -150,19 +166,19 @@
 
     /// Returns a time that hardly any call is faster than.
     pub fn least_service_us(&self) -> u64 {
-        self.least_us as u64
+        self.least_total_us as u64
     }
 
     /// Returns how long a call waits with `ahead` calls before it.
     pub fn wait_us(&self, ahead: usize) -> u64 {
-        (self.mean_us * (ahead + 1) as f64 / self.limit.max(1.0)) as u64
+        (self.mean_total_us * (ahead + 1) as f64 / self.limit.max(1.0)) as u64
     }
 
-    /// Learns from a call that ended after `own_us` microseconds of work of the target itself.
-    pub fn completed(&mut self, how: Completion, own_us: u64, in_flight: usize, now: TimeUs) {
+    /// Learns from a call that ended.
+    pub fn completed(&mut self, how: Completion, latency: Latency, in_flight: usize, now: TimeUs) {
         self.window.most_in_flight = self.window.most_in_flight.max(in_flight);
         match how {
-            Completion::Answered if now >= self.settled => self.window.add(own_us),
+            Completion::Answered if now >= self.settled => self.window.add(latency),
             Completion::TargetRefused => self.window.refused += 1,
             Completion::TimedOut => self.window.timed_out += 1,
             Completion::Answered | Completion::Failed | Completion::Cancelled => {}
@@ -193,9 +209,9 @@
     }
 
     fn learn_latency(&mut self, window: &Window, saturated: bool, now: TimeUs) {
-        self.mean_us = window.latency_sum_us as f64 / window.calls as f64;
-        let least_us = window.least_us.unwrap_or(0) as f64;
-        self.least_us = if least_us < self.least_us { least_us } else { self.least_us * 0.9 + least_us * 0.1 };
+        self.mean_us = window.own_sum_us as f64 / window.calls as f64;
+        self.mean_total_us = window.total_sum_us as f64 / window.calls as f64;
+        self.learn_least(window.least_total_us.unwrap_or(0) as f64);
         let baseline_us = self.baseline_us.unwrap_or(self.mean_us);
         let weight = if self.mean_us < baseline_us * DROP_RATIO {
             BASELINE_DROP
@@ -213,6 +229,11 @@
         }
     }
 
+    fn learn_least(&mut self, least_us: f64) {
+        let rise = (least_us - self.least_total_us).max(0.0) * LEAST_RISE;
+        self.least_total_us = least_us.min(self.least_total_us + rise);
+    }
+
     fn follow_latency(&mut self, in_flight: f64, now: TimeUs) {
         self.judge_lowering(now);
         let Some(baseline_us) = self.baseline_us else { return };
@@ -249,7 +270,7 @@
     fn set_limit(&mut self, limit: f64, now: TimeUs) {
         self.limit = limit;
         self.clamp();
-        self.settled = now.plus_us((self.mean_us * WINDOW_LATENCIES) as u64);
+        self.settled = now.plus_us((self.mean_total_us * WINDOW_LATENCIES) as u64);
         self.window = Window { start: self.settled, ..Window::default() };
     }
 
@@ -260,17 +281,19 @@
 }
 
 impl Window {
-    fn add(&mut self, own_us: u64) {
+    fn add(&mut self, latency: Latency) {
         self.calls += 1;
-        self.latency_sum_us += own_us;
-        self.least_us = Some(self.least_us.map_or(own_us, |least_us| least_us.min(own_us)));
+        self.own_sum_us += latency.own_us;
+        self.total_sum_us += latency.total_us;
+        let least_us = self.least_total_us.unwrap_or(latency.total_us);
+        self.least_total_us = Some(least_us.min(latency.total_us));
     }
 
     fn is_complete(&self, now: TimeUs) -> bool {
         let age_us = now.us_since(self.start);
         let calls = self.calls + self.refused + self.timed_out;
-        let mean_us = self.latency_sum_us as f64 / self.calls.max(1) as f64;
-        let enough = calls >= MIN_WINDOW_CALLS && age_us as f64 >= mean_us * WINDOW_LATENCIES;
+        let mean_total_us = self.total_sum_us as f64 / self.calls.max(1) as f64;
+        let enough = calls >= MIN_WINDOW_CALLS && age_us as f64 >= mean_total_us * WINDOW_LATENCIES;
         age_us >= MAX_WINDOW_US || (age_us >= WINDOW_US && enough)
     }
 }
--- a/crates/policy/src/retry/decision.rs
+++ b/crates/policy/src/retry/decision.rs
@@ -132,6 +132,7 @@
                     true
                 }
                 Reason::Shed => self.tried.len() < MAX_SHED_TARGETS,
+                Reason::Deadline => refusal.outcome == Outcome::NotRun && self.tried.len() < MAX_SHED_TARGETS,
                 _ => false,
             },
             AttemptResult::NoTarget => false,
--- a/crates/policy/tests/retries.rs
+++ b/crates/policy/tests/retries.rs
@@ -81,6 +81,17 @@
         },
         Case { name: "second crash", crashes: 2, end: Some((Outcome::Unknown, Reason::Blocked)), ..base() },
         Case { name: "shed once", result: shed, ..base() },
+        Case {
+            name: "too long a queue",
+            result: AttemptResult::Refused(Refusal::not_run(Reason::Deadline, None)),
+            ..base()
+        },
+        Case {
+            name: "too late at the target",
+            result: AttemptResult::Refused(Refusal::unknown(Reason::Deadline)),
+            end: Some((Outcome::Unknown, Reason::Deadline)),
+            ..base()
+        },
         Case { name: "shed once, at most once", result: shed, at_most_once: true, ..base() },
         Case { name: "shed twice", result: shed, tried: 2, end: Some((Outcome::NotRun, Reason::Shed)), ..base() },
         Case {
