Quota: share that moves between zones rises only after the losing zones confirm

Taking a zone out of the configuration, putting it back, or a burst that passes the number of zones moves share between zones. A zone that had not heard kept its old share on top of the others' new ones. Now a zone that gains keeps the lower of both until every losing zone's owner has all its members' word that they apply the version and that earlier loans have lapsed; candidates behind a member's version, or without its knowledge of a pending move, get no acknowledgement.

--- a/crates/quota/examples/capacity.rs
+++ b/crates/quota/examples/capacity.rs
@@ -76,7 +76,7 @@
             let encoded = bincode::serde::encode_to_vec(&send.message, bincode::config::standard());
             traffic.bytes += encoded.expect("message encodes").len() as u64;
             if let QuotaMessage::LeaseRequest { shard, seq, .. } = send.message {
-                node.on_message(send.to, QuotaMessage::LeaseAck { shard, seq, fresh: false }, now);
+                node.on_message(send.to, QuotaMessage::LeaseAck { shard, seq, fresh: false, applied: Version(1) }, now);
             }
         }
         traffic.busy_us += started.elapsed().as_micros() as u64;
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use fulmartrestle_core::{TimeUs, VmId};
+use fulmartrestle_core::{TimeUs, Version, VmId};
 
 /// Requests whose acknowledgements still count. Older ones would extend the lease by nothing.
 const REMEMBERED_REQUESTS: usize = 8;
@@ -38,6 +38,7 @@
 struct Ack {
     until: TimeUs,
     fresh: bool,
+    applied: Version,
 }
 
 /// A node's lease on one shard: valid while every member that it sees has acknowledged it.
@@ -92,9 +93,9 @@
         self.next_request_at = again_at;
     }
 
-    pub(crate) fn on_ack(&mut self, from: VmId, seq: u64, fresh: bool) {
+    pub(crate) fn on_ack(&mut self, from: VmId, seq: u64, fresh: bool, applied: Version) {
         let Some(round) = self.requests.iter().find(|round| round.seq == seq) else { return };
-        let ack = Ack { until: round.lease_ends_at, fresh };
+        let ack = Ack { until: round.lease_ends_at, fresh, applied };
         let known = self.acks.entry(from).or_insert(ack);
         self.acked = true;
         if known.until <= ack.until {
@@ -109,13 +110,24 @@
         let mut valid_until = None;
         for member in members {
             let missing = if established { now.plus_us(JOIN_GRACE_US) } else { TimeUs(0) };
-            let ack = self.acks.entry(member).or_insert(Ack { until: missing, fresh: true });
+            let ack = self.acks.entry(member).or_insert(Ack { until: missing, fresh: true, applied: Version(0) });
             valid_until = Some(valid_until.map_or(ack.until, |known: TimeUs| known.min(ack.until)));
         }
         self.valid_until = valid_until.unwrap_or_default();
         self.acks.retain(|_, ack| ack.until.plus_us(ACK_RETENTION_US) > now);
     }
 
+    /// Returns the lowest version that any of the members is known to apply.
+    pub(crate) fn applied_by_all(&self, mut members: impl Iterator<Item = VmId>) -> Version {
+        let mut lowest = Version(u64::MAX);
+        let known = members.all(|member| {
+            let ack = self.acks.get(&member);
+            lowest = ack.map_or(lowest, |ack| lowest.min(ack.applied));
+            ack.is_some()
+        });
+        if known { lowest } else { Version(0) }
+    }
+
     /// Returns whether some member has run for long enough to know of any other owner.
     fn has_informed_ack(&self, now: TimeUs) -> bool {
         self.acks.values().any(|ack| !ack.fresh && now < ack.until)
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -20,12 +20,13 @@
 mod settings;
 mod shard;
 mod share;
+mod share_table;
 mod wallet;
 
 pub use config::{QuotaConfig, TenantRate};
 pub use decision::RateDecision;
 pub use member::QuotaMember;
-pub use message::{LoanReport, QuotaMessage, QuotaSend};
+pub use message::{ConfigState, LoanReport, QuotaMessage, QuotaSend};
 pub use node::QuotaNode;
 pub use settings::QuotaSettings;
 pub use shard::{QuotaShard, SHARD_COUNT};
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between nodes. Sequence numbers start at the sender's random identity, so that a reply
 //! meant for an earlier process at the same address is recognised as foreign.
 
-use fulmartrestle_core::{Tenant, VmId};
+use fulmartrestle_core::{AvailabilityZone, Tenant, Version, VmId};
 use fulmartrestle_derive::{local, record, value};
 
 use crate::QuotaShard;
@@ -17,6 +17,15 @@
     pub returned: u64,
 }
 
+/// What a candidate for ownership knows of the configuration.
+#[value]
+pub struct ConfigState {
+    /// The version it applies.
+    pub version: Version,
+    /// Whether it knows of no share that must not rise yet.
+    pub settled: bool,
+}
+
 /// A message of the quota protocol. No message carries a point in time, only durations.
 #[record]
 pub enum QuotaMessage {
@@ -30,6 +39,8 @@
         lease_us: u64,
         /// Whether the sender holds a valid lease already.
         established: bool,
+        /// What the sender knows of the configuration.
+        config: ConfigState,
     },
     /// Acknowledges the owner of a shard for the requested time.
     LeaseAck {
@@ -39,6 +50,8 @@
         seq: u64,
         /// Whether the member started so recently that it may have forgotten an acknowledgement.
         fresh: bool,
+        /// Version that the member has applied for longer than any loan lasts.
+        applied: Version,
     },
     /// Asks an owner for tokens.
     TokenRequest {
@@ -73,6 +86,20 @@
         /// The owner that the receiver has acknowledged, when it knows one.
         owner: Option<VmId>,
     },
+    /// Asks a zone whether all its members apply a version, for a zone whose share rises.
+    VersionQuery {
+        /// The version.
+        version: Version,
+        /// The node that wants the answer; the first receiver passes the query on to its owner.
+        asker: VmId,
+    },
+    /// Tells that no owner of the zone will use a share of an earlier version again.
+    VersionConfirmed {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// The version.
+        version: Version,
+    },
     /// Reports on loans without asking for more.
     LoanReports {
         /// The tenant.
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -1,9 +1,12 @@
 //! One node's part in keeping all tenants' rates.
 
+mod acknowledge;
+
 use std::collections::BTreeMap;
 
 use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, VmId};
 
+use self::acknowledge::LeaseOffer;
 use crate::{
     LoanReport, QuotaConfig, QuotaMember, QuotaMessage, QuotaSend, QuotaSettings, QuotaShard, RateDecision,
     bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, wallet::Wallet,
@@ -32,6 +35,8 @@
     wallets: BTreeMap<Tenant, Wallet>,
     running_since: Option<TimeUs>,
     seen_at: TimeUs,
+    configured_at: TimeUs,
+    next_query_at: TimeUs,
     next_seq: u64,
     outgoing: Vec<QuotaSend>,
     ready: Vec<Tenant>,
@@ -51,6 +56,8 @@
             wallets: BTreeMap::new(),
             running_since: None,
             seen_at: TimeUs(0),
+            configured_at: TimeUs(0),
+            next_query_at: TimeUs(0),
             next_seq: own.0,
             outgoing: Vec::new(),
             ready: Vec::new(),
@@ -68,6 +75,7 @@
             let wallet = self.wallets.entry(rate.tenant.clone()).or_insert_with(|| Wallet::new(now));
             wallet.set_rate(rate, config.zones.len());
         }
+        self.configured_at = now;
         self.owner.set_shares(&config, &self.zone, &self.settings, now);
         self.config = Some(config);
     }
@@ -106,10 +114,12 @@
     pub fn on_message(&mut self, from: VmId, message: QuotaMessage, now: TimeUs) {
         self.note_time(now);
         match message {
-            QuotaMessage::LeaseRequest { shard, seq, lease_us, established } => {
-                self.on_lease_request(from, shard, seq, lease_us, established, now);
+            QuotaMessage::LeaseRequest { shard, seq, lease_us, established, config } => {
+                self.on_lease_request(from, LeaseOffer { shard, seq, lease_us, established, config }, now);
+            }
+            QuotaMessage::LeaseAck { shard, seq, fresh, applied } => {
+                self.owner.on_ack(from, shard, seq, fresh, applied);
             }
-            QuotaMessage::LeaseAck { shard, seq, fresh } => self.owner.on_ack(from, shard, seq, fresh),
             QuotaMessage::TokenRequest { tenant, seq, want, reports } => {
                 self.on_token_request(from, tenant, seq, want, &reports, now);
             }
@@ -117,6 +127,8 @@
                 self.on_token_loan(from, tenant, seq, tokens, retry_after_ms, now);
             }
             QuotaMessage::NotOwner { tenant, seq, owner } => self.on_not_owner(from, tenant, seq, owner, now),
+            QuotaMessage::VersionQuery { version, asker } => self.on_version_query(from, version, asker, now),
+            QuotaMessage::VersionConfirmed { zone, version } => self.on_version_confirmed(&zone, version, now),
             QuotaMessage::LoanReports { tenant, reports } => self.on_reports(from, &tenant, &reports, now),
         }
     }
@@ -126,6 +138,7 @@
     pub fn tick(&mut self, now: TimeUs) {
         self.note_time(now);
         self.tick_owner(now);
+        self.query_versions(now);
         self.tick_wallets(now);
     }
 
@@ -144,6 +157,12 @@
         QuotaShard::all().filter(|shard| self.owner.is_lending(*shard, now)).collect()
     }
 
+    /// Returns the zones that must confirm this node's configuration before shares that it moves
+    /// rise here. A zone that stays in this list is cut off, or gone for good.
+    pub fn unconfirmed_zones(&self) -> Vec<AvailabilityZone> {
+        self.owner.shares.unconfirmed().iter().cloned().collect()
+    }
+
     /// Returns whether this node has acknowledged an owner for every shard of its zone.
     pub fn knows_owners(&self, now: TimeUs) -> bool {
         QuotaShard::all().all(|shard| self.acknowledged_owner(shard, now).is_some())
@@ -219,30 +238,6 @@
         self.promises.get(&shard).filter(|promise| now < promise.until).map(|promise| promise.owner)
     }
 
-    /// Acknowledges an owner unless another is acknowledged. A node that has just started may have
-    /// forgotten a promise and says so.
-    fn on_lease_request(
-        &mut self,
-        from: VmId,
-        shard: QuotaShard,
-        seq: u64,
-        lease_us: u64,
-        established: bool,
-        now: TimeUs,
-    ) {
-        if self.promises.get(&shard).is_some_and(|promise| promise.excludes(from, now)) {
-            return;
-        }
-        let preferred = self.directory.preferred_owner(&self.zone, shard) == Some(from);
-        if !established && !preferred {
-            return;
-        }
-        let until = now.plus_us(self.settings.outlasting_us(lease_us));
-        self.promises.insert(shard, Promise { owner: from, until });
-        let fresh = self.is_fresh(now);
-        self.send(from, QuotaMessage::LeaseAck { shard, seq, fresh }, now);
-    }
-
     fn on_token_request(
         &mut self,
         from: VmId,
@@ -319,8 +314,9 @@
         let seq = self.take_seq();
         let Some(terms) = self.owner.on_requested(shard, seq, members.len(), &self.settings, now) else { return };
         let LeaseTerms { lease_us, established } = terms;
+        let config = self.config_state();
         for member in members {
-            self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established }, now);
+            self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established, config }, now);
         }
     }
 
@@ -337,15 +333,6 @@
         }
     }
 
-    /// Returns whether an owner may hold a lease that this node knows nothing of: one that an
-    /// earlier process at this place acknowledged, or one from before this node was seen to join. A
-    /// node that was paused counts as just started, since its member view is as old as the pause.
-    fn is_fresh(&self, now: TimeUs) -> bool {
-        let members = self.directory.member_count(&self.zone);
-        let running_since = self.running_since.unwrap_or(now);
-        now.us_since(running_since) < self.settings.fresh_us(members)
-    }
-
     fn note_time(&mut self, now: TimeUs) {
         if self.running_since.is_none() || now.us_since(self.seen_at) > PAUSE_US {
             self.running_since = Some(now);
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, VmId};
+use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, Version, VmId};
 
 use crate::{
-    QuotaConfig, QuotaSettings, QuotaShard, ZoneShare, bucket::Bucket, directory::Directory, lease::Lease,
-    lease::LeasePhase,
+    QuotaConfig, QuotaSettings, QuotaShard, bucket::Bucket, directory::Directory, lease::Lease, lease::LeasePhase,
+    share_table::ShareTable,
 };
 
 /// How often a candidate repeats its requests, in microseconds. Members that promised another owner
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Owner {
     leases: BTreeMap<QuotaShard, Lease>,
-    shares: BTreeMap<Tenant, ZoneShare>,
+    pub(crate) shares: ShareTable,
     buckets: BTreeMap<Tenant, Bucket>,
 }
 
@@ -40,10 +40,14 @@
         settings: &QuotaSettings,
         now: TimeUs,
     ) {
-        self.shares = zone_shares(config, zone);
+        self.shares.set_config(config, zone);
+        self.apply_shares(settings, now);
+    }
+
+    /// Brings the buckets in line with the shares in force.
+    pub(crate) fn apply_shares(&mut self, settings: &QuotaSettings, now: TimeUs) {
         for (tenant, bucket) in &mut self.buckets {
-            let share = self.shares.get(tenant).copied().unwrap_or_default();
-            bucket.set_share(share, settings, now);
+            bucket.set_share(self.shares.share(tenant), settings, now);
         }
         let lending: Vec<QuotaShard> = QuotaShard::all().filter(|shard| self.is_lending(*shard, now)).collect();
         for shard in lending {
@@ -59,12 +63,18 @@
         self.buckets.get_mut(tenant)
     }
 
-    pub(crate) fn on_ack(&mut self, from: VmId, shard: QuotaShard, seq: u64, fresh: bool) {
+    pub(crate) fn on_ack(&mut self, from: VmId, shard: QuotaShard, seq: u64, fresh: bool, applied: Version) {
         if let Some(lease) = self.leases.get_mut(&shard) {
-            lease.on_ack(from, seq, fresh);
+            lease.on_ack(from, seq, fresh, applied);
         }
     }
 
+    /// Returns the version that all members apply, as the owner of any lending shard knows it.
+    pub(crate) fn confirmed_version(&self, directory: &Directory, zone: &AvailabilityZone, now: TimeUs) -> Version {
+        let lending = self.leases.values().filter(|lease| lease.is_lending(now));
+        lending.map(|lease| lease.applied_by_all(directory.members(zone))).max().unwrap_or_default()
+    }
+
     /// Applies a changed member view to all leases.
     pub(crate) fn review(&mut self, directory: &Directory, zone: &AvailabilityZone, now: TimeUs) {
         for lease in self.leases.values_mut() {
@@ -127,28 +137,13 @@
         for bucket in self.buckets.values_mut() {
             bucket.lapse(settings, now);
         }
-        let shares = &self.shares;
+        let shares = self.shares.shares();
         self.buckets.retain(|tenant, bucket| shares.contains_key(tenant) || bucket.loan_count() > 0);
     }
 
     fn open_buckets(&mut self, shard: QuotaShard, now: TimeUs) {
-        for (tenant, share) in self.shares.iter().filter(|(tenant, _)| QuotaShard::of(tenant) == shard) {
+        for (tenant, share) in self.shares.shares().iter().filter(|(tenant, _)| QuotaShard::of(tenant) == shard) {
             self.buckets.entry(tenant.clone()).or_insert_with(|| Bucket::empty(*share, now));
         }
     }
 }
-
-/// Returns what a zone may admit of each tenant. The zone's position rotates by shard, so that not
-/// every remainder goes to the same zone.
-fn zone_shares(config: &QuotaConfig, zone: &AvailabilityZone) -> BTreeMap<Tenant, ZoneShare> {
-    let mut zones: Vec<&AvailabilityZone> = config.zones.iter().collect();
-    zones.sort_unstable();
-    zones.dedup();
-    let Some(place) = zones.iter().position(|found| *found == zone) else { return BTreeMap::new() };
-    let zone_count = zones.len() as u64;
-    let share_of = |rate: &crate::TenantRate| {
-        let rotation = u64::from(QuotaShard::of(&rate.tenant).0);
-        ZoneShare::of(rate, (place as u64 + rotation) % zone_count, zone_count)
-    };
-    config.tenants.iter().map(|rate| (rate.tenant.clone(), share_of(rate))).collect()
-}
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -17,6 +17,16 @@
 }
 
 impl ZoneShare {
+    /// Returns whether this share is at least `other` in rate and in burst.
+    pub fn covers(self, other: Self) -> bool {
+        self.rate_milli_per_s >= other.rate_milli_per_s && self.burst >= other.burst
+    }
+
+    /// Returns the lower rate and the lower burst of two shares.
+    pub fn lower_of(self, other: Self) -> Self {
+        Self { rate_milli_per_s: self.rate_milli_per_s.min(other.rate_milli_per_s), burst: self.burst.min(other.burst) }
+    }
+
     /// Returns the share of the zone at `position` out of `zone_count`, where every zone has the
     /// same weight and the largest remainders go to the first positions. A zone without burst could
     /// never fill a token, so the rate goes to the zones that have burst. The sums over all zones
--- a/crates/quota/tests/strict_bound.rs
+++ b/crates/quota/tests/strict_bound.rs
@@ -91,6 +91,38 @@
     expect_that!(fleet.totals.violations, eq(0), "seed {seed}, steps {steps}, {:?}", fleet.totals);
 }
 
+/// A zone that is taken out of the configuration, or put back, moves share from one zone to another.
+#[gtest]
+fn moved_shares_keep_the_bound_while_a_zone_has_not_heard() {
+    let steps = env_or("FULMARTRESTLE_STEPS", 5_000);
+    let seed = 15 + env_or("FULMARTRESTLE_SEED", 0);
+    let fleet = run_moves(seed, steps, false);
+    expect_that!(fleet.totals.violations, eq(0), "seed {seed}, steps {steps}, {:?}", fleet.totals);
+    expect_that!(fleet.totals.admitted, gt(1_000), "seed {seed}, steps {steps}, {:?}", fleet.totals);
+}
+
+#[gtest]
+fn shares_that_rise_without_confirmation_are_caught() {
+    let fleet = run_moves(15, 5_000, true);
+    expect_that!(fleet.totals.violations, gt(0), "{:?}", fleet.totals);
+}
+
+fn run_moves(seed: u64, steps: u64, false_confirmations: bool) -> Fleet {
+    let faults = Faults { cut_per_100_s: 100, restart_per_10_000_s: 50, false_confirmations, ..everything() };
+    let mut fleet = Fleet::new(seed, 9, settings(), faults, config(1, &[("rover", 300, 30)]));
+    fleet.load.insert(tenant("rover"), Load { per_s: [400, 400, 400] });
+    fleet.run(12_000);
+    for version in 2..10 {
+        let mut next = config(version, &[("rover", 300, 30)]);
+        if version % 2 == 0 {
+            next.zones.remove(version as usize / 2 % 3);
+        }
+        fleet.publish(next);
+        fleet.run(steps);
+    }
+    fleet
+}
+
 #[gtest]
 fn a_bucket_that_fills_by_a_fast_clock_is_caught() {
     let faults = Faults { drift_ppm: 9_900, all_clocks_fast: true, ..Faults::default() };
--- a/crates/quota/tests/support/fleet.rs
+++ b/crates/quota/tests/support/fleet.rs
@@ -28,6 +28,8 @@
     pub drift_ppm: i64,
     pub all_clocks_fast: bool,
     pub slow_first_zone: bool,
+    /// Every zone confirms every version without applying it.
+    pub false_confirmations: bool,
 }
 
 /// Requests per second offered in each zone.
@@ -289,6 +291,7 @@
             self.count_bytes(&message);
             let Some(to_place) = self.nodes.iter().position(|node| node.vm == to) else { continue };
             let lost = self.rng.random_range(0..1_000) < self.faults.loss;
+            self.confirm_falsely(place, to_place, &message);
             if lost || self.is_cut(self.nodes[place].zone, self.nodes[to_place].zone) {
                 continue;
             }
@@ -310,6 +313,16 @@
         }
     }
 
+    fn confirm_falsely(&mut self, asker_place: usize, zone_place: usize, message: &QuotaMessage) {
+        let QuotaMessage::VersionQuery { version, asker } = message else { return };
+        if self.faults.false_confirmations && self.nodes[asker_place].vm == *asker {
+            let zone = zone(self.nodes[zone_place].zone);
+            let message = QuotaMessage::VersionConfirmed { zone, version: *version };
+            let local = self.local(&self.nodes[asker_place]);
+            self.nodes[asker_place].node.on_message(*asker, message, local);
+        }
+    }
+
     fn count_bytes(&mut self, message: &QuotaMessage) {
         if self.measure_bytes {
             let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
@@ -348,7 +361,11 @@
         self.nodes.iter().enumerate().filter(sees).map(as_member).collect()
     }
 
+    /// A zone that is cut off doesn't hear of new configurations.
     fn hear_config(&mut self, place: usize, local: TimeUs) {
+        if self.cut_zone.is_some_and(|(cut, _)| cut == self.nodes[place].zone) {
+            return;
+        }
         let Some(latest) = self.configs.last() else { return };
         if self.nodes[place].heard_version < latest.version.0 {
             self.nodes[place].heard_version = latest.version.0;
