--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -112,11 +112,12 @@
             return 0;
         }
         self.unmet += 1;
+        let missing_nano = self.unmet.saturating_mul(NANO).saturating_sub(self.level_nano);
         let nano_per_ms = self.share.rate_milli_per_s * 1_000;
         if nano_per_ms == 0 {
             return Self::RETRY_MAX_MS;
         }
-        let wait_ms = self.unmet.saturating_mul(NANO) / nano_per_ms;
+        let wait_ms = missing_nano.div_ceil(nano_per_ms);
         wait_ms.clamp(RETRY_MIN_MS, Self::RETRY_MAX_MS)
     }
 }
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -171,6 +171,7 @@
     fn decide(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
         if self.take_token(tenant, now) {
             self.request_tokens(tenant, now);
+            self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
         let Some(wallet) = self.wallets.get_mut(tenant) else {
@@ -180,6 +181,7 @@
         self.request_tokens(tenant, now);
         if self.take_token(tenant, now) {
             self.forget_waiter(tenant);
+            self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
         let Some(wallet) = self.wallets.get_mut(tenant) else {
@@ -193,6 +195,15 @@
         RateDecision::Wait { until }
     }
 
+    /// Tells lenders at once of loans that are used up where that frees their buckets.
+    fn report_spent(&mut self, tenant: &Tenant, now: TimeUs) {
+        let Some(wallet) = self.wallets.get_mut(tenant).filter(|wallet| wallet.has_urgent_report()) else { return };
+        for found in wallet.due_reports(now) {
+            let message = QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports };
+            self.send(found.lender, message, now);
+        }
+    }
+
     fn take_token(&mut self, tenant: &Tenant, now: TimeUs) -> bool {
         self.wallets.get_mut(tenant).is_some_and(|wallet| wallet.take_token(now))
     }
--- a/crates/quota/src/wallet.rs
+++ b/crates/quota/src/wallet.rs
@@ -222,9 +222,16 @@
         self.return_idle(settings, now);
     }
 
+    /// Returns whether a loan of a tenant with a small burst was just used up. Until its lender hears
+    /// so, the tokens count against the bucket, which has no room to fill meanwhile.
+    pub(crate) fn has_urgent_report(&self) -> bool {
+        let spent = |loan: &HeldLoan| loan.left == 0 && loan.unsent_reports == REPORT_REPETITIONS;
+        self.horizon_us == HORIZON_MIN_US && self.loans.iter().any(spent)
+    }
+
     /// Returns the reports that are due, one set for each lender.
     pub(crate) fn due_reports(&mut self, now: TimeUs) -> Vec<LenderReports> {
-        if now.us_since(self.reported_at) < self.horizon_us {
+        if now.us_since(self.reported_at) < self.horizon_us && !self.has_urgent_report() {
             return Vec::new();
         }
         let mut lenders: Vec<VmId> =
