--- a/crates/claims/src/node.rs
+++ b/crates/claims/src/node.rs
@@ -283,7 +283,8 @@
     /// Returns the pause between appends of one stream that keeps all zones' batchers together
     /// within the fleet's budget.
     fn append_pause_us(&self) -> u64 {
-        let batchers = u64::from(STREAM_COUNT) * self.directory.zone_count().max(1) as u64;
+        let zone_count = self.settings.zone_count.max(self.directory.zone_count() as u64);
+        let batchers = u64::from(STREAM_COUNT) * zone_count;
         US_PER_S * batchers / self.settings.appends_per_s.max(1)
     }
 
--- a/crates/claims/src/settings.rs
+++ b/crates/claims/src/settings.rs
@@ -8,6 +8,9 @@
 pub struct ClaimSettings {
     /// Appends per second that claims of the whole fleet may take. Default 120.
     pub appends_per_s: u64,
+    /// Zones that share the appends. A zone that is cut off sees only itself, and must not take the
+    /// others' part. Default 3.
+    pub zone_count: u64,
     /// Records per append. Default 1,000, about 34 KB.
     pub max_batch: usize,
     /// How old an idempotency key may be, in milliseconds. Default 900,000.
@@ -31,6 +34,7 @@
     fn default() -> Self {
         Self {
             appends_per_s: 120,
+            zone_count: 3,
             max_batch: 1_000,
             window_ms: 900_000,
             retention_ms: 3_600_000,
