Claims: a refused claim is never written later by the same batcher

Batchers now repeat their first refusal of a claim for 30 s, and an entry takes a refusal as settled only when it sent that batcher a single request.

--- a/crates/claims/src/batcher.rs
+++ b/crates/claims/src/batcher.rs
@@ -15,6 +15,16 @@
 /// After what time a record that was written but not found is looked for again, in milliseconds.
 const REREAD_MS: u64 = 20;
 
+/// How long a refusal is remembered, in milliseconds: longer than a request may be on its way.
+const REFUSAL_MEMORY_MS: u64 = 30_000;
+
+/// A refusal that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    reply: BatcherReply,
+    refused_at: TimeUs,
+}
+
 /// Where a pending claim's record is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RecordPhase {
@@ -79,9 +89,10 @@
     reader: StreamReader,
     claims: BTreeMap<ClaimId, PendingClaim>,
     releases: BTreeMap<ClaimId, PendingRelease>,
-    /// Claims that were refused although a record of them may stand. Their entries may not have
-    /// heard that and ask again; a second refusal must not say that nothing was written.
-    doubtful: BTreeMap<ClaimId, TimeUs>,
+    /// Claims that were refused. A request that comes again, late or because the refusal was lost,
+    /// gets the same refusal: writing the claim now would leave a record that its entry has no reason
+    /// to release.
+    refused: BTreeMap<ClaimId, Refusal>,
     append: Option<InFlightAppend>,
     next_append_at: TimeUs,
     read: Option<InFlightRead>,
@@ -102,7 +113,7 @@
             reader: StreamReader::new(),
             claims: BTreeMap::new(),
             releases: BTreeMap::new(),
-            doubtful: BTreeMap::new(),
+            refused: BTreeMap::new(),
             append: None,
             next_append_at: TimeUs(0),
             read: None,
@@ -119,7 +130,7 @@
     }
 
     pub(crate) fn is_idle(&self) -> bool {
-        self.claims.is_empty() && self.releases.is_empty() && self.doubtful.is_empty()
+        self.claims.is_empty() && self.releases.is_empty() && self.refused.is_empty()
     }
 
     pub(crate) fn key_count(&self) -> usize {
@@ -135,10 +146,9 @@
             pending.from = from;
             return;
         }
-        let lost_before = self.doubtful.contains_key(&new.claim);
-        if self.log_down {
-            let reason = NotRunReason::LogUnavailable;
-            self.reply(from, new.claim, BatcherReply::Refused { reason, may_be_written: lost_before });
+        if let Some(refusal) = self.refused.get(&new.claim) {
+            let reply = refusal.reply;
+            self.reply(from, new.claim, reply);
             return;
         }
         let pending = PendingClaim {
@@ -147,8 +157,12 @@
             key_age_ms: new.key_age_ms,
             received_at: now,
             phase: RecordPhase::Queued,
-            lost_before,
+            lost_before: false,
         };
+        if self.log_down {
+            self.refuse(new.claim, &pending, NotRunReason::LogUnavailable, now);
+            return;
+        }
         self.read_wanted |= self.reader.holder(&new.key).is_some();
         self.claims.insert(new.claim, pending);
     }
@@ -236,11 +250,9 @@
     }
 
     fn refuse(&mut self, claim: ClaimId, pending: &PendingClaim, reason: NotRunReason, now: TimeUs) {
-        let may_be_written = pending.may_be_written();
-        if may_be_written {
-            self.doubtful.insert(claim, now);
-        }
-        self.reply(pending.from, claim, BatcherReply::Refused { reason, may_be_written });
+        let reply = BatcherReply::Refused { reason, may_be_written: pending.may_be_written() };
+        self.refused.insert(claim, Refusal { reply, refused_at: now });
+        self.reply(pending.from, claim, reply);
     }
 
     fn on_page(&mut self, page: &ReadPage, read_at: TimeUs, settings: &ClaimSettings, now: TimeUs) {
@@ -307,7 +319,7 @@
     fn drop_stale(&mut self, settings: &ClaimSettings, now: TimeUs) {
         let kept_ms = 2 * settings.claim_timeout_ms;
         self.claims.retain(|_, pending| now.ms_since(pending.received_at) < kept_ms);
-        self.doubtful.retain(|_, refused_at| now.ms_since(*refused_at) < kept_ms);
+        self.refused.retain(|_, refusal| now.ms_since(refusal.refused_at) < REFUSAL_MEMORY_MS);
     }
 
     /// Appends what is queued. While the log is down only reads are tried, since a read that fails
--- a/crates/claims/src/entry.rs
+++ b/crates/claims/src/entry.rs
@@ -1,6 +1,6 @@
 //! Claims of the calls that a node wants to run.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use fulmartrestle_core::{TimeUs, VmId};
 
@@ -26,8 +26,9 @@
     key_age_ms: u64,
     begun_at: TimeUs,
     pub(crate) phase: EntryPhase,
-    /// Batchers that were asked and have not certainly dropped the claim.
-    unsettled: BTreeSet<VmId>,
+    /// Batchers that were asked and have not certainly dropped the claim, with the number of
+    /// requests. The answer to one request says nothing about another that is still on its way.
+    unsettled: BTreeMap<VmId, usize>,
     pub(crate) attempts: usize,
     refusals: usize,
     next_send_at: TimeUs,
@@ -41,7 +42,7 @@
             key_age_ms,
             begun_at: now,
             phase: EntryPhase::Asking,
-            unsettled: BTreeSet::new(),
+            unsettled: BTreeMap::new(),
             attempts: 0,
             refusals: 0,
             next_send_at: now,
@@ -70,7 +71,7 @@
     }
 
     pub(crate) fn on_asked(&mut self, batcher: VmId, settings: &ClaimSettings, now: TimeUs) {
-        self.unsettled.insert(batcher);
+        *self.unsettled.entry(batcher).or_insert(0) += 1;
         self.attempts += 1;
         self.next_send_at = now.plus_ms(settings.ask_retry_ms);
     }
@@ -83,7 +84,7 @@
     /// Notes a refusal. Returns whether another batcher should be asked instead.
     pub(crate) fn on_refused(&mut self, from: VmId, may_be_written: bool, batchers: usize, now: TimeUs) -> bool {
         if !may_be_written {
-            self.unsettled.remove(&from);
+            self.settle(from);
         }
         self.refusals += 1;
         self.next_send_at = now;
@@ -91,7 +92,7 @@
     }
 
     pub(crate) fn on_held(&mut self, from: VmId) {
-        self.unsettled.remove(&from);
+        self.settle(from);
     }
 
     pub(crate) fn win(&mut self, now: TimeUs) {
@@ -118,6 +119,12 @@
         }
     }
 
+    fn settle(&mut self, batcher: VmId) {
+        if self.unsettled.get(&batcher) == Some(&1) {
+            self.unsettled.remove(&batcher);
+        }
+    }
+
     fn enter(&mut self, phase: EntryPhase, now: TimeUs) {
         self.phase = phase;
         self.attempts = 0;
--- a/crates/claims/src/node.rs
+++ b/crates/claims/src/node.rs
@@ -163,8 +163,8 @@
     }
 
     /// Takes in a batcher's reply. Any claim but an asking one has had its verdict, which stands. A
-    /// reply that waited while this node was paused comes too late: batchers forget, after twice the
-    /// claim timeout, what they may have written.
+    /// reply that waited while this node was paused comes too late: batchers don't
+    /// remember for ever what they may have written.
     fn on_reply(&mut self, from: VmId, claim: ClaimId, reply: BatcherReply, now: TimeUs) {
         let batchers = self.directory.zone_count();
         if self.entries.get(&claim).is_some_and(|entry| entry.is_timed_out(&self.settings, now)) {
