--- a/crates/claims/src/node.rs
+++ b/crates/claims/src/node.rs
@@ -163,8 +163,8 @@
     }
 
     /// Takes in a batcher's reply. Any claim but an asking one has had its verdict, which stands. A
-    /// reply that waited while this node was paused comes too late: batchers forget, after twice the
-    /// claim timeout, what they may have written.
+    /// reply that waited while this node was paused comes too late: batchers don't
+    /// remember for ever what they may have written.
     fn on_reply(&mut self, from: VmId, claim: ClaimId, reply: BatcherReply, now: TimeUs) {
         let batchers = self.directory.zone_count();
         if self.entries.get(&claim).is_some_and(|entry| entry.is_timed_out(&self.settings, now)) {
@@ -283,7 +283,8 @@
     /// Returns the pause between appends of one stream that keeps all zones' batchers together
     /// within the fleet's budget.
     fn append_pause_us(&self) -> u64 {
-        let batchers = u64::from(STREAM_COUNT) * self.directory.zone_count().max(1) as u64;
+        let zone_count = self.settings.zone_count.max(self.directory.zone_count() as u64);
+        let batchers = u64::from(STREAM_COUNT) * zone_count;
         US_PER_S * batchers / self.settings.appends_per_s.max(1)
     }
 
