--- a/crates/config/src/fleet/fleet_config.rs
+++ b/crates/config/src/fleet/fleet_config.rs
@@ -52,7 +52,7 @@
         let mut next = self.clone();
         changes.iter().for_each(|change| next.apply(change));
         next.version = version;
-        if next.routes != self.routes {
+        if !next.routes.shares_rows(&self.routes) {
             next.route_index = RouteIndex::of(&next.routes);
         }
         next
--- a/crates/config/src/fleet/table.rs
+++ b/crates/config/src/fleet/table.rs
@@ -52,6 +52,11 @@
         self.rows.is_empty()
     }
 
+    /// Returns whether both tables share their rows, so that they are certainly equal.
+    pub(crate) fn shares_rows(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.rows, &other.rows)
+    }
+
     /// Adds a row, in place of one with the same key.
     pub fn put(&mut self, row: R) {
         let found = self.find(row.key());
--- a/crates/config/src/plan/warnings.rs
+++ b/crates/config/src/plan/warnings.rs
@@ -6,7 +6,7 @@
 
 use super::affected::takes_out;
 use super::{Change, FleetFacts, TargetFacts, Warning};
-use crate::fleet::{FleetConfig, RouteRow};
+use crate::fleet::FleetConfig;
 
 /// A plan's changes with the configuration before and after them.
 pub(super) struct Consequences<'p> {
@@ -16,6 +16,11 @@
     pub(super) facts: &'p FleetFacts,
 }
 
+struct Weighted {
+    route_index: usize,
+    weight: u64,
+}
+
 impl Consequences<'_> {
     pub(super) fn warnings(&self) -> Vec<Warning> {
         let mut warnings = self.rates_over_capacity();
@@ -44,7 +49,8 @@
         let touches_load = |change: &Change| {
             matches!(change, Change::PutTenant(_) | Change::PutRoute(_) | Change::PutDrain(_) | Change::PutStop(_))
         };
-        if !self.changes.iter().any(touches_load) {
+        let is_measured = self.facts.targets.iter().any(|target| target.capacity_per_s.is_some());
+        if !is_measured || !self.changes.iter().any(touches_load) {
             return Vec::new();
         }
         let promised = self.promised_by_service();
@@ -59,29 +65,47 @@
     /// Spreads each tenant's rate over the services of its routes: by its present traffic, or
     /// evenly over the routes it may use when it has none.
     fn promised_by_service(&self) -> BTreeMap<Service, RatePerS> {
-        let mut traffic: BTreeMap<&Tenant, BTreeMap<&RouteId, u64>> = BTreeMap::new();
-        for facts in &self.facts.traffic {
-            if let Some(tenant) = &facts.tenant {
-                *traffic.entry(tenant).or_default().entry(&facts.route).or_default() += facts.rate_per_s.0;
+        let routes = self.after.routes().rows();
+        let traffic = self.traffic_by_tenant();
+        let mut promised_by_route = vec![0; routes.len()];
+        for tenant in self.after.tenants().rows() {
+            let weights = self.weights(&tenant.tenant, traffic.get(&tenant.tenant));
+            let whole: u64 = weights.iter().map(|weighted| weighted.weight).sum();
+            for Weighted { route_index, weight } in weights {
+                let share = u128::from(tenant.rate_per_s.0) * u128::from(weight) / u128::from(whole.max(1));
+                promised_by_route[route_index] += u64::try_from(share).unwrap_or(u64::MAX);
             }
         }
         let mut promised: BTreeMap<Service, RatePerS> = BTreeMap::new();
-        for tenant in self.after.tenants().rows() {
-            let usable = self.after.routes().rows().iter().filter(|route| route.allows(&tenant.tenant));
-            let seen = traffic.get(&tenant.tenant);
-            let weigh = |route: &RouteRow| seen.map_or(1, |seen| seen.get(&route.route).copied().unwrap_or(0));
-            let weighted: Vec<_> = usable.map(|route| (route, weigh(route))).collect();
-            let whole: u64 = weighted.iter().map(|(_, weight)| weight).sum();
-            for (route, weight) in weighted {
-                let share = u128::from(tenant.rate_per_s.0) * u128::from(weight) / u128::from(whole.max(1));
-                for service in FleetFacts::services_of(route) {
-                    promised.entry(service.clone()).or_default().0 += u64::try_from(share).unwrap_or(u64::MAX);
-                }
+        for (route, rate) in routes.iter().zip(promised_by_route).filter(|(_, rate)| *rate > 0) {
+            for service in FleetFacts::services_of(route) {
+                promised.entry(service.clone()).or_default().0 += rate;
             }
         }
         promised
     }
 
+    fn traffic_by_tenant(&self) -> BTreeMap<&Tenant, BTreeMap<&RouteId, u64>> {
+        let mut traffic: BTreeMap<&Tenant, BTreeMap<&RouteId, u64>> = BTreeMap::new();
+        for facts in &self.facts.traffic {
+            if let Some(tenant) = &facts.tenant {
+                *traffic.entry(tenant).or_default().entry(&facts.route).or_default() += facts.rate_per_s.0;
+            }
+        }
+        traffic
+    }
+
+    /// Returns the routes that a tenant may use, weighted by its traffic.
+    fn weights(&self, tenant: &Tenant, seen: Option<&BTreeMap<&RouteId, u64>>) -> Vec<Weighted> {
+        let routes = self.after.routes().rows().iter().enumerate();
+        let usable = routes.filter(|(_, route)| route.allows(tenant));
+        let weighted = usable.map(|(route_index, route)| {
+            let weight = seen.map_or(1, |seen| seen.get(&route.route).copied().unwrap_or(0));
+            Weighted { route_index, weight }
+        });
+        weighted.collect()
+    }
+
     fn routes_without_target(&self) -> Vec<Warning> {
         let takes_targets = |change: &Change| matches!(change, Change::PutDrain(_) | Change::PutStop(_));
         let any_takes = self.changes.iter().any(takes_targets);
