--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod apply;
 mod broadcast;
+mod budget;
 mod compact_address;
 mod directory;
 mod error;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::broadcast::{BroadcastLog, MAX_BROADCAST_BYTES, MAX_DIGEST_BYTES};
+use crate::budget::Budget;
 use crate::directory::Directory;
 use crate::probe::ProbeTable;
 use crate::rumour_queue::RumourQueue;
@@ -41,7 +42,7 @@
     pub(crate) sync: SyncState,
     pub(crate) timers: Timers,
     pub(crate) random: ChaCha8Rng,
-    pub(crate) budget_bytes: i64,
+    pub(crate) budget: Budget,
     pub(crate) outgoing: Vec<MembershipSend>,
     pub(crate) changed: BTreeSet<VmId>,
     pub(crate) digests: Vec<PeerDigest>,
@@ -67,7 +68,7 @@
             sync: SyncState::default(),
             timers: Timers::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
-            budget_bytes: 0,
+            budget: Budget::new(settings.budget_bytes_per_s),
             outgoing: Vec::new(),
             changed: BTreeSet::new(),
             digests: Vec::new(),
@@ -128,6 +129,12 @@
         self.join_record_at = Some(now);
     }
 
+    /// Changes the bytes a second that rumours and directory exchange may use.
+    pub fn set_budget(&mut self, bytes_per_s: u64) {
+        self.settings.budget_bytes_per_s = bytes_per_s;
+        self.budget = Budget::new(bytes_per_s);
+    }
+
     /// Publishes the target behind this node, or that there is none.
     pub fn set_own_target(&mut self, target: Option<TargetInfo>, now: TimeUs) {
         let mut own = self.own_slot();
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId};
 
+use crate::budget::BudgetShare;
 use crate::directory::Directory;
 use crate::zone_table::ZoneTable;
 use crate::{MemberState, Membership, MembershipMessage, MessageKind, PeerDigest};
@@ -78,7 +79,7 @@
         if let Some(replaced) = replaced.map(|slot| slot.vm) {
             self.bury(replaced, now);
         }
-        if now < self.timers.ask_sender_at || !self.can_afford(0) {
+        if now < self.timers.ask_sender_at || !self.can_afford(BudgetShare::Sync, 0) {
             return;
         }
         self.timers.ask_sender_at = now.plus_ms(ASK_SENDER_INTERVAL_MS);
--- a/crates/membership/src/rumour_queue.rs
+++ b/crates/membership/src/rumour_queue.rs
@@ -11,6 +11,10 @@
 /// dropping early leaves one member in fifty without it.
 const CROWDED_LEN: usize = 64;
 
+/// Times that a rumour of a crowded queue is sent. One member in fifty misses it then, and gets it by
+/// the exchange of digests, which costs less than sending every rumour often.
+const CROWDED_LIMIT: u16 = 4;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     sent: u16,
@@ -86,6 +90,7 @@
     /// Takes rumours for one message of at most `room_bytes`, and drops those that have now been sent
     /// `limit` times.
     pub fn take(&mut self, room_bytes: usize, limit: u16) -> Vec<Rumour> {
+        let limit = if self.len() < CROWDED_LEN { limit } else { limit.min(CROWDED_LIMIT) };
         let mut room_bytes = room_bytes;
         let mut taken = Vec::new();
         for (place, entry) in &self.entries {
--- a/crates/membership/src/send.rs
+++ b/crates/membership/src/send.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_core::TimeUs;
 
+use crate::budget::BudgetShare;
 use crate::slot::Slot;
 use crate::{
     MAX_DATAGRAM_BYTES, MemberDelta, MemberState, Membership, MembershipMessage, MembershipSend, MessageKind, Rumour,
@@ -11,8 +12,6 @@
 
 /// Bytes of the IP and UDP headers of a datagram, counted against the budget.
 const HEADER_BYTES: usize = 28;
-/// Seconds of unused budget that are kept for bursts.
-const BUDGET_BURST_S: u64 = 2;
 
 impl Membership {
     /// Sends a message with as many rumours as fit into the datagram and the budget.
@@ -25,14 +24,18 @@
             digest: self.digest().cloned(),
         };
         let size_bytes = message.size_bytes();
-        let budget_bytes = usize::try_from(self.budget_bytes).unwrap_or(0);
+        let share = share_of(&message.kind);
+        let budget_bytes = match share {
+            BudgetShare::Rumours => self.budget.left_bytes(share),
+            BudgetShare::Sync => 0,
+        };
         let room_bytes = MAX_DATAGRAM_BYTES.saturating_sub(size_bytes).min(budget_bytes);
         let limit = self.transmission_limit();
         message.rumours = self.rumours.take(room_bytes, limit);
         for rumour in &mut message.rumours {
             self.refresh_age(rumour, now);
         }
-        self.budget_bytes -= (message.size_bytes() + HEADER_BYTES) as i64;
+        self.budget.charge(share, message.size_bytes() + HEADER_BYTES);
         self.outgoing.push(MembershipSend { to, message });
     }
 
@@ -47,21 +50,13 @@
             rumours: vec![Rumour::Delta(delta)],
             digest: None,
         };
-        self.budget_bytes -= (message.size_bytes() + HEADER_BYTES) as i64;
+        self.budget.charge(BudgetShare::Rumours, message.size_bytes() + HEADER_BYTES);
         self.outgoing.push(MembershipSend { to: slot.peer_address(), message });
     }
 
-    /// Whether the budget has room for a message of `size_bytes` that can wait.
-    pub(crate) fn can_afford(&self, size_bytes: usize) -> bool {
-        self.budget_bytes >= (size_bytes + HEADER_BYTES) as i64
-    }
-
-    /// Adds the budget of the time since the last tick.
-    pub(crate) fn refill_budget(&mut self, elapsed_us: u64) {
-        let rate = self.settings.budget_bytes_per_s;
-        let earned = rate.saturating_mul(elapsed_us) / 1_000_000;
-        let ceiling = (rate * BUDGET_BURST_S) as i64;
-        self.budget_bytes = (self.budget_bytes + earned as i64).min(ceiling);
+    /// Whether a share of the budget has room for a message of `size_bytes` that can wait.
+    pub(crate) fn can_afford(&self, share: BudgetShare, size_bytes: usize) -> bool {
+        self.budget.left_bytes(share) >= size_bytes + HEADER_BYTES
     }
 
     /// Returns how often a rumour is sent: at 7,100 members, 17 times. A member that takes part in the spread misses
@@ -83,3 +78,15 @@
 fn age_ms(slot: &Slot, now: TimeUs) -> u16 {
     u16::try_from(now.ms_since(slot.since)).unwrap_or(u16::MAX)
 }
+
+fn share_of(kind: &MessageKind) -> BudgetShare {
+    match kind {
+        MessageKind::Ping { .. } | MessageKind::PingRequest { .. } | MessageKind::Ack { .. } | MessageKind::Gossip => {
+            BudgetShare::Rumours
+        }
+        MessageKind::SyncDigests { .. }
+        | MessageKind::SyncPull { .. }
+        | MessageKind::SyncWant { .. }
+        | MessageKind::SyncRows { .. } => BudgetShare::Sync,
+    }
+}
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -6,6 +6,7 @@
 use fulmartrestle_core::TimeUs;
 use rand::RngExt;
 
+use crate::budget::BudgetShare;
 use crate::directory::BUCKETS;
 use crate::rumour::{DELTA_SIZE_BYTES, row_size_bytes};
 use crate::slot::Slot;
@@ -114,7 +115,7 @@
         let found_difference = std::mem::take(&mut self.sync.found_difference);
         let interval_ms = if found_difference { REPAIR_INTERVAL_MS } else { self.settings.sync_interval_ms };
         if let Some(peer) = self.random_contact()
-            && self.can_afford(BUCKETS * 3)
+            && self.can_afford(BudgetShare::Sync, BUCKETS * 3)
         {
             let shift = self.random.random_range(0..=16);
             let digests = self.directory.digests().iter().map(|digest| (digest >> shift) as u16).collect();
@@ -128,7 +129,7 @@
         let own = self.directory.digests().iter().map(|digest| (digest >> shift) as u16);
         let differs = |(bucket, (own, theirs)): (usize, (u16, &u16))| (own != *theirs).then_some(bucket as u8);
         let mut differing: Vec<u8> = own.zip(digests).enumerate().filter_map(differs).collect();
-        if differing.is_empty() || !self.can_afford(ROWS_BYTES) {
+        if differing.is_empty() || !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         self.sync.found_difference = true;
@@ -142,7 +143,7 @@
 
     /// Sends the rows of as many of the buckets as fit into a few datagrams.
     pub(crate) fn send_buckets(&mut self, to: SocketAddr, buckets: &[u8], now: TimeUs) {
-        if !self.can_afford(ROWS_BYTES) {
+        if !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         let mut pages = vec![Page::default()];
@@ -161,7 +162,7 @@
     /// Sends the rows of as many buckets from `first` on as fit into a few datagrams. Only the last
     /// datagram says which buckets are complete.
     pub(crate) fn send_range(&mut self, to: SocketAddr, first: u8, last: u8, now: TimeUs) {
-        if first > last || !self.can_afford(ROWS_BYTES) {
+        if first > last || !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         let mut pages = vec![Page::default()];
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_core::{TimeUs, VmId};
 use rand::RngExt;
 
+use crate::budget::BudgetShare;
 use crate::probe::Probe;
 use crate::slot::Slot;
 use crate::zone_table::{ZoneEntry, ZoneTable};
@@ -61,7 +62,7 @@
             self.start_timers(now);
             return;
         };
-        self.refill_budget(now.us_since(last_tick));
+        self.budget.refill(now.us_since(last_tick));
         let gap_ms = now.ms_since(last_tick);
         if gap_ms >= PAUSE_MS {
             self.resume(gap_ms, now);
@@ -69,7 +70,6 @@
     }
 
     fn start_timers(&mut self, now: TimeUs) {
-        self.budget_bytes = self.settings.budget_bytes_per_s as i64;
         self.timers.ring_at = self.after_random(self.settings.probe_interval_ms, now);
         self.timers.cross_zone_at = self.after_random(self.settings.probe_interval_ms, now);
         self.timers.sync_at = self.after_random(self.settings.sync_interval_ms, now);
@@ -248,7 +248,7 @@
         self.timers.gossip_at = now.plus_ms(self.settings.gossip_interval_ms);
         for _ in 0..self.settings.gossip_fanout {
             let Some(peer) = self.random_contact() else { return };
-            if self.rumours.is_empty() || !self.can_afford(0) {
+            if self.rumours.is_empty() || !self.can_afford(BudgetShare::Rumours, 0) {
                 return;
             }
             self.send(peer, MessageKind::Gossip, now);
