Burn: objectives, multi-window burn rates, fleet summaries and the report

Each node counts the ends of its calls per route in rings of 60 one-minute and 144 ten-minute buckets and keeps the 16 tenants with most bad calls. Summaries merge, and the report names the nodes that are missing. It is rendered as text, JSON and a page with inline SVG.

Calls over a tenant's rate are outside the route's budget: the tenant had agreed to its rate, and would otherwise burn a budget it shares.

--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,226 @@
+//! Windows, causes, bounds and merging.
+
+use fulmartrestle_burn::{
+    BurnReport, BurnResult, BurnSample, BurnSettings, BurnStatus, BurnSummary, BurnTable, MissingNode, Objective,
+    ShareMillionths,
+};
+use fulmartrestle_core::VmId;
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const HOUR_MS: u64 = 3_600_000;
+const START_MS: u64 = 1_000 * HOUR_MS;
+const GOOD: BurnResult = BurnResult::Whole { latency_us: 1_000 };
+
+fn sample(route: &str, tenant: &str, result: BurnResult) -> BurnSample {
+    let parse = |text: &str| text.parse().unwrap_or_else(|error| panic!("{error}"));
+    let tenant = tenant.parse().unwrap_or_else(|error| panic!("{error}"));
+    BurnSample { route: parse(route), tenant: Some(tenant), result }
+}
+
+fn table(settings: &BurnSettings) -> BurnTable {
+    let mut table = BurnTable::new(settings.clone(), START_MS);
+    let route = "pairing".parse().unwrap_or_else(|error| panic!("{error}"));
+    table.set_objectives([Objective { route, share: ShareMillionths(990_000), within_ms: 100 }]);
+    table
+}
+
+fn report(table: &BurnTable, wall_ms: u64) -> BurnReport {
+    BurnReport::new(&table.summary(VmId(1), wall_ms), Vec::new(), &BurnSettings::default())
+}
+
+struct EndCase {
+    name: &'static str,
+    result: BurnResult,
+    burn_rate: f64,
+}
+
+#[gtest]
+fn each_end_of_a_call_counts_as_the_objective_says() {
+    // One of two calls ends so; 1 % may fail.
+    let cases = [
+        EndCase { name: "whole in time", result: BurnResult::Whole { latency_us: 100_000 }, burn_rate: 0.0 },
+        EndCase { name: "whole but slow", result: BurnResult::Whole { latency_us: 100_001 }, burn_rate: 50.0 },
+        EndCase { name: "late", result: BurnResult::Late, burn_rate: 50.0 },
+        EndCase { name: "shed", result: BurnResult::Shed, burn_rate: 50.0 },
+        EndCase { name: "failed", result: BurnResult::Failed, burn_rate: 50.0 },
+        EndCase { name: "not run", result: BurnResult::NotRun, burn_rate: 50.0 },
+        EndCase { name: "over rate is outside the budget", result: BurnResult::OverRate, burn_rate: 0.0 },
+    ];
+    for case in cases {
+        let mut table = table(&BurnSettings::default());
+        table.record(&sample("pairing", "a", GOOD), START_MS);
+        table.record(&sample("pairing", "a", case.result), START_MS);
+        let rate = report(&table, START_MS).routes[0].burn_5_min;
+        expect_that!(rate, near(case.burn_rate, 1e-6), "{}", case.name);
+    }
+}
+
+struct WindowCase {
+    name: &'static str,
+    /// Minutes of bad calls, followed by minutes of good calls.
+    bad_min: u64,
+    good_min: u64,
+    bad_per_minute: u64,
+    status: BurnStatus,
+}
+
+#[gtest]
+fn long_and_short_windows_have_to_agree() {
+    // 100 calls a minute for 6 hours before.
+    let cases = [
+        WindowCase { name: "no burn", bad_min: 0, good_min: 1, bad_per_minute: 0, status: BurnStatus::Ok },
+        WindowCase { name: "one bad minute", bad_min: 1, good_min: 0, bad_per_minute: 100, status: BurnStatus::Ok },
+        WindowCase { name: "an hour", bad_min: 60, good_min: 0, bad_per_minute: 7, status: BurnStatus::FastBurn },
+        WindowCase { name: "an hour, over", bad_min: 60, good_min: 6, bad_per_minute: 7, status: BurnStatus::Ok },
+        WindowCase {
+            name: "long and slow",
+            bad_min: 360,
+            good_min: 0,
+            bad_per_minute: 3,
+            status: BurnStatus::SlowBurn,
+        },
+        WindowCase { name: "slow, over", bad_min: 360, good_min: 31, bad_per_minute: 3, status: BurnStatus::Ok },
+    ];
+    for case in cases {
+        let mut table = table(&BurnSettings::default());
+        let minutes = 360 + case.bad_min + case.good_min;
+        for minute in 0..minutes {
+            let is_bad = (360..360 + case.bad_min).contains(&minute);
+            let bad = if is_bad { case.bad_per_minute } else { 0 };
+            for call in 0..100 {
+                let result = if call < bad { BurnResult::Shed } else { GOOD };
+                table.record(&sample("pairing", "a", result), START_MS + minute * 60_000);
+            }
+        }
+        let status = report(&table, START_MS + (minutes - 1) * 60_000).routes[0].status;
+        expect_that!(status, eq(case.status), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn calls_leave_the_windows_as_time_passes() {
+    let mut table = table(&BurnSettings::default());
+    table.record(&sample("pairing", "a", BurnResult::Failed), START_MS);
+    let at = |hours: u64| report(&table, START_MS + hours * HOUR_MS).routes[0].clone();
+    expect_that!(at(0).burn_5_min, gt(99.0));
+    expect_that!(at(2).burn_1_hour, eq(0.0));
+    expect_that!(at(2).burn_6_hours, gt(99.0));
+    expect_that!(at(7).burn_6_hours, eq(0.0));
+    expect_that!(at(7).budget_left, lt(0.0));
+    expect_that!(at(25).status, eq(BurnStatus::NoTraffic));
+}
+
+#[gtest]
+fn a_wall_clock_that_is_set_back_does_not_stop_counting() {
+    let mut table = table(&BurnSettings::default());
+    table.record(&sample("pairing", "a", GOOD), START_MS + 9_000 * HOUR_MS);
+    table.record(&sample("pairing", "a", BurnResult::Shed), START_MS);
+    let summary = table.summary(VmId(1), START_MS);
+    expect_that!(summary.routes[0].last_hour.total(), eq(1));
+}
+
+#[gtest]
+fn memory_is_bounded() {
+    let settings = BurnSettings { max_routes: 8, tenants_per_route: 4, ..BurnSettings::default() };
+    let mut table = table(&settings);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut largest = 0;
+    for step in 0..20_000_u64 {
+        let route = format!("route-{}", random.random_range(0..20));
+        let tenant = format!("tenant-{:03}", random.random_range(0..500));
+        table.record(&sample(&route, &tenant, BurnResult::Shed), START_MS + step * 10_000);
+        largest = largest.max(table.size_bytes());
+    }
+    expect_that!(largest, lt(8 * 6_000));
+    let summary = table.summary(VmId(1), START_MS);
+    expect_that!(summary.routes, len(eq(8)));
+    expect_that!(summary.dropped, gt(0));
+}
+
+#[gtest]
+fn a_tenant_with_many_bad_calls_stays_listed() {
+    let settings = BurnSettings { tenants_per_route: 8, ..BurnSettings::default() };
+    let mut table = table(&settings);
+    for step in 0..5_000 {
+        let tenant = if step % 5 == 0 { "large".to_owned() } else { format!("small-{step}") };
+        table.record(&sample("pairing", &tenant, BurnResult::Failed), START_MS);
+    }
+    let large = &report(&table, START_MS).routes[0].tenants[0];
+    expect_that!(large.tenant.as_str(), eq("large"));
+    expect_that!(large.counts.bad.iter().sum::<u32>(), le(1_000));
+    expect_that!(large.counts.bad.iter().sum::<u32>() + large.error, ge(1_000));
+}
+
+/// Splits random calls over three nodes; their merged summary must equal that of one node that took
+/// all of them.
+fn merged_and_whole(seed: u64, repeat: bool) -> (BurnSummary, BurnSummary) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let settings = BurnSettings::default();
+    let mut whole = table(&settings);
+    let mut nodes = [table(&settings), table(&settings), table(&settings)];
+    for step in 0..3_000_u64 {
+        let results = [GOOD, BurnResult::Shed, BurnResult::OverRate, BurnResult::Failed, BurnResult::Late];
+        let result = results[random.random_range(0..results.len())];
+        let route = format!("route-{}", random.random_range(0..5));
+        let sample = sample(&route, &format!("tenant-{}", random.random_range(0..9)), result);
+        whole.record(&sample, START_MS + step * 1_000);
+        nodes[random.random_range(0..3)].record(&sample, START_MS + step * 1_000);
+    }
+    let end_ms = START_MS + 3_000_000;
+    let mut merged = nodes[0].summary(VmId(1), end_ms);
+    merged.merge(&nodes[1].summary(VmId(2), end_ms));
+    merged.merge(&nodes[2].summary(VmId(3), end_ms));
+    if repeat {
+        merged.merge(&nodes[1].summary(VmId(2), end_ms));
+    }
+    (normal(merged), normal(whole.summary(VmId(1), end_ms)))
+}
+
+fn normal(mut summary: BurnSummary) -> BurnSummary {
+    summary.nodes.clear();
+    for route in &mut summary.routes {
+        route.tenants.retain(|tenant| tenant.weight() > 0);
+        route.tenants.iter_mut().for_each(|tenant| tenant.counts.good = 0);
+        route.tenants.sort_by(|left, right| left.tenant.cmp(&right.tenant));
+    }
+    summary
+}
+
+#[gtest]
+fn merged_summaries_equal_one_summary_of_all_calls() {
+    for seed in 1..6 {
+        for repeat in [false, true] {
+            let (merged, whole) = merged_and_whole(seed, repeat);
+            expect_that!(merged, eq(&whole), "seed {seed}, repeated answer: {repeat}");
+        }
+    }
+}
+
+#[gtest]
+fn a_merge_that_counts_a_node_twice_is_caught() {
+    let (mut merged, whole) = merged_and_whole(1, false);
+    merged.merge(&BurnSummary { nodes: vec![VmId(9)], ..whole.clone() });
+    expect_that!(normal(merged), not(eq(&whole)));
+}
+
+#[gtest]
+fn reports_name_what_is_missing_and_load_nothing() {
+    let mut table = table(&BurnSettings::default());
+    table.record(&sample("pairing", "agency", BurnResult::Shed), START_MS);
+    let zone = "verona".parse().unwrap_or_else(|error| panic!("{error}"));
+    let missing = vec![MissingNode { vm: VmId(0xabc), zone }];
+    let report = BurnReport::new(&table.summary(VmId(1), START_MS), missing, &BurnSettings::default());
+    let json = report.to_json().unwrap_or_default();
+    for page in [report.to_text(), report.to_html()] {
+        for wanted in ["0000000000000abc", "verona", "agency", "pairing", "1 of 2 nodes"] {
+            expect_that!(page, contains_substring(wanted));
+        }
+    }
+    for forbidden in ["<script", "http://", "https://", "src=", "url(", "@import"] {
+        expect_that!(report.to_html(), not(contains_substring(forbidden)));
+    }
+    let parsed: BurnReport = serde_json::from_str(&json).unwrap_or_else(|error| panic!("{error}"));
+    expect_that!(parsed, eq(&report));
+}
