--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -7,9 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::broadcast::{BroadcastLog, MAX_BROADCAST_BYTES, MAX_DIGEST_BYTES};
+use crate::budget::Budget;
 use crate::directory::Directory;
 use crate::probe::ProbeTable;
-use crate::rumour::Subject;
 use crate::rumour_queue::RumourQueue;
 use crate::slot::Slot;
 use crate::sync::SyncState;
@@ -42,7 +42,7 @@
     pub(crate) sync: SyncState,
     pub(crate) timers: Timers,
     pub(crate) random: ChaCha8Rng,
-    pub(crate) budget_bytes: i64,
+    pub(crate) budget: Budget,
     pub(crate) outgoing: Vec<MembershipSend>,
     pub(crate) changed: BTreeSet<VmId>,
     pub(crate) digests: Vec<PeerDigest>,
@@ -68,7 +68,7 @@
             sync: SyncState::default(),
             timers: Timers::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
-            budget_bytes: 0,
+            budget: Budget::new(settings.budget_bytes_per_s),
             outgoing: Vec::new(),
             changed: BTreeSet::new(),
             digests: Vec::new(),
@@ -121,7 +121,7 @@
     pub fn join_record(&self) -> JoinRecord {
         let own = self.own_slot();
         let zone = self.zones.get(own.zone).name.clone();
-        JoinRecord { vm: self.own, zone, peer_address: own.peer_address }
+        JoinRecord { vm: self.own, zone, peer_address: own.peer_address() }
     }
 
     /// Notes that the join record was appended.
@@ -129,6 +129,12 @@
         self.join_record_at = Some(now);
     }
 
+    /// Changes the bytes a second that rumours and directory exchange may use.
+    pub fn set_budget(&mut self, bytes_per_s: u64) {
+        self.settings.budget_bytes_per_s = bytes_per_s;
+        self.budget = Budget::new(bytes_per_s);
+    }
+
     /// Publishes the target behind this node, or that there is none.
     pub fn set_own_target(&mut self, target: Option<TargetInfo>, now: TimeUs) {
         let mut own = self.own_slot();
@@ -282,7 +288,6 @@
         own.state = own.published;
         self.directory.put(own);
         self.changed.insert(own.vm);
-        self.rumours.remove(Subject::Member(own.vm));
         self.spread_row(own.vm, now);
     }
 }
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId};
 
+use crate::budget::BudgetShare;
 use crate::directory::Directory;
 use crate::zone_table::ZoneTable;
 use crate::{MemberState, Membership, MembershipMessage, MessageKind, PeerDigest};
@@ -64,7 +65,7 @@
         if slot.state == MemberState::Alive {
             self.probes.forget(vm);
         }
-        if asks && matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address == from {
+        if asks && matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address() == from {
             self.tell_suspicion(&slot, now);
         }
     }
@@ -73,11 +74,12 @@
     /// one sender at a time, and only within the budget: two members that don't know each other would
     /// otherwise ask each other without end while neither can afford the answer.
     fn note_unknown_sender(&mut self, vm: VmId, from: SocketAddr, now: TimeUs) {
-        let replaced = self.directory.iter().find(|slot| slot.peer_address == from && slot.state != MemberState::Dead);
+        let replaced =
+            self.directory.iter().find(|slot| slot.peer_address() == from && slot.state != MemberState::Dead);
         if let Some(replaced) = replaced.map(|slot| slot.vm) {
             self.bury(replaced, now);
         }
-        if now < self.timers.ask_sender_at || !self.can_afford(0) {
+        if now < self.timers.ask_sender_at || !self.can_afford(BudgetShare::Sync, 0) {
             return;
         }
         self.timers.ask_sender_at = now.plus_ms(ASK_SENDER_INTERVAL_MS);
