Burn report end to end; bad input refused before a target gets any of it

Found by the new tests: a body whose announced length is over the limit was streamed to the target until the limit broke it off (outcome unknown); it is refused at once now (not_run).

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -55,6 +55,8 @@
     Check(CheckArgs),
     /// Explains decisions.
     Explain(ExplainArgs),
+    /// Reports.
+    Report(ReportArgs),
     /// Runs the demo.
     Demo(DemoArgs),
 }
@@ -188,6 +190,32 @@
     pub request_id: Option<String>,
 }
 
+/// Print a report gathered from all nodes that can be reached.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "report")]
+pub struct ReportArgs {
+    /// which report
+    #[argh(subcommand)]
+    pub command: ReportCommand,
+}
+
+/// Which report.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum ReportCommand {
+    /// Service-level burn.
+    Burn(BurnArgs),
+}
+
+/// Report how fast each route burns its error budget, what burned it and for which tenants.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "burn")]
+pub struct BurnArgs {
+    /// write the report as a page with plots to this file
+    #[argh(option)]
+    pub html: Option<PathBuf>,
+}
+
 /// Start a small fleet in this process, drive load through it and print what callers saw.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "demo")]
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -40,6 +40,16 @@
         self.send(Method::GET, path, String::new()).await
     }
 
+    /// Returns the text at a path.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Unreachable`] without an answer and [`CliError::Refused`] for an error.
+    pub async fn get_text(&self, path: &str) -> Result<String, CliError> {
+        let bytes = self.exchange_in_time(Method::GET, path, String::new()).await?;
+        String::from_utf8(bytes.to_vec()).map_err(|error| self.unreachable(format!("answer can't be read: {error}")))
+    }
+
     /// Sends a body to a path and returns the answer.
     ///
     /// # Errors
@@ -50,12 +60,16 @@
     }
 
     async fn send<T: DeserializeOwned>(&self, method: Method, path: &str, body: String) -> Result<T, CliError> {
-        let exchange =
-            tokio::time::timeout(Duration::from_millis(ANSWER_TIMEOUT_MS), self.exchange(method, path, body));
-        let bytes = exchange.await.map_err(|_| self.unreachable("no answer in time"))??;
+        let bytes = self.exchange_in_time(method, path, body).await?;
         serde_json::from_slice(&bytes).map_err(|error| self.unreachable(format!("answer can't be read: {error}")))
     }
 
+    async fn exchange_in_time(&self, method: Method, path: &str, body: String) -> Result<Bytes, CliError> {
+        let exchange = self.exchange(method, path, body);
+        let answered = tokio::time::timeout(Duration::from_millis(ANSWER_TIMEOUT_MS), exchange).await;
+        answered.map_err(|_| self.unreachable("no answer in time"))?
+    }
+
     async fn exchange(&self, method: Method, path: &str, body: String) -> Result<Bytes, CliError> {
         let mut request = Request::builder().method(method).uri(format!("http://{}{path}", self.node));
         if let Some(key) = &self.operator_key {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod key;
 mod plan;
+mod report;
 mod settings;
 mod status;
 mod stop;
@@ -36,6 +37,7 @@
         Command::Confirm(confirm) => commands::plan::confirm(&client(&args)?, &confirm.plan, args.json).await,
         Command::History(_) => commands::plan::history(&client(&args)?, args.json).await,
         Command::Status(_) => commands::status::status(&client(&args)?, args.json).await,
+        Command::Report(report) => commands::report::run(&client(&args)?, &report.command, args.json).await,
         Command::Key(key) => commands::key::run(&client(&args)?, &key.command, args.json).await,
         Command::Stop(stop) => commands::stop::plan_stop(&client(&args)?, stop, args.json).await,
         Command::Explain(explain) => commands::explain::explain(&client(&args)?, explain, args.json).await,
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use super::burn::burn_report;
 use super::error::ApiError;
 use super::pending_plans::PendingPlans;
 use super::plans::{confirm_document, confirm_pending, make_plan};
@@ -49,6 +50,7 @@
         .at("/v1/plans", post(make_plan))
         .at("/v1/plans/confirm", post(confirm_document))
         .at("/v1/plans/:id/confirm", post(confirm_pending))
+        .at("/v1/report/burn", get(burn_report))
         .at("/v1/history", get(history))
         .at("/v1/status", get(status))
         .at("/v1/explain", get(explain_latest))
--- /dev/null
+++ b/crates/node/src/admin/burn.rs
@@ -0,0 +1,52 @@
+//! The report on service-level burn.
+
+use std::sync::Arc;
+
+use poem::http::StatusCode;
+use poem::web::{Data, Query};
+use poem::{Request, Response, handler};
+use serde::Deserialize;
+
+use super::api::{AdminState, operator};
+use super::error::ApiError;
+use crate::burn::fleet_report;
+
+/// How the report is wanted.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ReportFormat {
+    /// Plain text.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+    /// A page that needs nothing else.
+    Html,
+}
+
+/// The query of a request for the report.
+#[derive(Debug, Deserialize)]
+struct ReportQuery {
+    #[serde(default)]
+    format: ReportFormat,
+}
+
+/// Gathers the report from all nodes that can be reached.
+#[handler]
+pub async fn burn_report(
+    state: Data<&Arc<AdminState>>,
+    request: &Request,
+    Query(query): Query<ReportQuery>,
+) -> Result<Response, ApiError> {
+    operator(&state, request)?;
+    let report = fleet_report(&state.node).await;
+    let (content_type, body) = match query.format {
+        ReportFormat::Text => ("text/plain; charset=utf-8", report.to_text()),
+        ReportFormat::Html => ("text/html; charset=utf-8", report.to_html()),
+        ReportFormat::Json => {
+            let json = report.to_json().map_err(|error| ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, error))?;
+            ("application/json", json)
+        }
+    };
+    Ok(Response::builder().content_type(content_type).body(body))
+}
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' API, and the announcements of the own target.
 
 mod api;
+mod burn;
 mod error;
 mod pending_plans;
 mod plans;
--- /dev/null
+++ b/crates/node/src/burn.rs
@@ -0,0 +1,187 @@
+//! Recording how requests end, and gathering the fleet's report on service-level burn.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fulmartrestle_burn::{
+    BurnReport, BurnResult, BurnSample, BurnSettings, BurnSummary, MissingNode, Objective, ShareMillionths,
+};
+use fulmartrestle_config::FleetConfig;
+use fulmartrestle_core::{Reason, Refusal, RouteId, Tenant, TimeUs, VmId};
+use fulmartrestle_membership::MemberState;
+use futures_util::stream::{self, StreamExt};
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::body::{BodyError, ByteBody};
+use crate::clock::wall_ms;
+use crate::lock::lock;
+use crate::peer::{PeerError, PeerLink};
+use crate::state::NodeState;
+
+/// Nodes asked at one time. Each costs a connection for the moment, some 40 KB.
+const CONCURRENT_NODES: usize = 32;
+
+/// Time for one node's answer, in milliseconds.
+const NODE_TIMEOUT_MS: u64 = 2_000;
+
+/// A request whose end is still to be recorded.
+#[derive(Clone, Debug)]
+pub struct BurnEntry {
+    /// The route.
+    pub route: RouteId,
+    /// Whose request it is.
+    pub tenant: Option<Tenant>,
+    /// When it arrived.
+    pub arrived: TimeUs,
+}
+
+/// Records a request that was refused. Requests that the caller got wrong count for nobody.
+pub fn record_refusal(state: &NodeState, entry: &BurnEntry, refusal: &Refusal) {
+    let result = match refusal.reason {
+        Reason::BadRequest | Reason::Unauthorized | Reason::Forbidden | Reason::NoRoute | Reason::Cancelled => return,
+        Reason::OverRate => BurnResult::OverRate,
+        Reason::Shed => BurnResult::Shed,
+        Reason::Deadline => BurnResult::Late,
+        Reason::TargetFailed | Reason::BadAnswer | Reason::Blocked => BurnResult::Failed,
+        Reason::NoTarget | Reason::Draining | Reason::Claimed | Reason::LogUnavailable | Reason::NotReady => {
+            BurnResult::NotRun
+        }
+    };
+    record(state, entry, result);
+}
+
+fn record(state: &NodeState, entry: &BurnEntry, result: BurnResult) {
+    let sample = BurnSample { route: entry.route.clone(), tenant: entry.tenant.clone(), result };
+    lock(&state.burn).record(&sample, wall_ms());
+}
+
+/// An answer's body that records how the request ended once the body has.
+pub struct RecordedBody {
+    inner: ByteBody,
+    state: Arc<NodeState>,
+    entry: BurnEntry,
+    /// Whether the target's status says that the answer is good.
+    good: bool,
+    /// Bytes that the announced length still leaves, where one was announced. The server stops asking
+    /// for more once it is reached, so that the body's own end may never be seen.
+    left_bytes: Option<u64>,
+    recorded: bool,
+}
+
+impl RecordedBody {
+    /// Returns `inner`, which records the request's end. An answer without a body ends at once.
+    pub fn new(
+        inner: ByteBody,
+        state: Arc<NodeState>,
+        entry: BurnEntry,
+        good: bool,
+        length_bytes: Option<u64>,
+    ) -> Self {
+        let mut body = Self { inner, state, entry, good, left_bytes: length_bytes, recorded: false };
+        if body.inner.is_end_stream() || length_bytes == Some(0) {
+            body.record_once(true);
+        }
+        body
+    }
+
+    fn note_frame(&mut self, frame: &Frame<Bytes>) {
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        self.left_bytes = self.left_bytes.map(|left| left.saturating_sub(length));
+        if self.left_bytes == Some(0) || self.inner.is_end_stream() {
+            self.record_once(true);
+        }
+    }
+
+    fn record_once(&mut self, whole: bool) {
+        if self.recorded {
+            return;
+        }
+        self.recorded = true;
+        let latency_us = self.state.clock.now().us_since(self.entry.arrived);
+        let result = if whole && self.good { BurnResult::Whole { latency_us } } else { BurnResult::Failed };
+        record(&self.state, &self.entry, result);
+    }
+}
+
+impl Body for RecordedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.record_once(true),
+            Poll::Ready(Some(Err(_))) => self.record_once(false),
+            Poll::Ready(Some(Ok(frame))) => self.note_frame(frame),
+            Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Returns the objectives of a configuration.
+pub fn objectives(config: &FleetConfig) -> Vec<Objective> {
+    let rows = config.objectives().rows().iter().map(|row| Objective {
+        route: row.route.clone(),
+        share: ShareMillionths(row.share_per_million.0),
+        within_ms: row.within_ms,
+    });
+    rows.collect()
+}
+
+/// Returns what this node knows.
+pub fn own_summary(state: &NodeState) -> BurnSummary {
+    lock(&state.burn).summary(state.own, wall_ms())
+}
+
+/// Gathers the fleet's report from all nodes that can be reached, and names those that can't.
+pub async fn fleet_report(state: &NodeState) -> BurnReport {
+    let members: Vec<MissingNode> = {
+        let membership = lock(&state.membership);
+        let others =
+            membership.members(state.clock.now()).filter(|row| row.vm != state.own && row.state != MemberState::Dead);
+        others.map(|row| MissingNode { vm: row.vm, zone: row.zone }).collect()
+    };
+    let answers = stream::iter(members).map(|node| async move {
+        let answer = ask(state, node.vm).await;
+        (node, answer)
+    });
+    let mut answers = answers.buffer_unordered(CONCURRENT_NODES);
+    let mut summary = own_summary(state);
+    let mut missing = Vec::new();
+    while let Some((node, answer)) = answers.next().await {
+        match answer {
+            Ok(other) => drop(summary.merge(&other)),
+            Err(error) => {
+                log::debug!("burn: {} did not report: {error}", node.vm);
+                missing.push(node);
+            }
+        }
+    }
+    BurnReport::new(&summary, missing, &BurnSettings::default())
+}
+
+/// Asks one node over a connection of its own, which is closed again: a report must not leave this
+/// node connected to the whole fleet.
+async fn ask(state: &NodeState, vm: VmId) -> Result<BurnSummary, PeerError> {
+    let unreachable = |detail: &str| PeerError::Connect(detail.to_owned());
+    let address = state.directory.peer_address(vm).filter(|address| state.allows(*address));
+    let address = address.ok_or_else(|| unreachable("not reachable"))?;
+    let asked = async { PeerLink::connect(address).await?.burn_summary().await };
+    let answered = tokio::time::timeout(Duration::from_millis(NODE_TIMEOUT_MS), asked);
+    answered.await.map_err(|_| unreachable("no answer in time"))?
+}
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -6,13 +6,17 @@
 use fulmartrestle_config::fleet::{KeyHash, RouteRow};
 use fulmartrestle_core::{Reason, Refusal, Tenant};
 use fulmartrestle_policy::{BasisPoints, RetryAllowance};
+use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt;
 
 use super::fingerprint::fingerprint;
 use super::once::{OnceKey, run_once};
 use super::request::{ReceivedRequest, read_body};
+use crate::burn::{BurnEntry, RecordedBody, record_refusal};
 use crate::call::{CallSpec, Dispatched, check_door, dispatch};
 use crate::replay_body::ReplayBody;
 use crate::state::NodeState;
+use crate::wire::HeaderPair;
 
 /// Retries that one request may cause over its whole chain. With three, one lost answer at each of
 /// two hops is still made good, and no request causes more than four times its first attempts.
@@ -24,6 +28,9 @@
 /// When to come back to an isolated zone, in milliseconds.
 const ISOLATED_RETRY_AFTER_MS: u64 = 5_000;
 
+/// Lowest status by which a target says that it failed.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Weight of calls on routes open to all.
 const OPEN_WEIGHT: u32 = 1;
 
@@ -48,6 +55,30 @@
     let config = state.config.get();
     let route = find_route(&config, &request.path)?;
     let caller = authenticate(&config, route, key_hash)?;
+    let burn = BurnEntry { route: route.route.clone(), tenant: caller.tenant.clone(), arrived: state.clock.now() };
+    let result = let_in(state, route, caller, request, request_id).await;
+    match result {
+        Ok(answer) => Ok(recorded(state, burn, answer)),
+        Err(refusal) => {
+            record_refusal(state, &burn, &refusal);
+            Err(refusal)
+        }
+    }
+}
+
+fn recorded(state: &Arc<NodeState>, burn: BurnEntry, answer: Dispatched) -> Dispatched {
+    let good = answer.status < FIRST_SERVER_ERROR;
+    let body = RecordedBody::new(answer.body, Arc::clone(state), burn, good, content_length(&answer.headers));
+    Dispatched { body: body.boxed_unsync(), ..answer }
+}
+
+async fn let_in(
+    state: &Arc<NodeState>,
+    route: &RouteRow,
+    caller: Caller,
+    request: ReceivedRequest,
+    request_id: u64,
+) -> Result<Dispatched, Refusal> {
     let ReceivedRequest { method, path, headers, timeout_ms, idempotency_key, body } = request;
     check_isolation(state, route)?;
     if route.at_most_once && idempotency_key.is_none() {
@@ -84,6 +115,12 @@
     }
 }
 
+/// Returns the length that an answer announces, in bytes.
+fn content_length(headers: &[HeaderPair]) -> Option<u64> {
+    let header = headers.iter().find(|header| header.name == CONTENT_LENGTH.as_str())?;
+    std::str::from_utf8(&header.value).ok()?.trim().parse().ok()
+}
+
 /// Lets a request in and runs it.
 ///
 /// # Errors
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_core::{CallId, Reason, Refusal};
 use hyper::Request;
@@ -16,6 +17,7 @@
 use super::request::ReceivedRequest;
 use super::sidecar::answer_child;
 use crate::body::ByteBody;
+use crate::burn::own_summary;
 use crate::call::Dispatched;
 use crate::context::CONTEXT_HEADER;
 use crate::control::receive_control;
@@ -85,6 +87,10 @@
         known_outcome(&self.state, key).await
     }
 
+    fn burn_summary(&self) -> BurnSummary {
+        own_summary(&self.state)
+    }
+
     fn control(&self, envelope: ControlEnvelope) {
         receive_control(&self.state, envelope, None);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod body;
+mod burn;
 mod call;
 mod claims_io;
 mod clock;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use fulmartrestle_burn::{BurnSettings, BurnTable};
 use fulmartrestle_claims::{ClaimNode, ClaimSettings};
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::plan::TimeZones;
@@ -21,8 +22,9 @@
 use tokio::task::JoinSet;
 
 use crate::admin::{AdminState, serve_admin};
+use crate::burn::objectives;
 use crate::claims_io::ClaimsIo;
-use crate::clock::Clock;
+use crate::clock::{Clock, wall_ms};
 use crate::config::CurrentConfig;
 use crate::config_io::ConfigIo;
 use crate::context::ContextSealer;
@@ -262,17 +264,20 @@
         peers: PeerPool::default(),
         links: Arc::clone(&options.links),
         rng: Mutex::new(rng),
+        burn: Mutex::new(BurnTable::new(BurnSettings::default(), wall_ms())),
         counters: Counters::default(),
         decisions: Mutex::default(),
     })
 }
 
-/// Tells the rates of each version that comes in force, until the task is aborted.
+/// Tells rates and objectives of each version that comes in force, until the task is aborted.
 async fn follow_config(state: Arc<NodeState>) {
     let mut changes = state.config.changes();
     changes.mark_changed();
     while changes.changed().await.is_ok() {
-        state.rates.set_config(quota_config(&state.config.get()));
+        let config = state.config.get();
+        state.rates.set_config(quota_config(&config));
+        lock(&state.burn).set_objectives(objectives(&config));
     }
 }
 
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use h2::client::SendRequest;
 use http::Request;
 use http_body_util::{BodyExt, Limited};
+use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 
 use super::control::ControlEnvelope;
@@ -35,8 +37,8 @@
 /// Flow-control window of a connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 
-/// Longest outcome of a call that runs at most once, in bytes; see the bound on held answers.
-const MAX_OUTCOME_BYTES: usize = 5 << 20;
+/// Longest answer to a question, in bytes: the outcome of a call that runs at most once.
+const MAX_ANSWER_BYTES: usize = 5 << 20;
 
 /// The answer to a call, with the body still on its way.
 pub struct PeerAnswer {
@@ -142,10 +144,24 @@
     ///
     /// Returns [`PeerError`] when the peer did not answer.
     pub async fn known_outcome(&self, key: ClaimKey) -> Result<Option<OnceOutcome>, PeerError> {
-        let (response, mut stream) = self.open("/outcome").await?;
-        send_data(&mut stream, encode_head(&key)?, true).await?;
+        self.ask("/outcome", encode_head(&key)?).await
+    }
+
+    /// Asks how the requests that the peer took in ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when the peer did not answer.
+    pub async fn burn_summary(&self) -> Result<BurnSummary, PeerError> {
+        self.ask("/burn", Bytes::new()).await
+    }
+
+    /// Sends a question and reads the whole answer.
+    async fn ask<T: DeserializeOwned>(&self, path: &str, question: Bytes) -> Result<T, PeerError> {
+        let (response, mut stream) = self.open(path).await?;
+        send_data(&mut stream, question, true).await?;
         let response = response.await.map_err(lost)?;
-        let body = Limited::new(whole_stream(response.into_body()), MAX_OUTCOME_BYTES).collect().await;
+        let body = Limited::new(whole_stream(response.into_body()), MAX_ANSWER_BYTES).collect().await;
         let bytes = body.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
         Ok(decode_exact(&bytes)?)
     }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
@@ -41,6 +42,9 @@
     /// Returns the outcome of a call that runs at most once and that this node runs or ran.
     async fn known_outcome(&self, key: ClaimKey) -> Option<OnceOutcome>;
 
+    /// Returns how the requests that this node took in ended.
+    fn burn_summary(&self) -> BurnSummary;
+
     /// Takes a control message.
     fn control(&self, envelope: ControlEnvelope);
 }
@@ -92,6 +96,7 @@
     let result = match request.uri().path() {
         "/call" => serve_call(request.into_body(), &mut respond, service).await,
         "/outcome" => serve_outcome(request.into_body(), &mut respond, service).await,
+        "/burn" => serve_burn(&mut respond, service).await,
         "/control" => serve_control(request.into_body(), &mut respond, service).await,
         _ => answer_empty(&mut respond, StatusCode::NOT_FOUND),
     };
@@ -131,6 +136,12 @@
     answer_empty(respond, StatusCode::OK)
 }
 
+async fn serve_burn(respond: &mut SendResponse<Bytes>, service: Arc<dyn PeerService>) -> Result<(), PeerError> {
+    let bytes = Bytes::from(encode(&service.burn_summary())?);
+    let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
+    send_data(&mut stream, bytes, true).await
+}
+
 async fn serve_outcome(
     body: RecvStream,
     respond: &mut SendResponse<Bytes>,
--- a/crates/node/src/replay_body.rs
+++ b/crates/node/src/replay_body.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::{self, StreamExt};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 
 use crate::body::{BodyError, ByteBody, data_of, whole_body};
 
@@ -32,6 +32,10 @@
     /// Returns [`BodyError`] when the body breaks off within its first [`REPLAY_LIMIT_BYTES`] or
     /// announces more than `limit_bytes`.
     pub async fn read(mut body: ByteBody, limit_bytes: u64) -> Result<Self, BodyError> {
+        // A body that says that it is too long is refused before a target gets any of it.
+        if body.size_hint().lower() > limit_bytes {
+            return Err(BodyError::TooLong(limit_bytes));
+        }
         let mut head = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Some(data) = data_of(frame?) {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use fulmartrestle_api::Decision;
+use fulmartrestle_burn::BurnTable;
 use fulmartrestle_config::Settings;
 use fulmartrestle_core::{AvailabilityZone, VmId};
 use fulmartrestle_membership::Membership;
@@ -68,6 +69,8 @@
     pub links: Arc<dyn LinkFaults>,
     /// Random draws, seeded at the start.
     pub rng: Mutex<ChaCha8Rng>,
+    /// How requests ended, by route and tenant.
+    pub burn: Mutex<BurnTable>,
     /// Counters.
     pub counters: Counters,
     /// Latest decisions, where the settings ask for them.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -177,3 +177,30 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_burn_report_covers_the_fleet_and_names_missing_nodes() -> Result<()> {
+    let mut plan = one_target();
+    plan.targets.push(TargetPlan { service: "search", zone: "milano", child: None });
+    let mut fleet = Fleet::start(&plan).await;
+    fleet.configure(&plan).await;
+    let intent = json!({"why": "objective", "changes": [
+        {"grant_key": "laghi"},
+        {"set_objective": {"route": "search", "within_ms": 500, "share_per_million": 999_000}},
+    ]});
+    let planned = fleet.publish(0, &intent, None).await;
+    let secret = planned["granted"][0]["secret"].as_str().unwrap_or_default().to_owned();
+    fleet.wait_until_admitted("/search/x", &secret).await;
+
+    let report = json_of(&command(&fleet, &["--json", "report", "burn"]));
+    verify_that!(report["nodes"], eq(&json!(2))).or_fail()?;
+    verify_that!(report["routes"][0]["route"], eq(&json!("search"))).or_fail()?;
+    verify_that!(report["routes"][0]["objective_percent"], eq(&json!(99.9))).or_fail()?;
+    let whole = report["routes"][0]["last_day"]["good"].as_u64().unwrap_or(0);
+    verify_that!(whole, ge(2)).with_failure_message(|| report.to_string())?;
+
+    fleet.vms[1].node.freeze();
+    let partial = command(&fleet, &["report", "burn"]);
+    fleet.vms[1].node.wake();
+    verify_that!(text(&partial.stdout), contains_substring("missing"))
+}
