--- a/crates/policy/examples/overload_model/model/hops.rs
+++ b/crates/policy/examples/overload_model/model/hops.rs
@@ -49,6 +49,7 @@
             unspent: reservation.retries(),
             reservation: Some(reservation),
             child: None,
+            lost: false,
             wanted: true,
         };
         self.attempts.insert(call, attempt);
@@ -280,7 +281,9 @@
     /// The caller notices after a while that an attempt's connection is gone. What still runs there
     /// is cancelled, because the target's node sees the same.
     pub(super) fn lose(&mut self, call: CallId, after_us: u64) {
-        let Some(hop) = self.attempts.get(&call).map(|attempt| attempt.hop) else { return };
+        let Some(attempt) = self.attempts.get_mut(&call) else { return };
+        attempt.lost = true;
+        let hop = attempt.hop;
         let level = fulmartrestle_policy::AdmissionLevel::default();
         let answer = Answer { call, hop, result: AnswerResult::Lost, level, reports: Vec::new(), unspent: 0 };
         self.stop_work(call);
--- a/crates/policy/examples/overload_model/model/table.rs
+++ b/crates/policy/examples/overload_model/model/table.rs
@@ -91,6 +91,8 @@
     pub reservation: Option<Reservation>,
     /// The hop that it waits for.
     pub child: Option<u64>,
+    /// Whether its connection is gone, so that it can't reach the target any more.
+    pub lost: bool,
     /// Whether the caller still waits.
     pub wanted: bool,
     /// Retries that its subtree has left.
--- a/crates/policy/examples/overload_model/model/targets.rs
+++ b/crates/policy/examples/overload_model/model/targets.rs
@@ -19,7 +19,7 @@
 impl Model {
     /// An attempt reaches its target's node.
     pub(super) fn arrive(&mut self, call: CallId) {
-        let Some(attempt) = self.attempts.get_mut(&call) else { return };
+        let Some(attempt) = self.attempts.get_mut(&call).filter(|attempt| !attempt.lost) else { return };
         attempt.offered = self.now;
         let (node, life, key) = (attempt.node, attempt.life, attempt.hop);
         let Some(hop) = self.hops.get(&key) else { return };
--- a/crates/policy/tests/gate_limit.rs
+++ b/crates/policy/tests/gate_limit.rs
@@ -111,6 +111,12 @@
             },
             limit: 15..=45,
         },
+        Case {
+            name: "long calls in many slots",
+            slots: Some(150),
+            target: |_, _| (300_000, Completion::Answered),
+            limit: 140..=150,
+        },
         Case {
             name: "ten times slower for another reason",
             slots: Some(100),
