--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -21,7 +21,7 @@
 mod shard;
 mod share;
 mod share_table;
-mod wallet;
+mod tenant_loans;
 
 pub use config::{QuotaConfig, TenantRate};
 pub use decision::RateDecision;
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -9,8 +9,8 @@
 use self::acknowledge::LeaseOffer;
 use crate::{
     LoanReport, QuotaConfig, QuotaMember, QuotaMessage, QuotaSend, QuotaSettings, QuotaShard, RateDecision,
-    bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, wallet::Wallet,
-    wallet::retry_hint_ms,
+    bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, tenant_loans::TenantLoans,
+    tenant_loans::retry_hint_ms,
 };
 
 /// Hint for tenants without a rate and for nodes without configuration, in milliseconds.
@@ -32,7 +32,7 @@
     config: Option<QuotaConfig>,
     owner: Owner,
     promises: BTreeMap<QuotaShard, Promise>,
-    wallets: BTreeMap<Tenant, Wallet>,
+    tenant_loans: BTreeMap<Tenant, TenantLoans>,
     running_since: Option<TimeUs>,
     seen_at: TimeUs,
     configured_at: TimeUs,
@@ -53,7 +53,7 @@
             directory: Directory::default(),
             config: None,
             promises: BTreeMap::new(),
-            wallets: BTreeMap::new(),
+            tenant_loans: BTreeMap::new(),
             running_since: None,
             seen_at: TimeUs(0),
             configured_at: TimeUs(0),
@@ -70,10 +70,10 @@
         if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
             return;
         }
-        self.wallets.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
+        self.tenant_loans.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
         for rate in &config.tenants {
-            let wallet = self.wallets.entry(rate.tenant.clone()).or_insert_with(|| Wallet::new(now));
-            wallet.set_rate(rate, config.zones.len());
+            let loans = self.tenant_loans.entry(rate.tenant.clone()).or_insert_with(|| TenantLoans::new(now));
+            loans.set_rate(rate, config.zones.len());
         }
         self.configured_at = now;
         self.owner.set_shares(&config, &self.zone, &self.settings, now);
@@ -94,8 +94,8 @@
     /// Decides on a request that arrives now.
     pub fn admit(&mut self, tenant: &Tenant, now: TimeUs) -> RateDecision {
         self.note_time(now);
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_arrival();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_arrival();
         }
         self.decide(tenant, now, now)
     }
@@ -104,8 +104,8 @@
     /// waits stays within the settings' `max_wait_ms`.
     pub fn admit_again(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
         self.note_time(now);
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_waiter_back();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_waiter_back();
         }
         self.decide(tenant, arrived_at, now)
     }
@@ -139,7 +139,7 @@
         self.note_time(now);
         self.tick_owner(now);
         self.query_versions(now);
-        self.tick_wallets(now);
+        self.tick_loans(now);
     }
 
     /// Returns the messages to deliver, in order.
@@ -174,22 +174,22 @@
             self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
-        let Some(wallet) = self.wallets.get_mut(tenant) else {
+        let Some(loans) = self.tenant_loans.get_mut(tenant) else {
             return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
         };
-        wallet.note_waiting(now);
+        loans.note_waiting(now);
         self.request_tokens(tenant, now);
         if self.take_token(tenant, now) {
             self.forget_waiter(tenant);
             self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
-        let Some(wallet) = self.wallets.get_mut(tenant) else {
+        let Some(loans) = self.tenant_loans.get_mut(tenant) else {
             return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
         };
-        let until = wallet.next_chance(now).max(now.plus_ms(1));
+        let until = loans.next_chance(now).max(now.plus_ms(1));
         if until > arrived_at.plus_us(self.settings.max_wait_us()) {
-            wallet.note_waiter_back();
+            loans.note_waiter_back();
             return RateDecision::Refused { retry_after_ms: retry_hint_ms(until.us_since(now)) };
         }
         RateDecision::Wait { until }
@@ -197,38 +197,38 @@
 
     /// Tells lenders at once of loans that are used up where that frees their buckets.
     fn report_spent(&mut self, tenant: &Tenant, now: TimeUs) {
-        let Some(wallet) = self.wallets.get_mut(tenant).filter(|wallet| wallet.has_urgent_report()) else { return };
-        for found in wallet.due_reports(now) {
+        let Some(loans) = self.tenant_loans.get_mut(tenant).filter(|loans| loans.has_urgent_report()) else { return };
+        for found in loans.due_reports(now) {
             let message = QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports };
             self.send(found.lender, message, now);
         }
     }
 
     fn take_token(&mut self, tenant: &Tenant, now: TimeUs) -> bool {
-        self.wallets.get_mut(tenant).is_some_and(|wallet| wallet.take_token(now))
+        self.tenant_loans.get_mut(tenant).is_some_and(|loans| loans.take_token(now))
     }
 
     fn forget_waiter(&mut self, tenant: &Tenant) {
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_waiter_back();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_waiter_back();
         }
     }
 
     /// Asks the nearest zone's owner that may have tokens for what the tenant lacks here.
     fn request_tokens(&mut self, tenant: &Tenant, now: TimeUs) {
         for _ in 0..self.config.as_ref().map_or(0, |config| config.zones.len()) {
-            let Some(wallet) = self.wallets.get(tenant) else { return };
-            let want = wallet.lacking(now);
-            let Some(source) = wallet.open_source(now).filter(|_| want > 0) else { return };
+            let Some(loans) = self.tenant_loans.get(tenant) else { return };
+            let want = loans.lacking(now);
+            let Some(source) = loans.open_source(now).filter(|_| want > 0) else { return };
             let owner = self.owner_of_source(tenant, source, now);
             let seq = self.take_seq();
-            let Some(wallet) = self.wallets.get_mut(tenant) else { return };
+            let Some(loans) = self.tenant_loans.get_mut(tenant) else { return };
             let Some(owner) = owner else {
-                wallet.close_source(source, now.plus_ms(10));
+                loans.close_source(source, now.plus_ms(10));
                 continue;
             };
-            wallet.on_sent(seq, source, owner, now);
-            let reports = wallet.reports_for(owner);
+            loans.on_sent(seq, source, owner, now);
+            let reports = loans.reports_for(owner);
             self.send(owner, QuotaMessage::TokenRequest { tenant: tenant.clone(), seq, want, reports }, now);
         }
     }
@@ -236,7 +236,7 @@
     /// Returns the owner to ask in the zone at `source`, where zero is this node's own zone.
     fn owner_of_source(&self, tenant: &Tenant, source: usize, now: TimeUs) -> Option<VmId> {
         let shard = QuotaShard::of(tenant);
-        let hint = self.wallets.get(tenant)?.sources.get(source)?.owner_hint;
+        let hint = self.tenant_loans.get(tenant)?.sources.get(source)?.owner_hint;
         if source == 0 {
             return self.acknowledged_owner(shard, now).or(hint);
         }
@@ -273,16 +273,16 @@
     }
 
     fn on_token_loan(&mut self, from: VmId, tenant: Tenant, seq: u64, tokens: u64, retry_after_ms: u64, now: TimeUs) {
-        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
-        if !wallet.on_loan(from, seq, tokens, retry_after_ms, &self.settings, now) {
+        let Some(loans) = self.tenant_loans.get_mut(&tenant) else { return };
+        if !loans.on_loan(from, seq, tokens, retry_after_ms, &self.settings, now) {
             return;
         }
         self.wake(&tenant, from, now);
     }
 
     fn on_not_owner(&mut self, from: VmId, tenant: Tenant, seq: u64, owner: Option<VmId>, now: TimeUs) {
-        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
-        if wallet.on_not_owner(from, seq, owner, now) {
+        let Some(loans) = self.tenant_loans.get_mut(&tenant) else { return };
+        if loans.on_not_owner(from, seq, owner, now) {
             self.wake(&tenant, from, now);
         }
     }
@@ -294,7 +294,7 @@
             return;
         }
         self.request_tokens(tenant, now);
-        let waiting = self.wallets.get(tenant).is_some_and(Wallet::has_waiting);
+        let waiting = self.tenant_loans.get(tenant).is_some_and(TenantLoans::has_waiting);
         if waiting && !self.ready.contains(tenant) {
             self.ready.push(tenant.clone());
         }
@@ -331,11 +331,11 @@
         }
     }
 
-    fn tick_wallets(&mut self, now: TimeUs) {
+    fn tick_loans(&mut self, now: TimeUs) {
         let mut due = Vec::new();
-        for (tenant, wallet) in &mut self.wallets {
-            wallet.tick(&self.settings, now);
-            for found in wallet.due_reports(now) {
+        for (tenant, loans) in &mut self.tenant_loans {
+            loans.tick(&self.settings, now);
+            for found in loans.due_reports(now) {
                 due.push((found.lender, QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports }));
             }
         }
--- a/crates/quota/src/wallet.rs
+++ b/crates/quota/src/tenant_loans.rs
@@ -60,7 +60,7 @@
 
 /// One tenant's tokens on one node.
 #[derive(Clone, Debug)]
-pub(crate) struct Wallet {
+pub(crate) struct TenantLoans {
     loans: Vec<HeldLoan>,
     sent: Vec<SentRequest>,
     unanswered: Option<u64>,
@@ -80,7 +80,7 @@
     pub(crate) reports: Vec<LoanReport>,
 }
 
-impl Wallet {
+impl TenantLoans {
     pub(crate) fn new(now: TimeUs) -> Self {
         Self {
             loans: Vec::new(),
