--- /dev/null
+++ b/crates/config/tests/support/fake_log.rs
@@ -0,0 +1,74 @@
+//! A log in memory, and what a reader without faults decides on its records.
+
+use std::collections::BTreeMap;
+
+use fulmartrestle_config::plan::PlanId;
+use fulmartrestle_config::replica::{Applied, CertificationResult, ConfigHash, LogRecord, Replica};
+use fulmartrestle_config::spread::ReadResult;
+use fulmartrestle_core::{LogOffset, TimeUs};
+
+pub const RETENTION_MS: u64 = 300_000;
+const MAX_READ_RECORDS: usize = 50;
+
+pub struct FakeLog {
+    records: Vec<(TimeUs, Vec<u8>)>,
+    first_retained: usize,
+    /// A replica that applies every record as it is written.
+    pub reference: Replica,
+    /// The reference's hash at each offset.
+    hashes: Vec<ConfigHash>,
+    /// Written plans and what the reference decided on them.
+    pub decided: BTreeMap<PlanId, CertificationResult>,
+}
+
+impl Default for FakeLog {
+    fn default() -> Self {
+        let mut reference = Replica::default();
+        reference.on_first_retained(LogOffset(0));
+        let hashes = vec![reference.hash()];
+        Self { records: Vec::new(), first_retained: 0, reference, hashes, decided: BTreeMap::new() }
+    }
+}
+
+impl FakeLog {
+    pub fn end(&self) -> LogOffset {
+        LogOffset(self.records.len() as u64)
+    }
+
+    pub fn hash_at(&self, offset: LogOffset) -> Option<ConfigHash> {
+        self.hashes.get(offset.0 as usize).copied()
+    }
+
+    pub fn read(&self, from: LogOffset) -> ReadResult {
+        let first = self.first_retained;
+        if (from.0 as usize) < first {
+            return ReadResult::Trimmed { first: LogOffset(first as u64) };
+        }
+        let wanted = self.records.iter().skip(from.0 as usize).take(MAX_READ_RECORDS);
+        let records = wanted.map(|(_, record)| record.clone()).collect();
+        ReadResult::Records { from, records, end: self.end() }
+    }
+
+    pub fn write(&mut self, now: TimeUs, bytes: Vec<u8>) -> LogOffset {
+        let offset = self.end();
+        let record = LogRecord::decode(&bytes);
+        self.records.push((now, bytes));
+        let applied = self.reference.apply_record(offset, &record);
+        self.hashes.push(self.reference.hash());
+        if let (LogRecord::Confirm(plan), Applied::Now(Some(result))) = (&record, applied) {
+            self.decided.entry(plan.id).or_insert(result);
+        }
+        offset
+    }
+
+    /// Drops records that are older than the retention.
+    pub fn trim(&mut self, now: TimeUs) {
+        while self.first_retained < self.records.len() {
+            let (written_at, _) = self.records[self.first_retained];
+            if now.ms_since(written_at) < RETENTION_MS {
+                break;
+            }
+            self.first_retained += 1;
+        }
+    }
+}
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small fleet for tests.
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod fake_log;
 pub mod sim;
 
 use fulmartrestle_config::fleet::{
--- a/crates/config/tests/support/sim.rs
+++ b/crates/config/tests/support/sim/mod.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use fulmartrestle_config::plan::Plan;
-use fulmartrestle_config::replica::{CertificationResult, ConfigHash, LogRecord, Replica};
+use fulmartrestle_config::plan::{Plan, PlanId};
+use fulmartrestle_config::replica::{CertificationResult, LogRecord, Replica};
 use fulmartrestle_config::spread::{
     AppendResult, ConfigEffect, ConfigMember, ConfigMessage, ConfigNode, ConfigNodeSettings, ConfirmOutcome, LogTicket,
     ReadResult,
@@ -13,14 +13,15 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+mod checks;
+
 use super::NOW_UNIX_MS;
+use super::fake_log::{FakeLog, RETENTION_MS};
 
 pub const ZONES: [&str; 3] = ["brescia", "milano", "verona"];
 const STEP_MS: u64 = 10;
 const TICK_MS: u64 = 100;
 const LOG_DELAY_MS: u64 = 3;
-const RETENTION_MS: u64 = 300_000;
-const MAX_READ_RECORDS: usize = 50;
 
 /// Deliberate faults of the nodes, to show that the checks see them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -74,14 +75,8 @@
     pub log_delay_ms: u64,
     pub lost_appends: u32,
     pub broken: Option<Broken>,
-    pub settled: BTreeMap<fulmartrestle_config::plan::PlanId, ConfirmOutcome>,
-    pub sent_messages: u64,
-    records: Vec<(TimeUs, Vec<u8>)>,
-    first_retained: usize,
-    reference: Replica,
-    hashes: Vec<ConfigHash>,
-    /// Written plans and what the reference decided on them.
-    decided: BTreeMap<fulmartrestle_config::plan::PlanId, CertificationResult>,
+    pub settled: BTreeMap<PlanId, ConfirmOutcome>,
+    log: FakeLog,
     queue: BinaryHeap<Reverse<(TimeUs, u64)>>,
     events: BTreeMap<u64, Event>,
     next_event: u64,
@@ -93,8 +88,6 @@
 
 impl Sim {
     pub fn new(seed: u64, node_count: usize, first: &Plan) -> Self {
-        let mut reference = Replica::default();
-        reference.on_first_retained(LogOffset(0));
         let mut sim = Self {
             now: TimeUs(0),
             slots: Vec::new(),
@@ -107,12 +100,7 @@
             lost_appends: 0,
             broken: None,
             settled: BTreeMap::new(),
-            sent_messages: 0,
-            records: Vec::new(),
-            first_retained: 0,
-            hashes: vec![reference.hash()],
-            reference,
-            decided: BTreeMap::new(),
+            log: FakeLog::default(),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -120,7 +108,7 @@
             seed,
             saved: None,
         };
-        sim.write(LogRecord::Confirm(first.clone()).encode());
+        sim.log.write(TimeUs(0), LogRecord::Confirm(first.clone()).encode());
         for index in 0..node_count {
             let member = ConfigMember { vm: VmId(index as u64 + 1), zone: super::id(ZONES[index % 3]) };
             let slot = sim.start(member, index as u64, 0);
@@ -196,12 +184,8 @@
         self.perform(index, effects);
     }
 
-    pub fn log_end(&self) -> LogOffset {
-        LogOffset(self.records.len() as u64)
-    }
-
     pub fn reference(&self) -> &Replica {
-        &self.reference
+        &self.log.reference
     }
 
     /// Runs for `ms` and checks the invariants after every step.
@@ -215,7 +199,7 @@
 
     pub fn step(&mut self) -> Result<(), String> {
         self.now = self.now.plus_ms(STEP_MS);
-        self.trim();
+        self.log.trim(self.now);
         while let Some(Reverse((at, id))) = self.queue.peek().copied() {
             if at > self.now {
                 break;
@@ -273,7 +257,7 @@
         }
     }
 
-    fn note_settled(&mut self, plan: fulmartrestle_config::plan::PlanId, outcome: ConfirmOutcome) {
+    fn note_settled(&mut self, plan: PlanId, outcome: ConfirmOutcome) {
         let told = match (self.broken, outcome) {
             (Some(Broken::TellsWrongOutcome), ConfirmOutcome::Decided(_)) => {
                 ConfirmOutcome::Decided(CertificationResult::Committed { version: Version(1) })
@@ -284,7 +268,6 @@
     }
 
     fn send(&mut self, from: VmId, to: VmId, message: ConfigMessage) {
-        self.sent_messages += 1;
         let draw: u32 = self.rng.random_range(0..100);
         let copies = match draw {
             _ if self.mute => 0,
@@ -309,7 +292,7 @@
         let vm = match &event {
             Event::Read { vm, .. } | Event::Append { vm, .. } => return self.serve_log(*vm, event),
             Event::LateWrite { record } => {
-                self.write(record.clone());
+                self.log.write(self.now, record.clone());
                 return;
             }
             Event::Message { to, .. } => *to,
@@ -362,105 +345,36 @@
     }
 
     fn read(&self, vm: VmId, from: LogOffset) -> ReadResult {
-        let first = self.first_retained;
-        if (from.0 as usize) < first {
-            return ReadResult::Trimmed { first: LogOffset(first as u64) };
-        }
-        let wanted = self.records.iter().skip(from.0 as usize).take(MAX_READ_RECORDS);
-        let mut records: Vec<_> = wanted.map(|(_, record)| record.clone()).collect();
-        if self.broken == Some(Broken::ReadsOtherRecords) && vm == VmId(1) {
+        let mut result = self.log.read(from);
+        if let ReadResult::Records { records, .. } = &mut result
+            && self.broken == Some(Broken::ReadsOtherRecords)
+            && vm == VmId(1)
+        {
             records.iter_mut().for_each(|record| record[0] = 0);
         }
-        ReadResult::Records { from, records, end: self.log_end() }
+        result
     }
 
     fn append(&mut self, is_reachable: bool, record: Vec<u8>) -> AppendResult {
         if !is_reachable {
             if self.broken == Some(Broken::WritesAfterRefusal) {
-                self.write(record);
+                self.log.write(self.now, record);
             }
             return AppendResult::Refused;
         }
         if self.lost_appends == 0 {
-            return AppendResult::Appended(self.write(record));
+            return AppendResult::Appended(self.log.write(self.now, record));
         }
         self.lost_appends -= 1;
         // The answer is lost: after the write, before a late write, or without one.
         match self.rng.random_range(0..3) {
-            0 => _ = self.write(record),
+            0 => _ = self.log.write(self.now, record),
             1 => self.schedule(1_000, Event::LateWrite { record }),
             _ => {}
         }
         AppendResult::Unknown
     }
 
-    fn write(&mut self, bytes: Vec<u8>) -> LogOffset {
-        let offset = self.log_end();
-        let record = LogRecord::decode(&bytes);
-        self.records.push((self.now, bytes));
-        let applied = self.reference.apply_record(offset, &record);
-        self.hashes.push(self.reference.hash());
-        if let (LogRecord::Confirm(plan), fulmartrestle_config::replica::Applied::Now(Some(result))) =
-            (&record, applied)
-        {
-            self.decided.entry(plan.id).or_insert(result);
-        }
-        offset
-    }
-
-    fn trim(&mut self) {
-        while self.first_retained < self.records.len() {
-            let (written_at, _) = self.records[self.first_retained];
-            if self.now.ms_since(written_at) < RETENTION_MS {
-                break;
-            }
-            self.first_retained += 1;
-        }
-    }
-
-    fn check_slot(&mut self, index: usize) -> Result<(), String> {
-        let now = self.now;
-        if index == 0 && self.saved.is_none() && now >= TimeUs::from_s(5) {
-            self.saved = Some(self.slots[0].node.clone());
-        }
-        if index == 0 && self.broken == Some(Broken::GoesBack) && now >= TimeUs::from_s(30) {
-            self.slots[0].node.clone_from(self.saved.as_ref().unwrap());
-        }
-        let slot = &mut self.slots[index];
-        let vm = slot.member.vm;
-        let digest = slot.node.digest(now);
-        let wanted = self.hashes.get(digest.next_offset.0 as usize);
-        if slot.node.replica().config().is_some() && wanted != Some(&digest.hash) {
-            return Err(format!("{now}: {vm} has another hash at offset {}", digest.next_offset));
-        }
-        let Some(served) = slot.node.config().map(|config| config.version()) else { return Ok(()) };
-        if served < slot.run_version {
-            return Err(format!("{now}: {vm} went back from {} to {served}", slot.run_version));
-        }
-        if served < slot.highest_version && !slot.log_was_lost_since_start {
-            return Err(format!("{now}: {vm} serves {served} after a restart, it had {}", slot.highest_version));
-        }
-        slot.run_version = served;
-        slot.highest_version = slot.highest_version.max(served);
-        Ok(())
-    }
-
-    /// An operator is told what every reader decides; "not appended" means that nothing changes.
-    fn check_settled(&self) -> Result<(), String> {
-        for (plan, outcome) in &self.settled {
-            let decided = self.decided.get(plan);
-            let is_true = match outcome {
-                ConfirmOutcome::Decided(told) => decided == Some(told),
-                ConfirmOutcome::NotAppended => decided.is_none(),
-                ConfirmOutcome::Unknown => true,
-            };
-            if !is_true {
-                return Err(format!("{}: plan {plan} was told {outcome:?}, the log says {decided:?}", self.now));
-            }
-        }
-        Ok(())
-    }
-
     /// Runs until `is_done`, at most `max_ms`, and returns the time it took.
     pub fn run_until(&mut self, max_ms: u64, is_done: impl Fn(&Self) -> bool) -> Result<u64, String> {
         let start = self.now;
@@ -472,23 +386,4 @@
         }
         Ok(self.now.ms_since(start))
     }
-
-    /// Checks that all nodes serve the log's end.
-    pub fn check_converged(&self) -> Result<(), String> {
-        let end = self.log_end();
-        for slot in &self.slots {
-            let version = slot.node.config().map(|config| config.version());
-            if version != Some(self.reference.version()) || slot.node.replica().applied_offset() != end {
-                let at = slot.node.replica().applied_offset();
-                return Err(format!("{} is at {at} with {version:?}, the log ends at {end}", slot.member.vm));
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns how many nodes still accept a key.
-    pub fn nodes_accepting(&self, secret: &str) -> usize {
-        let accepts = |slot: &&Slot| slot.node.config().is_some_and(|config| config.tenant_for_key(secret).is_some());
-        self.slots.iter().filter(accepts).count()
-    }
 }
