Membership: judge other zones' members only with a neighbour's word

Ages of targets in queued rows are brought up to date when sent: they lagged by up to a second at 16 of 30 nodes.

Tests for targets, leaving, refutation after a minute's pause, replaced VMs, cut zones, broadcasts, digests, join records and foreign datagrams.

--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -57,6 +57,11 @@
         /// The member that answered.
         responder: VmId,
     },
+    /// Tells that a helper got no answer from the member that it was asked to probe.
+    Nack {
+        /// The probe's number at the receiver.
+        sequence: u32,
+    },
     /// Carries rumours only.
     Gossip,
     /// Digests of the sender's directory, one for each bucket; asks for differing buckets.
@@ -96,6 +101,7 @@
     fn size_bytes(&self) -> usize {
         match self {
             Self::Ping { .. } | Self::Ack { .. } => 15,
+            Self::Nack { .. } => 6,
             Self::PingRequest { .. } => 35,
             Self::Gossip => 1,
             Self::SyncDigests { digests, .. } => 5 + digests.len() * 3,
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -7,9 +7,6 @@
 
 use crate::Incarnation;
 
-/// Time for which a helper remembers whom to pass an answer to, in milliseconds.
-const RELAY_RETENTION_MS: u64 = 1_000;
-
 /// A probe that this node sent.
 #[derive(Clone, Debug)]
 pub struct Probe {
@@ -18,6 +15,8 @@
     pub address: SocketAddr,
     pub sent_at: TimeUs,
     pub asked_helpers: bool,
+    /// Whether a member of the subject's own zone could not reach it either.
+    pub confirmed_in_zone: bool,
 }
 
 /// A probe that this node sent on behalf of another.
@@ -56,6 +55,11 @@
         self.probes.remove(&sequence)
     }
 
+    /// Returns the probe with this number.
+    pub fn get_mut(&mut self, sequence: u32) -> Option<&mut Probe> {
+        self.probes.get_mut(&sequence)
+    }
+
     /// Takes the relayed probe with this number.
     pub fn take_relay(&mut self, sequence: u32) -> Option<Relay> {
         self.relays.remove(&sequence)
@@ -77,9 +81,13 @@
         self.relays.clear();
     }
 
-    /// Drops old relayed probes.
-    pub fn expire_relays(&mut self, now: TimeUs) {
-        self.relays.retain(|_, relay| now.ms_since(relay.sent_at) < RELAY_RETENTION_MS);
+    /// Takes the relayed probes that have waited for `timeout_ms`.
+    pub fn take_unanswered_relays(&mut self, timeout_ms: u64, now: TimeUs) -> Vec<Relay> {
+        let is_over = |relay: &Relay| now.ms_since(relay.sent_at) >= timeout_ms;
+        let (over, kept) = std::mem::take(&mut self.relays).into_iter().partition(|(_, relay)| is_over(relay));
+        self.relays = kept;
+        let over: BTreeMap<u32, Relay> = over;
+        over.into_values().collect()
     }
 
     /// Marks the probes that wait for longer than `timeout_ms` as handed to helpers and returns them.
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -25,12 +25,12 @@
         if let Some(bytes) = message.digest {
             self.digests.push(PeerDigest { vm: message.from, bytes });
         }
-        let asks = !matches!(message.kind, MessageKind::Gossip | MessageKind::Ack { .. });
+        let asks = !matches!(message.kind, MessageKind::Gossip | MessageKind::Ack { .. } | MessageKind::Nack { .. });
         self.note_sender(message.from, from, asks, now);
-        self.answer(from, message.kind, now);
+        self.answer(message.from, from, message.kind, now);
     }
 
-    fn answer(&mut self, from: SocketAddr, kind: MessageKind, now: TimeUs) {
+    fn answer(&mut self, sender: VmId, from: SocketAddr, kind: MessageKind, now: TimeUs) {
         match kind {
             MessageKind::Ping { sequence, .. } => {
                 let responder = self.own;
@@ -41,6 +41,7 @@
                 self.send(address, MessageKind::Ping { sequence, subject }, now);
             }
             MessageKind::Ack { sequence, responder } => self.on_ack(sequence, responder, now),
+            MessageKind::Nack { sequence } => self.on_nack(sender, sequence),
             MessageKind::Gossip => {}
             MessageKind::SyncDigests { shift, digests } => self.on_sync_digests(from, shift, &digests, now),
             MessageKind::SyncPull { first, last } => self.send_range(from, first, last, now),
@@ -98,4 +99,13 @@
             self.bury(probe.subject, now);
         }
     }
+
+    /// Notes that a neighbour of the probed member could not reach it either.
+    fn on_nack(&mut self, sender: VmId, sequence: u32) {
+        let Some(probe) = self.probes.get_mut(sequence) else { return };
+        let zone = |vm: VmId| self.directory.get(vm).map(|slot| slot.zone);
+        if zone(sender).is_some() && zone(sender) == zone(probe.subject) {
+            probe.confirmed_in_zone = true;
+        }
+    }
 }
--- a/crates/membership/src/send.rs
+++ b/crates/membership/src/send.rs
@@ -66,11 +66,22 @@
         (3 * members.ilog10() + 8) as u16
     }
 
+    /// Brings the durations in a rumour up to date with the time that it waited here.
     fn refresh_age(&self, rumour: &mut Rumour, now: TimeUs) {
-        let Rumour::Delta(delta) = rumour else { return };
-        let Some(slot) = self.directory.get(delta.vm) else { return };
-        if delta.state == MemberState::Suspect && slot.state == MemberState::Suspect {
-            delta.age_ms = age_ms(slot, now);
+        match rumour {
+            Rumour::Row(row) => {
+                let known = self.member(row.vm, now);
+                if let Some(known) = known.filter(|known| known.incarnation == row.incarnation) {
+                    row.target = known.target;
+                }
+            }
+            Rumour::Delta(delta) => {
+                let Some(slot) = self.directory.get(delta.vm) else { return };
+                if delta.state == MemberState::Suspect && slot.state == MemberState::Suspect {
+                    delta.age_ms = age_ms(slot, now);
+                }
+            }
+            Rumour::Broadcast(_) => {}
         }
     }
 }
@@ -81,9 +92,11 @@
 
 fn share_of(kind: &MessageKind) -> BudgetShare {
     match kind {
-        MessageKind::Ping { .. } | MessageKind::PingRequest { .. } | MessageKind::Ack { .. } | MessageKind::Gossip => {
-            BudgetShare::Rumours
-        }
+        MessageKind::Ping { .. }
+        | MessageKind::PingRequest { .. }
+        | MessageKind::Ack { .. }
+        | MessageKind::Nack { .. }
+        | MessageKind::Gossip => BudgetShare::Rumours,
         MessageKind::SyncDigests { .. }
         | MessageKind::SyncPull { .. }
         | MessageKind::SyncWant { .. }
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -15,11 +15,8 @@
 const PAUSE_MS: u64 = 1_000;
 /// Interval of dropping what is no longer needed, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 10_000;
-/// Additional time after a failed probe of another zone's member, in milliseconds. The silence of the
-/// whole zone is noticed within it, so that a lost zone isn't suspected member by member.
-const CROSS_ZONE_WAIT_MS: u64 = 1_000;
-/// Age of a zone's last heartbeat up to which its members are judged one by one, in milliseconds.
-const FRESH_BEAT_MS: u64 = 700;
+/// Additional time for a probe of another zone's member, in milliseconds: its helpers report back.
+const CROSS_ZONE_WAIT_MS: u64 = 200;
 /// Members that together make one attempt each interval to reach members that are dead or unreachable.
 const RECONNECTING_MEMBERS: usize = 16;
 /// Suspects on the ring that are probed on top of the neighbours.
@@ -109,30 +106,32 @@
         for probe in failed {
             self.on_failed_probe(&probe, now);
         }
-        self.probes.expire_relays(now);
+        for relay in self.probes.take_unanswered_relays(timeout_ms, now) {
+            self.send(relay.origin, MessageKind::Nack { sequence: relay.origin_sequence }, now);
+        }
     }
 
+    /// Asks helpers to probe a member: its neighbours where it is in another zone, with one member of
+    /// any zone that may have a way around a cut.
     fn ask_helpers(&mut self, sequence: u32, probe: &Probe, now: TimeUs) {
-        for _ in 0..self.settings.helpers {
-            let Some(helper) = self.random_member() else { return };
-            if helper.vm == probe.subject {
-                continue;
-            }
+        let Some(zone) = self.directory.get(probe.subject).map(|slot| slot.zone) else { return };
+        for index in 0..self.settings.helpers {
+            let helper = if index == 0 { self.random_member() } else { self.random_member_of(zone) };
+            let Some(helper) = helper.filter(|helper| helper.vm != probe.subject) else { continue };
             let kind = MessageKind::PingRequest { sequence, subject: probe.subject, address: probe.address };
             self.send(helper.peer_address(), kind, now);
         }
     }
 
+    /// Suspects a member that did not answer. In another zone, one of its neighbours has to have
+    /// confirmed it: the way between the two zones may be cut while both are reached over a third, and a
+    /// zone that was lost as a whole is noticed by its heartbeat.
     fn on_failed_probe(&mut self, probe: &Probe, now: TimeUs) {
         let Some(slot) = self.directory.get(probe.subject).copied() else { return };
-        if slot.incarnation != probe.incarnation || self.is_frozen(slot.zone) {
-            return;
-        }
-        let zone = self.zones.get(slot.zone);
-        if slot.zone != ZoneTable::OWN && now.ms_since(zone.risen_at) > FRESH_BEAT_MS {
-            return;
+        let is_evident = slot.zone == ZoneTable::OWN || probe.confirmed_in_zone;
+        if is_evident && slot.incarnation == probe.incarnation && !self.is_frozen(slot.zone) {
+            self.suspect(probe.subject, now);
         }
-        self.suspect(probe.subject, now);
     }
 
     fn check_suspects(&mut self, now: TimeUs) {
@@ -236,6 +235,7 @@
             address: slot.peer_address(),
             sent_at: now,
             asked_helpers: false,
+            confirmed_in_zone: false,
         };
         let sequence = self.probes.add(probe);
         self.send(slot.peer_address(), MessageKind::Ping { sequence, subject: vm }, now);
@@ -360,6 +360,16 @@
         None
     }
 
+    /// Returns a random member of a zone other than this node.
+    fn random_member_of(&mut self, zone: u16) -> Option<Slot> {
+        let ring = &self.zones.get(zone).ring;
+        if ring.is_empty() {
+            return None;
+        }
+        let vm = ring[self.random.random_range(0..ring.len())];
+        self.directory.get(vm).filter(|slot| slot.vm != self.own).copied()
+    }
+
     /// Returns how many members of a reachable zone there are beside this node.
     fn other_members(&self, zone: &ZoneEntry) -> usize {
         if zone.unreachable_since.is_some() {
--- /dev/null
+++ b/crates/membership/tests/spread.rs
@@ -0,0 +1,165 @@
+//! What members tell each other, and how zones and replaced members are handled.
+
+mod fleet;
+
+use fleet::{Fleet, zone_name};
+use fulmartrestle_core::{AvailabilityZone, VmId};
+use fulmartrestle_membership::{MemberState, MembershipError, MembershipMessage, MembershipSettings, TargetInfo};
+use googletest::prelude::*;
+
+fn target(slots: u32) -> TargetInfo {
+    let service = "lineage".parse().unwrap_or_else(|error| panic!("{error}"));
+    TargetInfo { service, slots, connections: 1_200, warm_up_ms: 500, leaving: false, age_ms: 7_000 }
+}
+
+fn count(fleet: &Fleet, holds: impl Fn(usize) -> bool) -> usize {
+    (0..fleet.nodes.len()).filter(|index| holds(*index)).count()
+}
+
+#[gtest]
+fn a_target_and_its_age_spread_within_a_second() {
+    let mut fleet = Fleet::joined(30, 3, 1);
+    let (vm, now) = (fleet.vm(4), fleet.now);
+    fleet.nodes[4].membership.set_own_target(Some(target(180)), now);
+    fleet.run_ms(1_000);
+    let view = |viewer: usize| fleet.nodes[viewer].membership.member(vm, fleet.now).and_then(|row| row.target);
+    let knows =
+        |viewer| view(viewer).is_some_and(|target| target.slots == 180 && (7_900..8_100).contains(&target.age_ms));
+    expect_that!(count(&fleet, knows), eq(30));
+}
+
+#[gtest]
+fn leaving_spreads_within_two_seconds_and_outlasts_a_suspicion() {
+    let mut fleet = Fleet::joined(30, 3, 2);
+    let now = fleet.now;
+    fleet.nodes[4].membership.leave(now);
+    fleet.run_ms(2_000);
+    expect_that!(count(&fleet, |viewer| fleet.view(viewer, 4) == Some(MemberState::Leaving)), eq(30));
+    fleet.pause(4, 1_500);
+    fleet.run_ms(6_000);
+    expect_that!(count(&fleet, |viewer| fleet.view(viewer, 4) == Some(MemberState::Leaving)), eq(30));
+}
+
+#[gtest]
+fn a_paused_member_that_returns_refutes() {
+    let mut fleet = Fleet::joined(30, 3, 3);
+    let incarnation =
+        |fleet: &Fleet| fleet.nodes[0].membership.member(fleet.vm(4), fleet.now).map(|row| row.incarnation);
+    let before = incarnation(&fleet);
+    fleet.pause(4, 60_000);
+    fleet.run_ms(5_000);
+    expect_that!(count(&fleet, |viewer| fleet.view(viewer, 4) == Some(MemberState::Dead)), eq(29));
+    fleet.run_ms(58_000);
+    expect_that!(count(&fleet, |viewer| fleet.view(viewer, 4) == Some(MemberState::Alive)), eq(30));
+    expect_that!(count(&fleet, |subject| fleet.view(4, subject) == Some(MemberState::Alive)), eq(30));
+    expect_that!(incarnation(&fleet), gt(before));
+}
+
+#[gtest]
+fn a_replaced_vm_is_a_new_member_and_the_old_one_is_dead() {
+    let mut fleet = Fleet::joined(30, 3, 4);
+    let old = fleet.vm(4);
+    fleet.restart(4);
+    fleet.run_ms(2_000);
+    let is_replaced = |viewer: usize| {
+        let old_state = fleet.nodes[viewer].membership.state(old);
+        fleet.view(viewer, 4) == Some(MemberState::Alive) && old_state.is_none_or(|state| state == MemberState::Dead)
+    };
+    expect_that!(count(&fleet, is_replaced), eq(30));
+}
+
+#[gtest]
+fn a_cut_zone_is_unreachable_and_returns_with_the_same_incarnations() {
+    let mut fleet = Fleet::joined(30, 3, 5);
+    fleet.network.cuts = vec![(0, 1), (0, 2)];
+    fleet.run_ms(3_000);
+    let zone_0 = zone_name(0);
+    let sees_zone = |fleet: &Fleet, viewer: usize| fleet.nodes[viewer].membership.is_zone_reachable(&zone_0);
+    expect_that!(count(&fleet, |viewer| fleet.nodes[viewer].zone != 0 && sees_zone(&fleet, viewer)), eq(0));
+    expect_that!(fleet.view(1, 0), some(eq(MemberState::Unreachable)));
+    expect_that!(fleet.nodes[1].membership.live_in_zone(&zone_0), is_empty());
+    expect_that!(fleet.nodes[0].membership.live_in_zone(&zone_0), len(eq(10)));
+
+    let while_cut = TargetInfo { slots: 9, ..target(9) };
+    let now = fleet.now;
+    fleet.nodes[3].membership.set_own_target(Some(while_cut), now);
+    fleet.run_ms(3_600_000 / 10);
+    fleet.network.cuts.clear();
+    fleet.run_ms(3_000);
+    expect_that!(count(&fleet, |viewer| sees_zone(&fleet, viewer)), eq(30));
+    expect_that!(fleet::invariants::check_agreement(&fleet), ok(eq(&())));
+}
+
+#[gtest]
+fn one_cut_between_two_zones_leaves_both_reachable_through_the_third() {
+    let mut fleet = Fleet::joined(30, 3, 6);
+    fleet.network.cuts = vec![(0, 1)];
+    fleet.run_ms(20_000);
+    let all_alive = |viewer: usize| (0..30).all(|subject| fleet.view(viewer, subject) == Some(MemberState::Alive));
+    expect_that!(count(&fleet, all_alive), eq(30));
+}
+
+#[gtest]
+fn broadcasts_arrive_once_and_newer_ones_win() {
+    let mut fleet = Fleet::joined(30, 3, 7);
+    let now = fleet.now;
+    let send = |fleet: &mut Fleet, bytes: &[u8]| {
+        fleet.nodes[2].membership.broadcast(1, 77, bytes.to_vec(), now).unwrap_or_else(|error| panic!("{error}"));
+    };
+    send(&mut fleet, b"old");
+    send(&mut fleet, b"new");
+    fleet.network.doubling_percent = 30;
+    fleet.run_ms(3_000);
+    for index in (0..30).filter(|index| *index != 2) {
+        let arrived = fleet.nodes[index].membership.take_broadcasts();
+        let bytes: Vec<_> = arrived.iter().map(|broadcast| broadcast.bytes.as_slice()).collect();
+        expect_that!(bytes, elements_are![eq(&b"new".as_slice())], "node {index}");
+    }
+    expect_that!(fleet.nodes[2].membership.take_broadcasts(), is_empty());
+}
+
+#[gtest]
+fn digests_ride_on_messages_within_their_bound() {
+    let mut fleet = Fleet::joined(6, 3, 8);
+    let vm = fleet.vm(0);
+    expect_that!(fleet.nodes[0].membership.set_digest(vec![1, 2, 3]), ok(anything()));
+    let too_long = fleet.nodes[0].membership.set_digest(vec![0; 97]);
+    expect_that!(too_long, err(eq(&MembershipError::PayloadTooLong(97, 96))));
+    fleet.run_ms(3_000);
+    let digests = fleet.nodes[3].membership.take_digests();
+    expect_that!(digests.iter().any(|digest| digest.vm == vm && digest.bytes == [1, 2, 3]), eq(true));
+}
+
+#[gtest]
+fn join_records_are_kept_by_a_few_members_of_each_zone() {
+    let mut fleet = Fleet::joined(90, 3, 9);
+    let now = fleet.now;
+    let keepers =
+        count(&fleet, |index| fleet.nodes[index].membership.needs_join_record(now.plus_ms(2_000_000), 3_600_000));
+    expect_that!(keepers, eq(24));
+    fleet.nodes.iter_mut().for_each(|node| node.membership.join_record_written(now));
+    let due = |retention_ms| count(&fleet, |index| fleet.nodes[index].membership.needs_join_record(now, retention_ms));
+    expect_that!(due(3_600_000), eq(0));
+}
+
+#[gtest]
+fn foreign_datagrams_are_refused() {
+    let cases: [(&str, Vec<u8>); 4] = [
+        ("empty", vec![]),
+        ("text", b"GET / HTTP/1.1".to_vec()),
+        ("zeros", vec![0; 1_400]),
+        ("ones", vec![255; 1_400]),
+    ];
+    for (name, bytes) in cases {
+        expect_that!(MembershipMessage::decode(&bytes).is_err(), eq(true), "{name}");
+    }
+}
+
+#[gtest]
+fn a_node_alone_counts_itself_and_no_zone_as_reachable() {
+    let fleet = Fleet::new(1, 1, MembershipSettings::default(), 10);
+    let own: VmId = fleet.vm(0);
+    let zone: AvailabilityZone = zone_name(0);
+    expect_that!(fleet.nodes[0].membership.live_in_zone(&zone), elements_are![eq(&own)]);
+    expect_that!(fleet.nodes[0].membership.is_zone_reachable(&zone), eq(false));
+}
