Membership: forget zones that were lost for good

A zone that stayed silent kept its rows for ever. It isn't marked as dead in the directory: after a long cut every member would refute that, and all rows of the fleet would change at once. The test checks that incarnations stay as they were.

--- a/crates/membership/src/apply.rs
+++ b/crates/membership/src/apply.rs
@@ -147,6 +147,16 @@
         self.spread_delta(&slot, MemberState::Dead);
     }
 
+    /// Drops a member's row and hands it out a last time as dead.
+    pub(crate) fn forget(&mut self, vm: VmId, now: TimeUs) {
+        let Some(slot) = self.directory.get(vm).copied() else { return };
+        self.forgotten.push(self.directory.to_row(&slot, MemberState::Dead, &self.zones, now));
+        self.zones.get_mut(slot.zone).remove(vm);
+        self.suspects.remove(&vm);
+        self.changed.remove(&vm);
+        self.directory.remove(vm);
+    }
+
     /// Ends a suspicion without an answer of the suspect, because its whole zone fell silent.
     pub(crate) fn cancel_suspicion(&mut self, vm: VmId, now: TimeUs) {
         let Some(slot) = self.directory.get(vm).copied() else { return };
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -45,6 +45,7 @@
     pub(crate) budget: Budget,
     pub(crate) outgoing: Vec<MembershipSend>,
     pub(crate) changed: BTreeSet<VmId>,
+    pub(crate) forgotten: Vec<MemberRow>,
     pub(crate) digests: Vec<PeerDigest>,
     pub(crate) broadcasts: Vec<Broadcast>,
     digest: Option<Vec<u8>>,
@@ -71,6 +72,7 @@
             budget: Budget::new(settings.budget_bytes_per_s),
             outgoing: Vec::new(),
             changed: BTreeSet::new(),
+            forgotten: Vec::new(),
             digests: Vec::new(),
             broadcasts: Vec::new(),
             digest: None,
@@ -105,7 +107,8 @@
     }
 
     /// Whether this node should append a join record now. Only a few members of each zone keep one,
-    /// and refresh it after a third of the log's retention, given in milliseconds.
+    /// and refresh it after a third of the log's retention, given in milliseconds. Deciding takes one
+    /// hash for each member of the zone: ask every few seconds rather than every tick.
     pub fn needs_join_record(&self, now: TimeUs, retention_ms: u64) -> bool {
         let is_due = self.join_record_at.is_none_or(|at| now.ms_since(at) >= retention_ms / 3);
         if !is_due {
@@ -182,11 +185,13 @@
         std::mem::take(&mut self.outgoing)
     }
 
-    /// Takes the rows that changed since the last call, this node's own included.
+    /// Takes the rows that changed since the last call, this node's own included. Members of a zone that
+    /// was lost for good are handed out as dead.
     pub fn take_changes(&mut self, now: TimeUs) -> Vec<MemberChange> {
         let changed = std::mem::take(&mut self.changed);
+        let forgotten = std::mem::take(&mut self.forgotten);
         let rows = changed.into_iter().filter_map(|vm| self.member(vm, now));
-        rows.map(|row| MemberChange { row }).collect()
+        forgotten.into_iter().chain(rows).map(|row| MemberChange { row }).collect()
     }
 
     /// Takes the digests that peers sent since the last call.
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -319,6 +319,7 @@
         }
         self.timers.expiry_at = now.plus_ms(EXPIRY_INTERVAL_MS);
         self.broadcasts_seen.expire(now);
+        self.forget_lost_zones(now);
         let retention_ms = self.settings.dead_retention_ms;
         for vm in self.dead.clone() {
             let is_old = self.directory.get(vm).is_none_or(|slot| now.ms_since(slot.since) >= retention_ms);
@@ -329,6 +330,19 @@
         }
     }
 
+    /// Forgets the members of zones that have been silent for longer than dead members are remembered.
+    /// They aren't marked as dead: each would refute that after a long cut, and all rows would change.
+    fn forget_lost_zones(&mut self, now: TimeUs) {
+        let retention_ms = self.settings.dead_retention_ms;
+        for index in self.zones.indexes() {
+            let zone = self.zones.get(index);
+            if zone.unreachable_since.is_some_and(|since| now.ms_since(since) >= retention_ms) {
+                let members: Vec<VmId> = zone.ring.iter().copied().filter(|vm| *vm != self.own).collect();
+                members.into_iter().for_each(|vm| self.forget(vm, now));
+            }
+        }
+    }
+
     /// Returns a random member that can be reached as far as is known, or a first contact.
     pub(crate) fn random_contact(&mut self) -> Option<SocketAddr> {
         if let Some(slot) = self.random_member() {
--- a/crates/membership/tests/spread.rs
+++ b/crates/membership/tests/spread.rs
@@ -90,6 +90,31 @@
     expect_that!(fleet::invariants::check_agreement(&fleet), ok(eq(&())));
 }
 
+#[gtest]
+fn a_zone_that_is_lost_for_good_is_forgotten_and_found_again_without_refutations() {
+    let settings = MembershipSettings { dead_retention_ms: 30_000, ..MembershipSettings::default() };
+    let mut fleet = Fleet::new(12, 3, settings, 11);
+    fleet.join_all();
+    fleet.run_ms(10_000);
+    fleet.nodes[1].membership.take_changes(fleet.now);
+    fleet.network.cuts = vec![(0, 1), (0, 2)];
+    fleet.run_ms(60_000);
+    expect_that!(fleet.view(1, 0), none());
+    let now = fleet.now;
+    let changes = fleet.nodes[1].membership.take_changes(now);
+    let dead = changes.iter().filter(|change| change.row.state == MemberState::Dead).count();
+    expect_that!(dead, eq(4));
+
+    let incarnation =
+        |fleet: &Fleet| fleet.nodes[0].membership.member(fleet.vm(0), fleet.now).map(|row| row.incarnation);
+    let before = incarnation(&fleet);
+    fleet.network.cuts.clear();
+    (0..12).for_each(|index| fleet.join(index));
+    fleet.run_ms(20_000);
+    expect_that!(fleet::invariants::check_agreement(&fleet), ok(eq(&())));
+    expect_that!(incarnation(&fleet), eq(before));
+}
+
 #[gtest]
 fn one_cut_between_two_zones_leaves_both_reachable_through_the_third() {
     let mut fleet = Fleet::joined(30, 3, 6);
