--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -182,7 +182,7 @@
 async fn the_burn_report_covers_the_fleet_and_names_missing_nodes() -> Result<()> {
     let mut plan = one_target();
     plan.targets.push(TargetPlan { service: "search", zone: "milano", child: None });
-    let mut fleet = Fleet::start(&plan).await;
+    let fleet = Fleet::start(&plan).await;
     fleet.configure(&plan).await;
     let intent = json!({"why": "objective", "changes": [
         {"grant_key": "laghi"},
