--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -5,6 +5,7 @@
 use super::print_json;
 use crate::CliError;
 use crate::args::DemoArgs;
+use crate::say::say;
 
 /// Runs the demo and prints a summary; with `json` the last line is the result as one object.
 ///
@@ -13,7 +14,7 @@
 /// Returns [`CliError::InvariantViolated`] when an invariant was violated.
 pub async fn run(args: &DemoArgs, json: bool) -> Result<(), CliError> {
     if args.list {
-        print!("{}", scenario_list());
+        say!("{}", scenario_list().trim_end());
         return Ok(());
     }
     let report = run_demo(fulmartrestle_demo::DemoArgs {
@@ -24,7 +25,7 @@
         policy: args.policy,
     })
     .await?;
-    print!("{report}");
+    say!("{}", report.to_string().trim_end());
     if json || args.json {
         print_json(&report)?;
     }
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -6,6 +6,7 @@
 use crate::CliError;
 use crate::args::ExplainArgs;
 use crate::client::AdminClient;
+use crate::say::say;
 
 /// Prints the decisions about one request, or the latest ones.
 ///
@@ -22,10 +23,10 @@
         return print_json(&decisions);
     }
     if decisions.is_empty() {
-        println!("This node knows nothing of that request; ask the node that it entered by.");
+        say!("This node knows nothing of that request; ask the node that it entered by.");
     }
     for decision in decisions {
-        println!("{} {} {}", decision.at_ms, decision.request_id, decision.text);
+        say!("{} {} {}", decision.at_ms, decision.request_id, decision.text);
     }
     Ok(())
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::args::{Args, Command};
 use crate::client::AdminClient;
+use crate::say::say;
 use crate::{CliError, commands};
 
 /// Port of the operators' API in the sample settings.
@@ -67,6 +68,6 @@
 /// Prints a value as one line of JSON.
 fn print_json(value: &impl serde::Serialize) -> Result<(), CliError> {
     let text = serde_json::to_string(value).map_err(|error| CliError::Input(error.to_string()))?;
-    println!("{text}");
+    say!("{text}");
     Ok(())
 }
--- a/crates/cli/src/commands/plan.rs
+++ b/crates/cli/src/commands/plan.rs
@@ -10,6 +10,7 @@
 use crate::CliError;
 use crate::args::PlanArgs;
 use crate::client::AdminClient;
+use crate::say::say;
 
 /// Parts per million in a per cent.
 const PPM_PER_PERCENT: f64 = 10_000.0;
@@ -59,7 +60,7 @@
     if json {
         print_json(&answer)?;
     } else {
-        println!("plan {} {}", answer.plan, answer.result);
+        say!("plan {} {}", answer.plan, answer.result);
     }
     match answer.result {
         CertificationResult::Committed { .. } => Ok(()),
@@ -88,20 +89,20 @@
         return print_json(&entries);
     }
     for entry in entries {
-        println!("{}  {}  {}  {:?}", entry.plan, entry.who, entry.result, entry.why);
+        say!("{}  {}  {}  {:?}", entry.plan, entry.who, entry.result, entry.why);
     }
     Ok(())
 }
 
 fn print_plan(answer: &PlanAnswer, diff: bool) {
     let plan = &answer.plan;
-    println!("plan     {}", plan.id);
-    println!("by       {} on version {}: {}", plan.who, plan.base, plan.why);
+    say!("plan     {}", plan.id);
+    say!("by       {} on version {}: {}", plan.who, plan.base, plan.why);
     for row in &answer.diff {
-        println!("changes  {}", row.row);
+        say!("changes  {}", row.row);
         if diff {
-            println!("  - {}", row.before.as_deref().unwrap_or("(none)"));
-            println!("  + {}", row.after.as_deref().unwrap_or("(none)"));
+            say!("  - {}", row.before.as_deref().unwrap_or("(none)"));
+            say!("  + {}", row.after.as_deref().unwrap_or("(none)"));
         }
     }
     let affects = &plan.affects;
@@ -109,19 +110,19 @@
     print_list("routes", &affects.routes);
     print_list("targets", &affects.targets);
     let percent = affects.traffic_share.0 as f64 / PPM_PER_PERCENT;
-    println!("traffic  {percent:.1} % of the present traffic belongs to them");
+    say!("traffic  {percent:.1} % of the present traffic belongs to them");
     for change in &plan.writes {
         if let fulmartrestle_config::plan::Change::PutStop(stop) = change {
-            println!("stop     {} at {} ({})", stop.stop, stop.local_time, stop.utc_time());
+            say!("stop     {} at {} ({})", stop.stop, stop.local_time, stop.utc_time());
         }
     }
     for warning in &plan.warnings {
-        println!("warning  {warning}");
+        say!("warning  {warning}");
     }
     for key in &answer.granted {
-        println!("key      {} for {}; the secret is shown only now: {}", key.key_id, key.tenant, key.secret);
+        say!("key      {} for {}; the secret is shown only now: {}", key.key_id, key.tenant, key.secret);
     }
-    println!("Nothing has changed yet. To let it take effect: fulmartrestle confirm {}", plan.id);
+    say!("Nothing has changed yet. To let it take effect: fulmartrestle confirm {}", plan.id);
 }
 
 fn print_list(name: &str, items: &[impl std::fmt::Display]) {
@@ -129,5 +130,5 @@
         return;
     }
     let items: Vec<_> = items.iter().map(ToString::to_string).collect();
-    println!("affects  {name}: {}", items.join(", "));
+    say!("affects  {name}: {}", items.join(", "));
 }
--- a/crates/cli/src/commands/report.rs
+++ b/crates/cli/src/commands/report.rs
@@ -5,6 +5,7 @@
 use crate::CliError;
 use crate::args::ReportCommand;
 use crate::client::AdminClient;
+use crate::say::say;
 
 /// Prints a report, or writes it to a file as a page.
 ///
@@ -18,13 +19,13 @@
         return write_page(file, &page);
     }
     let path = if json { "/v1/report/burn?format=json" } else { "/v1/report/burn?format=text" };
-    println!("{}", client.get_text(path).await?.trim_end());
+    say!("{}", client.get_text(path).await?.trim_end());
     Ok(())
 }
 
 fn write_page(file: &Path, page: &str) -> Result<(), CliError> {
     let name = file.display().to_string();
     std::fs::write(file, page).map_err(|cause| CliError::File(name.clone(), cause))?;
-    println!("{name} written");
+    say!("{name} written");
     Ok(())
 }
--- a/crates/cli/src/commands/settings.rs
+++ b/crates/cli/src/commands/settings.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_config::Settings;
 
 use crate::CliError;
+use crate::say::say;
 
 /// Reads settings and says that they are sound.
 ///
@@ -13,6 +14,6 @@
 /// Returns the first fault with file, line, field and value.
 pub fn check(file: &Path) -> Result<(), CliError> {
     let settings = Settings::load(file)?;
-    println!("{}: ok, zone {} of region {}", file.display(), settings.availability_zone, settings.region);
+    say!("{}: ok, zone {} of region {}", file.display(), settings.availability_zone, settings.region);
     Ok(())
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -5,6 +5,7 @@
 use super::print_json;
 use crate::CliError;
 use crate::client::AdminClient;
+use crate::say::say;
 
 /// Prints a node's status and what it knows of the fleet.
 ///
@@ -20,29 +21,29 @@
     print_zones(&status);
     print_stops(&status);
     for counter in &status.counters {
-        println!("counter  {} {}", counter.name, counter.value);
+        say!("counter  {} {}", counter.name, counter.value);
     }
     Ok(())
 }
 
 fn print_node(status: &StatusAnswer) {
     let config = &status.config;
-    println!("node     {} in zone {}", status.vm, status.zone);
-    println!("version  {} in force, {}", status.version, if config.ready { "serving" } else { "not ready" });
+    say!("node     {} in zone {}", status.vm, status.zone);
+    say!("version  {} in force, {}", status.version, if config.ready { "serving" } else { "not ready" });
     match config.log_age_ms {
-        Some(age_ms) => println!("log      {}, its end was read {age_ms} ms ago", config.isolation),
-        None => println!("log      {}, not read yet", config.isolation),
+        Some(age_ms) => say!("log      {}, its end was read {age_ms} ms ago", config.isolation),
+        None => say!("log      {}, not read yet", config.isolation),
     }
-    println!("targets  {} known, {} calls run on this node's target", status.targets, status.in_flight);
+    say!("targets  {} known, {} calls run on this node's target", status.targets, status.in_flight);
 }
 
 fn print_zones(status: &StatusAnswer) {
     for zone in &status.members {
-        println!("zone     {}: {} members reachable", zone.zone, zone.reachable);
+        say!("zone     {}: {} members reachable", zone.zone, zone.reachable);
     }
     for aged in &status.config.zones {
         let report = &aged.report;
-        println!(
+        say!(
             "config   {}: version {} to {}, {} of {} members behind, {} ({} ms ago)",
             report.zone,
             report.lowest,
@@ -54,7 +55,7 @@
         );
     }
     for zone in &status.unconfirmed_zones {
-        println!("waiting  {zone} has not confirmed version {}", status.version);
+        say!("waiting  {zone} has not confirmed version {}", status.version);
     }
 }
 
@@ -66,6 +67,6 @@
             (true, Some(false)) => "finishing calls on this node",
             (true, None) => "due, not in this node's scope",
         };
-        println!("stop     {}: {} at {} ({}), {state}", stop.stop, stop.scope, stop.local_time, stop.utc_time);
+        say!("stop     {}: {} at {} ({}), {state}", stop.stop, stop.scope, stop.local_time, stop.utc_time);
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod error;
 mod exit;
+mod say;
 
 pub use args::Args;
 pub use commands::run;
--- a/crates/node/src/admin/plans.rs
+++ b/crates/node/src/admin/plans.rs
@@ -13,16 +13,18 @@
 use super::api::{AdminState, json, operator};
 use super::error::ApiError;
 use crate::clock::wall_ms;
+use crate::gather::ask_all;
 use crate::lock::lock;
 use crate::state::NodeState;
 
 /// Makes a plan of the intent in the body.
 #[handler]
-pub fn make_plan(state: Data<&Arc<AdminState>>, request: &Request, body: String) -> Result<Response, ApiError> {
+pub async fn make_plan(state: Data<&Arc<AdminState>>, request: &Request, body: String) -> Result<Response, ApiError> {
     let who = operator(&state, request)?;
     let bad_request = |error: &dyn std::fmt::Display| ApiError::new(StatusCode::BAD_REQUEST, error);
     let intent = Intent::parse("intent", &body).map_err(|error| bad_request(&error))?;
-    let planned = planned(&state, &who, &intent)?;
+    let facts = facts(&state.node).await;
+    let planned = planned(&state, &who, &intent, &facts)?;
     let answer = PlanAnswer {
         diff: diff(&state.node.config.get(), &planned.plan),
         granted: granted(&planned),
@@ -77,12 +79,10 @@
     json(&ConfirmAnswer { plan: id, result })
 }
 
-fn planned(state: &AdminState, who: &OperatorName, intent: &Intent) -> Result<Planned, ApiError> {
+fn planned(state: &AdminState, who: &OperatorName, intent: &Intent, facts: &FleetFacts) -> Result<Planned, ApiError> {
     let mut random = [0; 32];
     rand::Rng::fill_bytes(&mut rand::rng(), &mut random);
-    let facts = facts(&state.node);
-    let request =
-        PlanRequest { who, facts: &facts, time_zones: &state.time_zones, now_unix_ms: wall_ms() as i64, random };
+    let request = PlanRequest { who, facts, time_zones: &state.time_zones, now_unix_ms: wall_ms() as i64, random };
     let planned = plan(&state.node.config.get(), intent, &request);
     planned.map_err(|error| ApiError::new(StatusCode::BAD_REQUEST, error))
 }
@@ -96,8 +96,16 @@
     keys.collect()
 }
 
-/// Returns what this node knows of the targets in use.
-fn facts(node: &NodeState) -> FleetFacts {
+/// Returns the targets in use as this node knows them, and the traffic as the reachable nodes count it.
+async fn facts(node: &NodeState) -> FleetFacts {
+    let gathered = ask_all(node, |link| async move { link.traffic().await }).await;
+    let now = node.clock.now();
+    let mut traffic = lock(&node.traffic).facts(&node.zone, now);
+    traffic.extend(gathered.answers.into_iter().flatten());
+    FleetFacts { targets: targets(node), traffic }
+}
+
+fn targets(node: &NodeState) -> Vec<TargetFacts> {
     let now = node.clock.now();
     let membership = lock(&node.membership);
     let targets = membership.members(now).filter(|row| row.state.takes_work()).filter_map(|row| {
@@ -110,5 +118,5 @@
             capacity_per_s: None,
         })
     });
-    FleetFacts { targets: targets.collect(), traffic: Vec::new() }
+    targets.collect()
 }
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -46,7 +46,8 @@
 
 fn stops(node: &NodeState) -> Vec<StopAnswer> {
     let config = node.config.get();
-    let own = node.gate.usable_target().map(|target| own_target_facts(node.own, &node.zone, &target));
+    let own =
+        node.gate.usable_target().map(|target| own_target_facts(node.own, &node.zone, node.peer_address, &target));
     let now_unix_ms = wall_ms() as i64;
     let answers = config.stops().rows().iter().map(|row| {
         let includes_own_target = own.as_ref().is_some_and(|facts| facts.is_stopped_by(&row.scope));
--- a/crates/node/src/burn.rs
+++ b/crates/node/src/burn.rs
@@ -3,30 +3,21 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use fulmartrestle_burn::{
     BurnReport, BurnResult, BurnSample, BurnSettings, BurnSummary, MissingNode, Objective, ShareMillionths,
 };
 use fulmartrestle_config::FleetConfig;
-use fulmartrestle_core::{Reason, Refusal, RouteId, Tenant, TimeUs, VmId};
-use fulmartrestle_membership::MemberState;
-use futures_util::stream::{self, StreamExt};
+use fulmartrestle_core::{Reason, Refusal, RouteId, Tenant, TimeUs};
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::body::{BodyError, ByteBody};
 use crate::clock::wall_ms;
+use crate::gather::ask_all;
 use crate::lock::lock;
-use crate::peer::{PeerError, PeerLink};
 use crate::state::NodeState;
 
-/// Nodes asked at one time. Each costs a connection for the moment, some 40 KB.
-const CONCURRENT_NODES: usize = 32;
-
-/// Time for one node's answer, in milliseconds.
-const NODE_TIMEOUT_MS: u64 = 2_000;
-
 /// A request whose end is still to be recorded.
 #[derive(Clone, Debug)]
 pub struct BurnEntry {
@@ -54,6 +45,7 @@
 }
 
 fn record(state: &NodeState, entry: &BurnEntry, result: BurnResult) {
+    lock(&state.traffic).count(&entry.route, entry.tenant.as_ref(), state.clock.now());
     let sample = BurnSample { route: entry.route.clone(), tenant: entry.tenant.clone(), result };
     lock(&state.burn).record(&sample, wall_ms());
 }
@@ -150,38 +142,11 @@
 
 /// Gathers the fleet's report from all nodes that can be reached, and names those that can't.
 pub async fn fleet_report(state: &NodeState) -> BurnReport {
-    let members: Vec<MissingNode> = {
-        let membership = lock(&state.membership);
-        let others =
-            membership.members(state.clock.now()).filter(|row| row.vm != state.own && row.state != MemberState::Dead);
-        others.map(|row| MissingNode { vm: row.vm, zone: row.zone }).collect()
-    };
-    let answers = stream::iter(members).map(|node| async move {
-        let answer = ask(state, node.vm).await;
-        (node, answer)
-    });
-    let mut answers = answers.buffer_unordered(CONCURRENT_NODES);
+    let gathered = ask_all(state, |link| async move { link.burn_summary().await }).await;
     let mut summary = own_summary(state);
-    let mut missing = Vec::new();
-    while let Some((node, answer)) = answers.next().await {
-        match answer {
-            Ok(other) => drop(summary.merge(&other)),
-            Err(error) => {
-                log::debug!("burn: {} did not report: {error}", node.vm);
-                missing.push(node);
-            }
-        }
+    for other in &gathered.answers {
+        summary.merge(other);
     }
-    BurnReport::new(&summary, missing, &BurnSettings::default())
-}
-
-/// Asks one node over a connection of its own, which is closed again: a report must not leave this
-/// node connected to the whole fleet.
-async fn ask(state: &NodeState, vm: VmId) -> Result<BurnSummary, PeerError> {
-    let unreachable = |detail: &str| PeerError::Connect(detail.to_owned());
-    let address = state.directory.peer_address(vm).filter(|address| state.allows(*address));
-    let address = address.ok_or_else(|| unreachable("not reachable"))?;
-    let asked = async { PeerLink::connect(address).await?.burn_summary().await };
-    let answered = tokio::time::timeout(Duration::from_millis(NODE_TIMEOUT_MS), asked);
-    answered.await.map_err(|_| unreachable("no answer in time"))?
+    let missing = gathered.missing.into_iter().map(|row| MissingNode { vm: row.vm, zone: row.zone });
+    BurnReport::new(&summary, missing.collect(), &BurnSettings::default())
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -146,7 +146,8 @@
 fn tell_gate_to_leave(state: &NodeState) {
     let Some(target) = state.gate.usable_target() else { return };
     let config = state.config.get();
-    let leave = should_leave(&config, &own_target_facts(state.own, &state.zone, &target), wall_ms() as i64);
+    let leave =
+        should_leave(&config, &own_target_facts(state.own, &state.zone, state.peer_address, &target), wall_ms() as i64);
     state.gate.set_told_to_leave(leave);
 }
 
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
+use fulmartrestle_config::plan::TrafficFacts;
 use fulmartrestle_core::{CallId, Reason, Refusal};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -91,6 +92,10 @@
         own_summary(&self.state)
     }
 
+    fn traffic(&self) -> Vec<TrafficFacts> {
+        lock(&self.state.traffic).facts(&self.state.zone, self.state.clock.now())
+    }
+
     fn control(&self, envelope: ControlEnvelope) {
         receive_control(&self.state, envelope, None);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod entry;
 mod explain;
 mod gate;
+mod gather;
 mod http;
 mod join;
 mod keys;
@@ -33,6 +34,7 @@
 mod rates;
 mod replay_body;
 mod state;
+mod traffic;
 mod wire;
 
 pub use counters::{Counter, Counters};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -265,6 +265,7 @@
         links: Arc::clone(&options.links),
         rng: Mutex::new(rng),
         burn: Mutex::new(BurnTable::new(BurnSettings::default(), wall_ms())),
+        traffic: Mutex::default(),
         counters: Counters::default(),
         decisions: Mutex::default(),
     })
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
+use fulmartrestle_config::plan::TrafficFacts;
 use h2::client::SendRequest;
 use http::Request;
 use http_body_util::{BodyExt, Limited};
@@ -156,6 +157,15 @@
         self.ask("/burn", Bytes::new()).await
     }
 
+    /// Asks for the rates of the requests that the peer takes in.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when the peer did not answer.
+    pub async fn traffic(&self) -> Result<Vec<TrafficFacts>, PeerError> {
+        self.ask("/traffic", Bytes::new()).await
+    }
+
     /// Sends a question and reads the whole answer.
     async fn ask<T: DeserializeOwned>(&self, path: &str, question: Bytes) -> Result<T, PeerError> {
         let (response, mut stream) = self.open(path).await?;
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
+use fulmartrestle_config::plan::TrafficFacts;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::control::ControlEnvelope;
@@ -45,6 +47,9 @@
     /// Returns how the requests that this node took in ended.
     fn burn_summary(&self) -> BurnSummary;
 
+    /// Returns the rates of the requests that this node takes in.
+    fn traffic(&self) -> Vec<TrafficFacts>;
+
     /// Takes a control message.
     fn control(&self, envelope: ControlEnvelope);
 }
@@ -96,7 +101,8 @@
     let result = match request.uri().path() {
         "/call" => serve_call(request.into_body(), &mut respond, service).await,
         "/outcome" => serve_outcome(request.into_body(), &mut respond, service).await,
-        "/burn" => serve_burn(&mut respond, service).await,
+        "/burn" => answer_value(&mut respond, &service.burn_summary()).await,
+        "/traffic" => answer_value(&mut respond, &service.traffic()).await,
         "/control" => serve_control(request.into_body(), &mut respond, service).await,
         _ => answer_empty(&mut respond, StatusCode::NOT_FOUND),
     };
@@ -136,8 +142,8 @@
     answer_empty(respond, StatusCode::OK)
 }
 
-async fn serve_burn(respond: &mut SendResponse<Bytes>, service: Arc<dyn PeerService>) -> Result<(), PeerError> {
-    let bytes = Bytes::from(encode(&service.burn_summary())?);
+async fn answer_value(respond: &mut SendResponse<Bytes>, value: &impl Serialize) -> Result<(), PeerError> {
+    let bytes = Bytes::from(encode(value)?);
     let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
     send_data(&mut stream, bytes, true).await
 }
@@ -152,9 +158,7 @@
         outcome = service.known_outcome(key) => outcome,
         _ = poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
     };
-    let bytes = Bytes::from(encode(&outcome)?);
-    let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
-    send_data(&mut stream, bytes, true).await
+    answer_value(respond, &outcome).await
 }
 
 fn answer_empty(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), PeerError> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,6 +25,7 @@
 use crate::lock::lock;
 use crate::peer::PeerPool;
 use crate::rates::Rates;
+use crate::traffic::TrafficTable;
 
 /// The tables and connections of one node. Deciding code works on the tables; locks are held for one
 /// decision and never across an await.
@@ -71,6 +72,8 @@
     pub rng: Mutex<ChaCha8Rng>,
     /// How requests ended, by route and tenant.
     pub burn: Mutex<BurnTable>,
+    /// Requests by route and tenant.
+    pub traffic: Mutex<TrafficTable>,
     /// Counters.
     pub counters: Counters,
     /// Latest decisions, where the settings ask for them.
