Quota: a join in a large zone no longer stops the owner

A round of requests now follows 200 ms after a join: 0 of 1,000 ticks. Also nodes of a zone that the configuration leaves out can borrow from all configured zones, not all but one.

--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -11,6 +11,10 @@
 /// microseconds. Without it every join would stop the owner for a round trip.
 const JOIN_GRACE_US: u64 = 1_500_000;
 
+/// How soon after a join the next round of requests goes out, in microseconds. Renewals alone come
+/// too late in large zones; at once would cost a round for each of several joins.
+const JOIN_REQUEST_US: u64 = 200_000;
+
 /// How long a lapsed acknowledgement is kept, in microseconds, so that a member that drops out of
 /// view and comes back is not taken for one that has just joined.
 const ACK_RETENTION_US: u64 = 60_000_000;
@@ -107,13 +111,20 @@
     pub(crate) fn review(&mut self, members: impl Iterator<Item = VmId>, now: TimeUs) {
         let established = self.phase != LeasePhase::Candidate && self.is_valid(now);
         self.acked = false;
+        let mut joined = false;
         let mut valid_until = None;
         for member in members {
             let missing = if established { now.plus_us(JOIN_GRACE_US) } else { TimeUs(0) };
-            let ack = self.acks.entry(member).or_insert(Ack { until: missing, fresh: true, applied: Version(0) });
+            let ack = self.acks.entry(member).or_insert_with(|| {
+                joined = true;
+                Ack { until: missing, fresh: true, applied: Version(0) }
+            });
             valid_until = Some(valid_until.map_or(ack.until, |known: TimeUs| known.min(ack.until)));
         }
         self.valid_until = valid_until.unwrap_or_default();
+        if joined {
+            self.next_request_at = self.next_request_at.min(now.plus_us(JOIN_REQUEST_US));
+        }
         self.acks.retain(|_, ack| ack.until.plus_us(ACK_RETENTION_US) > now);
     }
 
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -73,7 +73,7 @@
         self.tenant_loans.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
         for rate in &config.tenants {
             let loans = self.tenant_loans.entry(rate.tenant.clone()).or_insert_with(|| TenantLoans::new(now));
-            loans.set_rate(rate, config.zones.len());
+            loans.set_rate(rate, 1 + other_zones(&config, &self.zone).count());
         }
         self.configured_at = now;
         self.owner.set_shares(&config, &self.zone, &self.settings, now);
@@ -216,7 +216,7 @@
 
     /// Asks the nearest zone's owner that may have tokens for what the tenant lacks here.
     fn request_tokens(&mut self, tenant: &Tenant, now: TimeUs) {
-        for _ in 0..self.config.as_ref().map_or(0, |config| config.zones.len()) {
+        for _ in 0..self.config.as_ref().map_or(0, |config| config.zones.len() + 1) {
             let Some(loans) = self.tenant_loans.get(tenant) else { return };
             let want = loans.lacking(now);
             let Some(source) = loans.open_source(now).filter(|_| want > 0) else { return };
@@ -241,7 +241,7 @@
             return self.acknowledged_owner(shard, now).or(hint);
         }
         let config = self.config.as_ref()?;
-        let zone = config.zones.iter().filter(|zone| **zone != self.zone).nth(source - 1)?;
+        let zone = other_zones(config, &self.zone).nth(source - 1)?;
         hint.or_else(|| self.directory.preferred_owner(zone, shard))
     }
 
@@ -365,3 +365,11 @@
         }
     }
 }
+
+/// Returns the zones from which a node of `own_zone` borrows, in the order in which it asks them.
+fn other_zones<'a>(
+    config: &'a QuotaConfig,
+    own_zone: &'a AvailabilityZone,
+) -> impl Iterator<Item = &'a AvailabilityZone> {
+    config.zones.iter().filter(move |zone| *zone != own_zone)
+}
--- a/crates/quota/src/tenant_loans.rs
+++ b/crates/quota/src/tenant_loans.rs
@@ -97,10 +97,10 @@
         }
     }
 
-    pub(crate) fn set_rate(&mut self, rate: &TenantRate, zone_count: usize) {
+    pub(crate) fn set_rate(&mut self, rate: &TenantRate, source_count: usize) {
         let fill_us = rate.burst.0.saturating_mul(US_PER_S) / rate.rate_per_s.0.max(1);
         self.horizon_us = (fill_us / HORIZONS_PER_FILL).clamp(HORIZON_MIN_US, HORIZON_MAX_US);
-        self.sources.resize(zone_count, Source::default());
+        self.sources.resize(source_count, Source::default());
     }
 
     pub(crate) fn note_arrival(&mut self) {
--- a/crates/quota/tests/regression.rs
+++ b/crates/quota/tests/regression.rs
@@ -1,7 +1,7 @@
 //! Faults that were found in randomised runs.
 
-use fulmartrestle_core::{TimeUs, VmId};
-use fulmartrestle_quota::{QuotaNode, QuotaSettings};
+use fulmartrestle_core::{AvailabilityZone, TimeUs, Version, VmId, rendezvous_owner};
+use fulmartrestle_quota::{QuotaMember, QuotaMessage, QuotaNode, QuotaSettings};
 use googletest::prelude::*;
 
 const TICK_MS: u64 = 10;
@@ -25,3 +25,36 @@
     tick_until(&mut node, 12_500, 19_000);
     expect_that!(node.lending_shards(TimeUs::from_ms(18_990)), not(is_empty()));
 }
+
+/// Drives a node whose zone's members acknowledge at once; returns the ticks without lending.
+fn drive(node: &mut QuotaNode, from_ms: u64, until_ms: u64) -> u64 {
+    let mut idle = 0;
+    for ms in (from_ms..until_ms).step_by(TICK_MS as usize) {
+        let now = TimeUs::from_ms(ms);
+        node.tick(now);
+        for send in node.take_outgoing() {
+            if let QuotaMessage::LeaseRequest { shard, seq, .. } = send.message {
+                let ack = QuotaMessage::LeaseAck { shard, seq, fresh: false, applied: Version(0) };
+                node.on_message(send.to, ack, now);
+            }
+        }
+        idle += u64::from(node.lending_shards(now).is_empty());
+    }
+    idle
+}
+
+/// Issue 5: in zones above 400 members the next renewal came later than the time that a new member
+/// has to acknowledge, so that every join stopped the owner for seconds.
+#[gtest]
+fn a_join_in_a_large_zone_does_not_stop_the_owner() {
+    let zone: AvailabilityZone = "verona".parse().expect("valid zone");
+    let member = |id: u64| QuotaMember { vm: VmId(id), zone: zone.clone() };
+    let mut view: Vec<QuotaMember> = (1..=1_000).map(member).collect();
+    let own = rendezvous_owner("quota/verona/0", view.iter().map(|member| member.vm)).expect("some member");
+    let mut node = QuotaNode::new(own, zone.clone(), QuotaSettings::default());
+    node.set_members(&view, TimeUs::from_ms(1_000));
+    drive(&mut node, 1_000, 20_000);
+    view.push(member(1_000_000));
+    node.set_members(&view, TimeUs::from_ms(20_000));
+    expect_that!(drive(&mut node, 20_000, 30_000), eq(0));
+}
