--- a/crates/demo/src/fleet/node_fleet.rs
+++ b/crates/demo/src/fleet/node_fleet.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
+use fulmartrestle_api::GrantedKeyAnswer;
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::settings::SettingsBuilder;
-use fulmartrestle_core::Region;
+use fulmartrestle_core::{Region, Service};
 use fulmartrestle_node::{Node, NodeHandle, NodeOptions};
 use fulmartrestle_platform_log::async_trait;
 use fulmartrestle_standin::{StandinSettings, StandinTarget};
@@ -17,7 +18,7 @@
 use super::http_sender::HttpSender;
 use super::node_caller::NodeCaller;
 use super::node_links::NodeLinks;
-use super::operator_client::{GrantedKey, OperatorClient};
+use super::operator_client::OperatorClient;
 use super::zone_log::ZoneLog;
 use super::{ClientCaller, ClientRequest, Fleet, SendOutcome, Surroundings};
 use crate::DemoError;
@@ -40,7 +41,7 @@
     callers: Vec<Arc<NodeCaller>>,
     operator: OperatorClient,
     sender: HttpSender,
-    keys: OnceLock<Vec<GrantedKey>>,
+    keys: OnceLock<Vec<GrantedKeyAnswer>>,
 }
 
 /// A node, until it is stopped.
@@ -150,7 +151,7 @@
         self.sender.send(self.nodes[place].caller_address, &request).await
     }
 
-    fn granted(&self, tenant: usize) -> Option<&GrantedKey> {
+    fn granted(&self, tenant: usize) -> Option<&GrantedKeyAnswer> {
         let name = self.deployment.tenants[tenant].tenant.as_str();
         self.keys.get()?.iter().find(|key| key.tenant == name)
     }
@@ -162,6 +163,13 @@
         Arc::clone(&self.callers[zone]) as Arc<dyn ClientCaller>
     }
 
+    /// Sends to nodes whose own target is of another service, so that each call passes two nodes.
+    fn remote_caller(&self, service: &Service) -> Arc<dyn ClientCaller> {
+        let nodes = self.nodes.iter().zip(&self.targets);
+        let remote = nodes.filter(|(_, target)| target.settings().service != *service);
+        Arc::new(NodeCaller::new(remote.map(|(node, _)| node.caller_address).collect()))
+    }
+
     fn targets(&self) -> &[StandinTarget] {
         &self.targets
     }
--- a/crates/membership/src/apply.rs
+++ b/crates/membership/src/apply.rs
@@ -69,7 +69,7 @@
             return false;
         }
         self.insert_row(row, now);
-        if row.peer_address == self.own_slot().peer_address {
+        if row.peer_address == self.own_slot().peer_address() {
             self.bury(row.vm, now);
             return false;
         }
@@ -82,7 +82,7 @@
         let published = if is_published { row.state } else { MemberState::Alive };
         let slot = Slot {
             vm: row.vm,
-            peer_address: row.peer_address,
+            address: row.peer_address.into(),
             incarnation: row.incarnation,
             zone: self.zones.intern(&row.zone, now),
             published,
@@ -147,6 +147,16 @@
         self.spread_delta(&slot, MemberState::Dead);
     }
 
+    /// Drops a member's row and hands it out a last time as dead.
+    pub(crate) fn forget(&mut self, vm: VmId, now: TimeUs) {
+        let Some(slot) = self.directory.get(vm).copied() else { return };
+        self.forgotten.push(self.directory.to_row(&slot, MemberState::Dead, &self.zones, now));
+        self.zones.get_mut(slot.zone).remove(vm);
+        self.suspects.remove(&vm);
+        self.changed.remove(&vm);
+        self.directory.remove(vm);
+    }
+
     /// Ends a suspicion without an answer of the suspect, because its whole zone fell silent.
     pub(crate) fn cancel_suspicion(&mut self, vm: VmId, now: TimeUs) {
         let Some(slot) = self.directory.get(vm).copied() else { return };
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod apply;
 mod broadcast;
+mod budget;
+mod compact_address;
 mod directory;
 mod error;
 mod join_record;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -7,9 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::broadcast::{BroadcastLog, MAX_BROADCAST_BYTES, MAX_DIGEST_BYTES};
+use crate::budget::Budget;
 use crate::directory::Directory;
 use crate::probe::ProbeTable;
-use crate::rumour::Subject;
 use crate::rumour_queue::RumourQueue;
 use crate::slot::Slot;
 use crate::sync::SyncState;
@@ -42,9 +42,10 @@
     pub(crate) sync: SyncState,
     pub(crate) timers: Timers,
     pub(crate) random: ChaCha8Rng,
-    pub(crate) budget_bytes: i64,
+    pub(crate) budget: Budget,
     pub(crate) outgoing: Vec<MembershipSend>,
     pub(crate) changed: BTreeSet<VmId>,
+    pub(crate) forgotten: Vec<MemberRow>,
     pub(crate) digests: Vec<PeerDigest>,
     pub(crate) broadcasts: Vec<Broadcast>,
     digest: Option<Vec<u8>>,
@@ -68,9 +69,10 @@
             sync: SyncState::default(),
             timers: Timers::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
-            budget_bytes: 0,
+            budget: Budget::new(settings.budget_bytes_per_s),
             outgoing: Vec::new(),
             changed: BTreeSet::new(),
+            forgotten: Vec::new(),
             digests: Vec::new(),
             broadcasts: Vec::new(),
             digest: None,
@@ -105,7 +107,8 @@
     }
 
     /// Whether this node should append a join record now. Only a few members of each zone keep one,
-    /// and refresh it after a third of the log's retention, given in milliseconds.
+    /// and refresh it after a third of the log's retention, given in milliseconds. Deciding takes one
+    /// hash for each member of the zone: ask every few seconds rather than every tick.
     pub fn needs_join_record(&self, now: TimeUs, retention_ms: u64) -> bool {
         let is_due = self.join_record_at.is_none_or(|at| now.ms_since(at) >= retention_ms / 3);
         if !is_due {
@@ -121,7 +124,7 @@
     pub fn join_record(&self) -> JoinRecord {
         let own = self.own_slot();
         let zone = self.zones.get(own.zone).name.clone();
-        JoinRecord { vm: self.own, zone, peer_address: own.peer_address }
+        JoinRecord { vm: self.own, zone, peer_address: own.peer_address() }
     }
 
     /// Notes that the join record was appended.
@@ -129,6 +132,12 @@
         self.join_record_at = Some(now);
     }
 
+    /// Changes the bytes a second that rumours and directory exchange may use.
+    pub fn set_budget(&mut self, bytes_per_s: u64) {
+        self.settings.budget_bytes_per_s = bytes_per_s;
+        self.budget = Budget::new(bytes_per_s);
+    }
+
     /// Publishes the target behind this node, or that there is none.
     pub fn set_own_target(&mut self, target: Option<TargetInfo>, now: TimeUs) {
         let mut own = self.own_slot();
@@ -176,11 +185,13 @@
         std::mem::take(&mut self.outgoing)
     }
 
-    /// Takes the rows that changed since the last call, this node's own included.
+    /// Takes the rows that changed since the last call, this node's own included. Members of a zone that
+    /// was lost for good are handed out as dead.
     pub fn take_changes(&mut self, now: TimeUs) -> Vec<MemberChange> {
         let changed = std::mem::take(&mut self.changed);
+        let forgotten = std::mem::take(&mut self.forgotten);
         let rows = changed.into_iter().filter_map(|vm| self.member(vm, now));
-        rows.map(|row| MemberChange { row }).collect()
+        forgotten.into_iter().chain(rows).map(|row| MemberChange { row }).collect()
     }
 
     /// Takes the digests that peers sent since the last call.
@@ -282,7 +293,6 @@
         own.state = own.published;
         self.directory.put(own);
         self.changed.insert(own.vm);
-        self.rumours.remove(Subject::Member(own.vm));
         self.spread_row(own.vm, now);
     }
 }
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId};
 
+use crate::budget::BudgetShare;
 use crate::directory::Directory;
 use crate::zone_table::ZoneTable;
 use crate::{MemberState, Membership, MembershipMessage, MessageKind, PeerDigest};
@@ -24,12 +25,12 @@
         if let Some(bytes) = message.digest {
             self.digests.push(PeerDigest { vm: message.from, bytes });
         }
-        let asks = !matches!(message.kind, MessageKind::Gossip | MessageKind::Ack { .. });
+        let asks = !matches!(message.kind, MessageKind::Gossip | MessageKind::Ack { .. } | MessageKind::Nack { .. });
         self.note_sender(message.from, from, asks, now);
-        self.answer(from, message.kind, now);
+        self.answer(message.from, from, message.kind, now);
     }
 
-    fn answer(&mut self, from: SocketAddr, kind: MessageKind, now: TimeUs) {
+    fn answer(&mut self, sender: VmId, from: SocketAddr, kind: MessageKind, now: TimeUs) {
         match kind {
             MessageKind::Ping { sequence, .. } => {
                 let responder = self.own;
@@ -40,6 +41,7 @@
                 self.send(address, MessageKind::Ping { sequence, subject }, now);
             }
             MessageKind::Ack { sequence, responder } => self.on_ack(sequence, responder, now),
+            MessageKind::Nack { sequence } => self.on_nack(sender, sequence),
             MessageKind::Gossip => {}
             MessageKind::SyncDigests { shift, digests } => self.on_sync_digests(from, shift, &digests, now),
             MessageKind::SyncPull { first, last } => self.send_range(from, first, last, now),
@@ -64,7 +66,7 @@
         if slot.state == MemberState::Alive {
             self.probes.forget(vm);
         }
-        if asks && matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address == from {
+        if asks && matches!(slot.state, MemberState::Suspect | MemberState::Dead) && slot.peer_address() == from {
             self.tell_suspicion(&slot, now);
         }
     }
@@ -73,11 +75,12 @@
     /// one sender at a time, and only within the budget: two members that don't know each other would
     /// otherwise ask each other without end while neither can afford the answer.
     fn note_unknown_sender(&mut self, vm: VmId, from: SocketAddr, now: TimeUs) {
-        let replaced = self.directory.iter().find(|slot| slot.peer_address == from && slot.state != MemberState::Dead);
+        let replaced =
+            self.directory.iter().find(|slot| slot.peer_address() == from && slot.state != MemberState::Dead);
         if let Some(replaced) = replaced.map(|slot| slot.vm) {
             self.bury(replaced, now);
         }
-        if now < self.timers.ask_sender_at || !self.can_afford(0) {
+        if now < self.timers.ask_sender_at || !self.can_afford(BudgetShare::Sync, 0) {
             return;
         }
         self.timers.ask_sender_at = now.plus_ms(ASK_SENDER_INTERVAL_MS);
@@ -96,4 +99,13 @@
             self.bury(probe.subject, now);
         }
     }
+
+    /// Notes that a neighbour of the probed member could not reach it either.
+    fn on_nack(&mut self, sender: VmId, sequence: u32) {
+        let Some(probe) = self.probes.get_mut(sequence) else { return };
+        let zone = |vm: VmId| self.directory.get(vm).map(|slot| slot.zone);
+        if zone(sender).is_some() && zone(sender) == zone(probe.subject) {
+            probe.confirmed_in_zone = true;
+        }
+    }
 }
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -6,6 +6,7 @@
 use fulmartrestle_core::TimeUs;
 use rand::RngExt;
 
+use crate::budget::BudgetShare;
 use crate::directory::BUCKETS;
 use crate::rumour::{DELTA_SIZE_BYTES, row_size_bytes};
 use crate::slot::Slot;
@@ -21,8 +22,12 @@
 const ROWS_BYTES: usize = 1_100;
 /// Differing buckets that one exchange asks for.
 const MAX_WANTED_BUCKETS: usize = 64;
-/// Interval between exchanges while differences are found, in milliseconds.
-const REPAIR_INTERVAL_MS: u64 = 1_000;
+/// Time after which filling is left to the exchange of digests, in milliseconds: when the whole fleet
+/// starts at once, no peer has a full directory.
+const FILL_LIMIT_MS: u64 = 10_000;
+/// Interval between exchanges while differences are found, in milliseconds. The budget slows them down
+/// where it must; a second left most of it unused after many members changed at once.
+const REPAIR_INTERVAL_MS: u64 = 200;
 
 #[derive(Clone, Copy, Debug)]
 struct FillRange {
@@ -35,6 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SyncState {
     ranges: Vec<FillRange>,
+    fill_since: Option<TimeUs>,
     found_difference: bool,
 }
 
@@ -55,6 +61,15 @@
         !self.ranges.is_empty()
     }
 
+    /// Ends filling when it has taken too long.
+    fn limit_filling(&mut self, now: TimeUs) {
+        if !self.is_filling() {
+            self.fill_since = None;
+        } else if now.ms_since(*self.fill_since.get_or_insert(now)) >= FILL_LIMIT_MS {
+            self.ranges.clear();
+        }
+    }
+
     /// Notes that the buckets of `filled` have arrived.
     fn advance(&mut self, filled: BucketRange) {
         let Some(index) = self.ranges.iter().position(|range| range.first == filled.first) else { return };
@@ -88,6 +103,7 @@
 impl Membership {
     /// Asks peers for the parts of the directory that are still missing.
     pub(crate) fn fill_directory(&mut self, now: TimeUs) {
+        self.sync.limit_filling(now);
         for range in self.sync.due_ranges(now) {
             let Some(peer) = self.random_contact() else { return };
             self.send(peer, MessageKind::SyncPull { first: range.first, last: range.last }, now);
@@ -99,7 +115,7 @@
         let found_difference = std::mem::take(&mut self.sync.found_difference);
         let interval_ms = if found_difference { REPAIR_INTERVAL_MS } else { self.settings.sync_interval_ms };
         if let Some(peer) = self.random_contact()
-            && self.can_afford(BUCKETS * 3)
+            && self.can_afford(BudgetShare::Sync, BUCKETS * 3)
         {
             let shift = self.random.random_range(0..=16);
             let digests = self.directory.digests().iter().map(|digest| (digest >> shift) as u16).collect();
@@ -113,7 +129,7 @@
         let own = self.directory.digests().iter().map(|digest| (digest >> shift) as u16);
         let differs = |(bucket, (own, theirs)): (usize, (u16, &u16))| (own != *theirs).then_some(bucket as u8);
         let mut differing: Vec<u8> = own.zip(digests).enumerate().filter_map(differs).collect();
-        if differing.is_empty() || !self.can_afford(ROWS_BYTES) {
+        if differing.is_empty() || !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         self.sync.found_difference = true;
@@ -127,7 +143,7 @@
 
     /// Sends the rows of as many of the buckets as fit into a few datagrams.
     pub(crate) fn send_buckets(&mut self, to: SocketAddr, buckets: &[u8], now: TimeUs) {
-        if !self.can_afford(ROWS_BYTES) {
+        if !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         let mut pages = vec![Page::default()];
@@ -146,7 +162,7 @@
     /// Sends the rows of as many buckets from `first` on as fit into a few datagrams. Only the last
     /// datagram says which buckets are complete.
     pub(crate) fn send_range(&mut self, to: SocketAddr, first: u8, last: u8, now: TimeUs) {
-        if first > last || !self.can_afford(ROWS_BYTES) {
+        if first > last || !self.can_afford(BudgetShare::Sync, ROWS_BYTES) {
             return;
         }
         let mut pages = vec![Page::default()];
@@ -160,7 +176,9 @@
         }
         let count = pages.len();
         for (index, page) in pages.into_iter().enumerate() {
-            let filled = (index + 1 == count).then_some(BucketRange { first, last: covered });
+            // A node whose own directory is incomplete gives what it has but doesn't vouch for it.
+            let is_complete = index + 1 == count && !self.sync.is_filling();
+            let filled = is_complete.then_some(BucketRange { first, last: covered });
             let kind = MessageKind::SyncRows { filled, filling: true, rows: page.rows, dead: page.dead };
             self.send(to, kind, now);
         }
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_core::{TimeUs, VmId};
 use rand::RngExt;
 
+use crate::budget::BudgetShare;
 use crate::probe::Probe;
 use crate::slot::Slot;
 use crate::zone_table::{ZoneEntry, ZoneTable};
@@ -14,11 +15,10 @@
 const PAUSE_MS: u64 = 1_000;
 /// Interval of dropping what is no longer needed, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 10_000;
-/// Additional time after a failed probe of another zone's member, in milliseconds. The silence of the
-/// whole zone is noticed within it, so that a lost zone isn't suspected member by member.
-const CROSS_ZONE_WAIT_MS: u64 = 1_000;
-/// Age of a zone's last heartbeat up to which its members are judged one by one, in milliseconds.
-const FRESH_BEAT_MS: u64 = 700;
+/// Additional time for a probe of another zone's member, in milliseconds: its helpers report back.
+const CROSS_ZONE_WAIT_MS: u64 = 200;
+/// Members that together make one attempt each interval to reach members that are dead or unreachable.
+const RECONNECTING_MEMBERS: usize = 16;
 /// Suspects on the ring that are probed on top of the neighbours.
 const MAX_RING_PROBES: usize = 8;
 
@@ -59,7 +59,7 @@
             self.start_timers(now);
             return;
         };
-        self.refill_budget(now.us_since(last_tick));
+        self.budget.refill(now.us_since(last_tick));
         let gap_ms = now.ms_since(last_tick);
         if gap_ms >= PAUSE_MS {
             self.resume(gap_ms, now);
@@ -67,7 +67,6 @@
     }
 
     fn start_timers(&mut self, now: TimeUs) {
-        self.budget_bytes = self.settings.budget_bytes_per_s as i64;
         self.timers.ring_at = self.after_random(self.settings.probe_interval_ms, now);
         self.timers.cross_zone_at = self.after_random(self.settings.probe_interval_ms, now);
         self.timers.sync_at = self.after_random(self.settings.sync_interval_ms, now);
@@ -107,30 +106,32 @@
         for probe in failed {
             self.on_failed_probe(&probe, now);
         }
-        self.probes.expire_relays(now);
+        for relay in self.probes.take_unanswered_relays(timeout_ms, now) {
+            self.send(relay.origin, MessageKind::Nack { sequence: relay.origin_sequence }, now);
+        }
     }
 
+    /// Asks helpers to probe a member: its neighbours where it is in another zone, with one member of
+    /// any zone that may have a way around a cut.
     fn ask_helpers(&mut self, sequence: u32, probe: &Probe, now: TimeUs) {
-        for _ in 0..self.settings.helpers {
-            let Some(helper) = self.random_member() else { return };
-            if helper.vm == probe.subject {
-                continue;
-            }
+        let Some(zone) = self.directory.get(probe.subject).map(|slot| slot.zone) else { return };
+        for index in 0..self.settings.helpers {
+            let helper = if index == 0 { self.random_member() } else { self.random_member_of(zone) };
+            let Some(helper) = helper.filter(|helper| helper.vm != probe.subject) else { continue };
             let kind = MessageKind::PingRequest { sequence, subject: probe.subject, address: probe.address };
-            self.send(helper.peer_address, kind, now);
+            self.send(helper.peer_address(), kind, now);
         }
     }
 
+    /// Suspects a member that did not answer. In another zone, one of its neighbours has to have
+    /// confirmed it: the way between the two zones may be cut while both are reached over a third, and a
+    /// zone that was lost as a whole is noticed by its heartbeat.
     fn on_failed_probe(&mut self, probe: &Probe, now: TimeUs) {
         let Some(slot) = self.directory.get(probe.subject).copied() else { return };
-        if slot.incarnation != probe.incarnation || self.is_frozen(slot.zone) {
-            return;
-        }
-        let zone = self.zones.get(slot.zone);
-        if slot.zone != ZoneTable::OWN && now.ms_since(zone.risen_at) > FRESH_BEAT_MS {
-            return;
+        let is_evident = slot.zone == ZoneTable::OWN || probe.confirmed_in_zone;
+        if is_evident && slot.incarnation == probe.incarnation && !self.is_frozen(slot.zone) {
+            self.suspect(probe.subject, now);
         }
-        self.suspect(probe.subject, now);
     }
 
     fn check_suspects(&mut self, now: TimeUs) {
@@ -231,12 +232,13 @@
         let probe = Probe {
             subject: vm,
             incarnation: slot.incarnation,
-            address: slot.peer_address,
+            address: slot.peer_address(),
             sent_at: now,
             asked_helpers: false,
+            confirmed_in_zone: false,
         };
         let sequence = self.probes.add(probe);
-        self.send(slot.peer_address, MessageKind::Ping { sequence, subject: vm }, now);
+        self.send(slot.peer_address(), MessageKind::Ping { sequence, subject: vm }, now);
     }
 
     fn gossip(&mut self, now: TimeUs) {
@@ -246,7 +248,7 @@
         self.timers.gossip_at = now.plus_ms(self.settings.gossip_interval_ms);
         for _ in 0..self.settings.gossip_fanout {
             let Some(peer) = self.random_contact() else { return };
-            if self.rumours.is_empty() || !self.can_afford(0) {
+            if self.rumours.is_empty() || !self.can_afford(BudgetShare::Rumours, 0) {
                 return;
             }
             self.send(peer, MessageKind::Gossip, now);
@@ -265,7 +267,7 @@
         if now < self.timers.reconnect_at {
             return;
         }
-        self.timers.reconnect_at = now.plus_ms(self.settings.reconnect_interval_ms);
+        self.timers.reconnect_at = now.plus_ms(self.reconnect_interval_ms());
         let candidates = self.reconnect_candidates();
         if candidates.is_empty() {
             return;
@@ -280,20 +282,29 @@
         }
     }
 
+    /// Returns the interval of this node's attempts, such that all members together make no more of
+    /// them as the fleet grows: they would otherwise flood the few addresses that are tried.
+    fn reconnect_interval_ms(&mut self) -> u64 {
+        let live: usize = self.zones.iter().map(|zone| self.other_members(zone)).sum();
+        let interval_ms =
+            self.settings.reconnect_interval_ms.saturating_mul((live / RECONNECTING_MEMBERS).max(1) as u64);
+        self.random.random_range(interval_ms / 2..=interval_ms.saturating_add(interval_ms / 2))
+    }
+
     fn reconnect_candidates(&mut self) -> Vec<(SocketAddr, VmId)> {
         let mut candidates = Vec::new();
         for index in self.zones.indexes() {
             let zone = self.zones.get(index);
             if zone.unreachable_since.is_some() && !zone.ring.is_empty() {
                 let vm = zone.ring[self.random.random_range(0..zone.ring.len())];
-                candidates.extend(self.directory.get(vm).map(|slot| (slot.peer_address, vm)));
+                candidates.extend(self.directory.get(vm).map(|slot| (slot.peer_address(), vm)));
             }
         }
         if !self.dead.is_empty() {
             let index = self.random.random_range(0..self.dead.len());
             let vm = self.dead.iter().nth(index).copied();
             let slot = vm.and_then(|vm| self.directory.get(vm));
-            candidates.extend(slot.map(|slot| (slot.peer_address, slot.vm)));
+            candidates.extend(slot.map(|slot| (slot.peer_address(), slot.vm)));
         }
         let unknown = |vm: VmId| self.directory.get(vm).is_none();
         let contacts = self.contacts.iter().filter(|contact| unknown(contact.vm));
@@ -308,6 +319,7 @@
         }
         self.timers.expiry_at = now.plus_ms(EXPIRY_INTERVAL_MS);
         self.broadcasts_seen.expire(now);
+        self.forget_lost_zones(now);
         let retention_ms = self.settings.dead_retention_ms;
         for vm in self.dead.clone() {
             let is_old = self.directory.get(vm).is_none_or(|slot| now.ms_since(slot.since) >= retention_ms);
@@ -318,10 +330,23 @@
         }
     }
 
+    /// Forgets the members of zones that have been silent for longer than dead members are remembered.
+    /// They aren't marked as dead: each would refute that after a long cut, and all rows would change.
+    fn forget_lost_zones(&mut self, now: TimeUs) {
+        let retention_ms = self.settings.dead_retention_ms;
+        for index in self.zones.indexes() {
+            let zone = self.zones.get(index);
+            if zone.unreachable_since.is_some_and(|since| now.ms_since(since) >= retention_ms) {
+                let members: Vec<VmId> = zone.ring.iter().copied().filter(|vm| *vm != self.own).collect();
+                members.into_iter().for_each(|vm| self.forget(vm, now));
+            }
+        }
+    }
+
     /// Returns a random member that can be reached as far as is known, or a first contact.
     pub(crate) fn random_contact(&mut self) -> Option<SocketAddr> {
         if let Some(slot) = self.random_member() {
-            return Some(slot.peer_address);
+            return Some(slot.peer_address());
         }
         if self.contacts.is_empty() {
             return None;
@@ -349,6 +374,16 @@
         None
     }
 
+    /// Returns a random member of a zone other than this node.
+    fn random_member_of(&mut self, zone: u16) -> Option<Slot> {
+        let ring = &self.zones.get(zone).ring;
+        if ring.is_empty() {
+            return None;
+        }
+        let vm = ring[self.random.random_range(0..ring.len())];
+        self.directory.get(vm).filter(|slot| slot.vm != self.own).copied()
+    }
+
     /// Returns how many members of a reachable zone there are beside this node.
     fn other_members(&self, zone: &ZoneEntry) -> usize {
         if zone.unreachable_since.is_some() {
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_core::{CallId, Reason, Refusal};
 use hyper::Request;
@@ -16,11 +17,13 @@
 use super::request::ReceivedRequest;
 use super::sidecar::answer_child;
 use crate::body::ByteBody;
+use crate::burn::own_summary;
 use crate::call::Dispatched;
 use crate::context::CONTEXT_HEADER;
 use crate::control::receive_control;
 use crate::http::{CallerAnswer, CallerService};
 use crate::keys::take_key;
+use crate::lock::lock;
 use crate::peer::{ControlEnvelope, PeerAnswer, PeerService};
 use crate::state::NodeState;
 use crate::wire::CallHead;
@@ -72,13 +75,22 @@
 #[async_trait]
 impl PeerService for EntryService {
     async fn call(&self, head: CallHead, body: ByteBody) -> PeerAnswer {
-        self.state.gate.run(head, body).await
+        let config = self.state.config.get();
+        let route = config.routes().get(&head.route).map(|route| route.chain.clone());
+        let mut answer = self.state.gate.run(head, body).await;
+        let now = self.state.clock.now();
+        answer.head.reports = lock(&self.state.door).reports(&route.unwrap_or_default(), now);
+        answer
     }
 
     async fn known_outcome(&self, key: ClaimKey) -> Option<OnceOutcome> {
         known_outcome(&self.state, key).await
     }
 
+    fn burn_summary(&self) -> BurnSummary {
+        own_summary(&self.state)
+    }
+
     fn control(&self, envelope: ControlEnvelope) {
         receive_control(&self.state, envelope, None);
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use fulmartrestle_api::Decision;
+use fulmartrestle_burn::BurnTable;
 use fulmartrestle_config::Settings;
 use fulmartrestle_core::{AvailabilityZone, VmId};
 use fulmartrestle_membership::Membership;
@@ -17,7 +19,7 @@
 use crate::counters::Counters;
 use crate::directory::PeerDirectory;
 use crate::entry::OnceTable;
-use crate::explain::{Decision, DecisionLog};
+use crate::explain::DecisionLog;
 use crate::gate::GateRunner;
 use crate::link_faults::LinkFaults;
 use crate::lock::lock;
@@ -67,6 +69,8 @@
     pub links: Arc<dyn LinkFaults>,
     /// Random draws, seeded at the start.
     pub rng: Mutex<ChaCha8Rng>,
+    /// How requests ended, by route and tenant.
+    pub burn: Mutex<BurnTable>,
     /// Counters.
     pub counters: Counters,
     /// Latest decisions, where the settings ask for them.
--- a/crates/policy/src/gate/limiter.rs
+++ b/crates/policy/src/gate/limiter.rs
@@ -3,7 +3,7 @@
 use fulmartrestle_core::TimeUs;
 
 use super::{Completion, GateSettings, TargetHints};
-use crate::Permille;
+use crate::BasisPoints;
 
 /// Shortest time over which latencies are averaged. Shorter windows hold too few calls to tell a
 /// trend from chance.
@@ -11,12 +11,17 @@
 /// Longest time over which latencies are averaged when calls are rare.
 const MAX_WINDOW_US: u64 = 2_000_000;
 /// Fewest calls in a window that closes before the longest time.
-const MIN_WINDOW_CALLS: u64 = 16;
+const MIN_WINDOW_CALLS: u64 = 32;
 /// Latency above the baseline that counts as waiting inside the target. Tighter bounds take the
 /// normal spread of service times for overload.
 const QUEUEING_RATIO: f64 = 1.5;
+/// Latency above the baseline that counts as none.
+const CALM_RATIO: f64 = 1.2;
 /// Smallest factor of one lowering because of latency.
 const MIN_LATENCY_FACTOR: f64 = 0.7;
+/// Factor of one lowering when latency rose far more than the number of calls. Most likely the target
+/// is slow for another reason, and a small step is enough to find out.
+const TRIAL_FACTOR: f64 = 0.9;
 /// Factor of the limit after the target refused calls itself.
 const REFUSED_FACTOR: f64 = 0.9;
 /// Factor of the limit after a window with many timeouts.
@@ -25,15 +30,25 @@
 const TIMEOUT_SHARE: f64 = 0.1;
 /// Part of a limit's lowering that must show in the latency, or the lowering is undone.
 const EXPECTED_EFFECT: f64 = 0.5;
-/// Time constant with which the baseline follows higher latencies, in microseconds. It outlasts
-/// surges, so that a surge is not taken for the normal state.
+/// Time constant with which the baseline follows higher latencies while the limit isn't reached, in
+/// microseconds. It outlasts surges, so that a surge is not taken for the normal state.
 const BASELINE_RISE_US: f64 = 60_000_000.0;
-/// Weight of a window whose latency is below the baseline.
-const BASELINE_FALL: f64 = 0.5;
+/// Weight of a window whose latency is a little below the baseline, so that chance doesn't pull the
+/// baseline down.
+const BASELINE_FALL: f64 = 0.1;
+/// Weight of a window whose latency is far below the baseline.
+const BASELINE_DROP: f64 = 0.5;
+/// Ratio of latency to baseline that counts as far below.
+const DROP_RATIO: f64 = 0.6;
+/// Length of a window, and of the pause after a change of the limit, as a multiple of the mean
+/// latency. In a shorter one mostly the fast calls would have ended.
+const WINDOW_LATENCIES: f64 = 2.0;
+/// Weight of a window whose fastest call is slower than the fastest known one.
+const LEAST_RISE: f64 = 0.1;
 /// Share of the limit that a target starts with when it is cold.
 const COLD_SHARE: f64 = 0.2;
 /// Load from which on a report stops the limit from rising.
-const FULL_LOAD: Permille = Permille(950);
+const FULL_LOAD: BasisPoints = BasisPoints(950);
 
 /// Finds how many calls a target can work on at once.
 ///
@@ -51,19 +66,35 @@
     first_seen: Option<TimeUs>,
     load_is_full: bool,
     baseline_us: Option<f64>,
+    /// Mean time of the target's own work in the last window.
     mean_us: f64,
-    least_us: f64,
+    /// Mean and least time that a call occupied a place, with the calls that it waited for.
+    mean_total_us: f64,
+    least_total_us: f64,
     window: Window,
+    /// Most calls that ran at once in the last window with the baseline's latency.
+    calm_in_flight: f64,
     lowering: Option<Lowering>,
-    changed: TimeUs,
+    /// End of the pause after the last change of the limit.
+    settled: TimeUs,
+}
+
+/// How long a call took.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Latency {
+    /// Without the time in which it waited for calls of its own.
+    pub own_us: u64,
+    /// From its start to its end.
+    pub total_us: u64,
 }
 
 #[derive(Debug, Default)]
 struct Window {
     start: TimeUs,
     calls: u64,
-    latency_sum_us: u64,
-    least_us: Option<u64>,
+    own_sum_us: u64,
+    total_sum_us: u64,
+    least_total_us: Option<u64>,
     refused: u64,
     timed_out: u64,
     most_in_flight: usize,
@@ -88,10 +119,12 @@
             load_is_full: false,
             baseline_us: None,
             mean_us: 0.0,
-            least_us: 0.0,
+            mean_total_us: 0.0,
+            least_total_us: 0.0,
             window: Window::default(),
+            calm_in_flight: 0.0,
             lowering: None,
-            changed: TimeUs::default(),
+            settled: TimeUs::default(),
         }
     }
 
@@ -133,19 +166,19 @@
 
     /// Returns a time that hardly any call is faster than.
     pub fn least_service_us(&self) -> u64 {
-        self.least_us as u64
+        self.least_total_us as u64
     }
 
     /// Returns how long a call waits with `ahead` calls before it.
     pub fn wait_us(&self, ahead: usize) -> u64 {
-        (self.mean_us * (ahead + 1) as f64 / self.limit.max(1.0)) as u64
+        (self.mean_total_us * (ahead + 1) as f64 / self.limit.max(1.0)) as u64
     }
 
-    /// Learns from a call that ended after `own_us` microseconds of work of the target itself.
-    pub fn completed(&mut self, how: Completion, started: TimeUs, own_us: u64, in_flight: usize, now: TimeUs) {
+    /// Learns from a call that ended.
+    pub fn completed(&mut self, how: Completion, latency: Latency, in_flight: usize, now: TimeUs) {
         self.window.most_in_flight = self.window.most_in_flight.max(in_flight);
         match how {
-            Completion::Answered if started >= self.changed => self.window.add(own_us),
+            Completion::Answered if now >= self.settled => self.window.add(latency),
             Completion::TargetRefused => self.window.refused += 1,
             Completion::TimedOut => self.window.timed_out += 1,
             Completion::Answered | Completion::Failed | Completion::Cancelled => {}
@@ -160,7 +193,7 @@
         self.window.start = now;
         let saturated = window.most_in_flight as f64 >= self.limit * 0.9;
         if window.calls > 0 {
-            self.learn_latency(&window, now);
+            self.learn_latency(&window, saturated, now);
         }
         if window.refused > 0 {
             self.set_limit((window.most_in_flight as f64).min(self.limit) * REFUSED_FACTOR, now);
@@ -171,32 +204,47 @@
             return;
         }
         if window.calls > 0 && saturated {
-            self.follow_latency(now);
+            self.follow_latency(window.most_in_flight as f64, now);
         }
     }
 
-    fn learn_latency(&mut self, window: &Window, now: TimeUs) {
-        self.mean_us = window.latency_sum_us as f64 / window.calls as f64;
-        let least_us = window.least_us.unwrap_or(0) as f64;
-        self.least_us = if least_us < self.least_us { least_us } else { self.least_us * 0.9 + least_us * 0.1 };
+    fn learn_latency(&mut self, window: &Window, saturated: bool, now: TimeUs) {
+        self.mean_us = window.own_sum_us as f64 / window.calls as f64;
+        self.mean_total_us = window.total_sum_us as f64 / window.calls as f64;
+        self.learn_least(window.least_total_us.unwrap_or(0) as f64);
         let baseline_us = self.baseline_us.unwrap_or(self.mean_us);
-        let weight = if self.mean_us < baseline_us {
+        let weight = if self.mean_us < baseline_us * DROP_RATIO {
+            BASELINE_DROP
+        } else if self.mean_us < baseline_us {
             BASELINE_FALL
+        } else if saturated {
+            0.0
         } else {
             (now.us_since(window.start) as f64 / BASELINE_RISE_US).min(1.0)
         };
-        self.baseline_us = Some(baseline_us + (self.mean_us - baseline_us) * weight);
+        let new_baseline_us = baseline_us + (self.mean_us - baseline_us) * weight;
+        self.baseline_us = Some(new_baseline_us);
+        if self.mean_us <= new_baseline_us * CALM_RATIO {
+            self.calm_in_flight = window.most_in_flight as f64;
+        }
+    }
+
+    fn learn_least(&mut self, least_us: f64) {
+        let rise = (least_us - self.least_total_us).max(0.0) * LEAST_RISE;
+        self.least_total_us = least_us.min(self.least_total_us + rise);
     }
 
-    fn follow_latency(&mut self, now: TimeUs) {
+    fn follow_latency(&mut self, in_flight: f64, now: TimeUs) {
         self.judge_lowering(now);
         let Some(baseline_us) = self.baseline_us else { return };
         let ratio = self.mean_us / baseline_us.max(1.0);
         if ratio <= QUEUEING_RATIO {
-            self.raise(now);
+            self.raise();
             return;
         }
-        let factor = ratio.sqrt().recip().max(MIN_LATENCY_FACTOR);
+        let explained = (in_flight / self.calm_in_flight.max(1.0)).max(1.0) * QUEUEING_RATIO;
+        let lowered = ratio.sqrt().recip().max(MIN_LATENCY_FACTOR);
+        let factor = if ratio > explained { TRIAL_FACTOR } else { lowered };
         self.lowering = Some(Lowering { limit: self.limit, mean_us: self.mean_us });
         self.set_limit(self.limit * factor, now);
     }
@@ -212,18 +260,18 @@
         }
     }
 
-    fn raise(&mut self, now: TimeUs) {
+    fn raise(&mut self) {
         if !self.load_is_full {
-            let changed = self.changed;
-            self.set_limit(self.limit + self.limit.sqrt().max(1.0), now);
-            self.changed = changed;
+            self.limit += self.limit.sqrt().max(1.0);
+            self.clamp();
         }
     }
 
     fn set_limit(&mut self, limit: f64, now: TimeUs) {
         self.limit = limit;
         self.clamp();
-        self.changed = now;
+        self.settled = now.plus_us((self.mean_total_us * WINDOW_LATENCIES) as u64);
+        self.window = Window { start: self.settled, ..Window::default() };
     }
 
     fn clamp(&mut self) {
@@ -233,15 +281,19 @@
 }
 
 impl Window {
-    fn add(&mut self, own_us: u64) {
+    fn add(&mut self, latency: Latency) {
         self.calls += 1;
-        self.latency_sum_us += own_us;
-        self.least_us = Some(self.least_us.map_or(own_us, |least_us| least_us.min(own_us)));
+        self.own_sum_us += latency.own_us;
+        self.total_sum_us += latency.total_us;
+        let least_us = self.least_total_us.unwrap_or(latency.total_us);
+        self.least_total_us = Some(least_us.min(latency.total_us));
     }
 
     fn is_complete(&self, now: TimeUs) -> bool {
         let age_us = now.us_since(self.start);
         let calls = self.calls + self.refused + self.timed_out;
-        age_us >= MAX_WINDOW_US || (age_us >= WINDOW_US && calls >= MIN_WINDOW_CALLS)
+        let mean_total_us = self.total_sum_us as f64 / self.calls.max(1) as f64;
+        let enough = calls >= MIN_WINDOW_CALLS && age_us as f64 >= mean_total_us * WINDOW_LATENCIES;
+        age_us >= MAX_WINDOW_US || (age_us >= WINDOW_US && enough)
     }
 }
--- a/crates/policy/src/retry/decision.rs
+++ b/crates/policy/src/retry/decision.rs
@@ -128,9 +128,11 @@
         }
         match self.attempt.result {
             AttemptResult::Refused(refusal) => match refusal.reason {
-                Reason::Draining | Reason::NotReady | Reason::NoTarget => true,
-                Reason::TargetFailed | Reason::BadAnswer => true,
+                Reason::Draining | Reason::NotReady | Reason::NoTarget | Reason::TargetFailed | Reason::BadAnswer => {
+                    true
+                }
                 Reason::Shed => self.tried.len() < MAX_SHED_TARGETS,
+                Reason::Deadline => refusal.outcome == Outcome::NotRun && self.tried.len() < MAX_SHED_TARGETS,
                 _ => false,
             },
             AttemptResult::NoTarget => false,
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -1,18 +1,25 @@
 //! One node's part in keeping all tenants' rates.
 
+mod acknowledge;
+
 use std::collections::BTreeMap;
 
 use fulmartrestle_core::{AvailabilityZone, Tenant, TimeUs, VmId};
 
+use self::acknowledge::LeaseOffer;
 use crate::{
     LoanReport, QuotaConfig, QuotaMember, QuotaMessage, QuotaSend, QuotaSettings, QuotaShard, RateDecision,
-    bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, wallet::Wallet,
-    wallet::retry_hint_ms,
+    bucket::Bucket, directory::Directory, owner::LeaseTerms, owner::Owner, promise::Promise, tenant_loans::TenantLoans,
+    tenant_loans::retry_hint_ms,
 };
 
 /// Hint for tenants without a rate and for nodes without configuration, in milliseconds.
 const UNKNOWN_TENANT_RETRY_MS: u64 = 1_000;
 
+/// Time without any call after which a node takes itself to have been paused, in microseconds. Ticks
+/// come every 10 ms.
+const PAUSE_US: u64 = 1_000_000;
+
 /// The rate limiter of one node: holder of loans, member that acknowledges owners, and owner of the
 /// shards for which its zone's members acknowledge it. It does no I/O; the caller delivers
 /// [`QuotaNode::take_outgoing`] and passes the present time.
@@ -25,8 +32,11 @@
     config: Option<QuotaConfig>,
     owner: Owner,
     promises: BTreeMap<QuotaShard, Promise>,
-    wallets: BTreeMap<Tenant, Wallet>,
-    started_at: Option<TimeUs>,
+    tenant_loans: BTreeMap<Tenant, TenantLoans>,
+    running_since: Option<TimeUs>,
+    seen_at: TimeUs,
+    configured_at: TimeUs,
+    next_query_at: TimeUs,
     next_seq: u64,
     outgoing: Vec<QuotaSend>,
     ready: Vec<Tenant>,
@@ -43,8 +53,11 @@
             directory: Directory::default(),
             config: None,
             promises: BTreeMap::new(),
-            wallets: BTreeMap::new(),
-            started_at: None,
+            tenant_loans: BTreeMap::new(),
+            running_since: None,
+            seen_at: TimeUs(0),
+            configured_at: TimeUs(0),
+            next_query_at: TimeUs(0),
             next_seq: own.0,
             outgoing: Vec::new(),
             ready: Vec::new(),
@@ -57,11 +70,12 @@
         if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
             return;
         }
-        self.wallets.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
+        self.tenant_loans.retain(|tenant, _| config.tenants.iter().any(|rate| rate.tenant == *tenant));
         for rate in &config.tenants {
-            let wallet = self.wallets.entry(rate.tenant.clone()).or_insert_with(|| Wallet::new(now));
-            wallet.set_rate(rate, config.zones.len());
+            let loans = self.tenant_loans.entry(rate.tenant.clone()).or_insert_with(|| TenantLoans::new(now));
+            loans.set_rate(rate, config.zones.len());
         }
+        self.configured_at = now;
         self.owner.set_shares(&config, &self.zone, &self.settings, now);
         self.config = Some(config);
     }
@@ -80,8 +94,8 @@
     /// Decides on a request that arrives now.
     pub fn admit(&mut self, tenant: &Tenant, now: TimeUs) -> RateDecision {
         self.note_time(now);
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_arrival();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_arrival();
         }
         self.decide(tenant, now, now)
     }
@@ -90,8 +104,8 @@
     /// waits stays within the settings' `max_wait_ms`.
     pub fn admit_again(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
         self.note_time(now);
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_waiter_back();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_waiter_back();
         }
         self.decide(tenant, arrived_at, now)
     }
@@ -100,10 +114,12 @@
     pub fn on_message(&mut self, from: VmId, message: QuotaMessage, now: TimeUs) {
         self.note_time(now);
         match message {
-            QuotaMessage::LeaseRequest { shard, seq, lease_us, established } => {
-                self.on_lease_request(from, shard, seq, lease_us, established, now);
+            QuotaMessage::LeaseRequest { shard, seq, lease_us, established, config } => {
+                self.on_lease_request(from, LeaseOffer { shard, seq, lease_us, established, config }, now);
+            }
+            QuotaMessage::LeaseAck { shard, seq, fresh, applied } => {
+                self.owner.on_ack(from, shard, seq, fresh, applied);
             }
-            QuotaMessage::LeaseAck { shard, seq, fresh } => self.owner.on_ack(from, shard, seq, fresh),
             QuotaMessage::TokenRequest { tenant, seq, want, reports } => {
                 self.on_token_request(from, tenant, seq, want, &reports, now);
             }
@@ -111,6 +127,8 @@
                 self.on_token_loan(from, tenant, seq, tokens, retry_after_ms, now);
             }
             QuotaMessage::NotOwner { tenant, seq, owner } => self.on_not_owner(from, tenant, seq, owner, now),
+            QuotaMessage::VersionQuery { version, asker } => self.on_version_query(from, version, asker, now),
+            QuotaMessage::VersionConfirmed { zone, version } => self.on_version_confirmed(&zone, version, now),
             QuotaMessage::LoanReports { tenant, reports } => self.on_reports(from, &tenant, &reports, now),
         }
     }
@@ -120,7 +138,8 @@
     pub fn tick(&mut self, now: TimeUs) {
         self.note_time(now);
         self.tick_owner(now);
-        self.tick_wallets(now);
+        self.query_versions(now);
+        self.tick_loans(now);
     }
 
     /// Returns the messages to deliver, in order.
@@ -138,6 +157,12 @@
         QuotaShard::all().filter(|shard| self.owner.is_lending(*shard, now)).collect()
     }
 
+    /// Returns the zones that must confirm this node's configuration before shares that it moves
+    /// rise here. A zone that stays in this list is cut off, or gone for good.
+    pub fn unconfirmed_zones(&self) -> Vec<AvailabilityZone> {
+        self.owner.shares.unconfirmed().iter().cloned().collect()
+    }
+
     /// Returns whether this node has acknowledged an owner for every shard of its zone.
     pub fn knows_owners(&self, now: TimeUs) -> bool {
         QuotaShard::all().all(|shard| self.acknowledged_owner(shard, now).is_some())
@@ -146,53 +171,64 @@
     fn decide(&mut self, tenant: &Tenant, arrived_at: TimeUs, now: TimeUs) -> RateDecision {
         if self.take_token(tenant, now) {
             self.request_tokens(tenant, now);
+            self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
-        let Some(wallet) = self.wallets.get_mut(tenant) else {
+        let Some(loans) = self.tenant_loans.get_mut(tenant) else {
             return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
         };
-        wallet.note_waiting(now);
+        loans.note_waiting(now);
         self.request_tokens(tenant, now);
         if self.take_token(tenant, now) {
             self.forget_waiter(tenant);
+            self.report_spent(tenant, now);
             return RateDecision::Admitted;
         }
-        let Some(wallet) = self.wallets.get_mut(tenant) else {
+        let Some(loans) = self.tenant_loans.get_mut(tenant) else {
             return RateDecision::Refused { retry_after_ms: UNKNOWN_TENANT_RETRY_MS };
         };
-        let until = wallet.next_chance(now).max(now.plus_ms(1));
+        let until = loans.next_chance(now).max(now.plus_ms(1));
         if until > arrived_at.plus_us(self.settings.max_wait_us()) {
-            wallet.note_waiter_back();
+            loans.note_waiter_back();
             return RateDecision::Refused { retry_after_ms: retry_hint_ms(until.us_since(now)) };
         }
         RateDecision::Wait { until }
     }
 
+    /// Tells lenders at once of loans that are used up where that frees their buckets.
+    fn report_spent(&mut self, tenant: &Tenant, now: TimeUs) {
+        let Some(loans) = self.tenant_loans.get_mut(tenant).filter(|loans| loans.has_urgent_report()) else { return };
+        for found in loans.due_reports(now) {
+            let message = QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports };
+            self.send(found.lender, message, now);
+        }
+    }
+
     fn take_token(&mut self, tenant: &Tenant, now: TimeUs) -> bool {
-        self.wallets.get_mut(tenant).is_some_and(|wallet| wallet.take_token(now))
+        self.tenant_loans.get_mut(tenant).is_some_and(|loans| loans.take_token(now))
     }
 
     fn forget_waiter(&mut self, tenant: &Tenant) {
-        if let Some(wallet) = self.wallets.get_mut(tenant) {
-            wallet.note_waiter_back();
+        if let Some(loans) = self.tenant_loans.get_mut(tenant) {
+            loans.note_waiter_back();
         }
     }
 
     /// Asks the nearest zone's owner that may have tokens for what the tenant lacks here.
     fn request_tokens(&mut self, tenant: &Tenant, now: TimeUs) {
         for _ in 0..self.config.as_ref().map_or(0, |config| config.zones.len()) {
-            let Some(wallet) = self.wallets.get(tenant) else { return };
-            let want = wallet.lacking(now);
-            let Some(source) = wallet.open_source(now).filter(|_| want > 0) else { return };
+            let Some(loans) = self.tenant_loans.get(tenant) else { return };
+            let want = loans.lacking(now);
+            let Some(source) = loans.open_source(now).filter(|_| want > 0) else { return };
             let owner = self.owner_of_source(tenant, source, now);
             let seq = self.take_seq();
-            let Some(wallet) = self.wallets.get_mut(tenant) else { return };
+            let Some(loans) = self.tenant_loans.get_mut(tenant) else { return };
             let Some(owner) = owner else {
-                wallet.close_source(source, now.plus_ms(10));
+                loans.close_source(source, now.plus_ms(10));
                 continue;
             };
-            wallet.on_sent(seq, source, owner, now);
-            let reports = wallet.reports_for(owner);
+            loans.on_sent(seq, source, owner, now);
+            let reports = loans.reports_for(owner);
             self.send(owner, QuotaMessage::TokenRequest { tenant: tenant.clone(), seq, want, reports }, now);
         }
     }
@@ -200,7 +236,7 @@
     /// Returns the owner to ask in the zone at `source`, where zero is this node's own zone.
     fn owner_of_source(&self, tenant: &Tenant, source: usize, now: TimeUs) -> Option<VmId> {
         let shard = QuotaShard::of(tenant);
-        let hint = self.wallets.get(tenant)?.sources.get(source)?.owner_hint;
+        let hint = self.tenant_loans.get(tenant)?.sources.get(source)?.owner_hint;
         if source == 0 {
             return self.acknowledged_owner(shard, now).or(hint);
         }
@@ -213,30 +249,6 @@
         self.promises.get(&shard).filter(|promise| now < promise.until).map(|promise| promise.owner)
     }
 
-    /// Acknowledges an owner unless another is acknowledged. A node that has just started may have
-    /// forgotten a promise and says so.
-    fn on_lease_request(
-        &mut self,
-        from: VmId,
-        shard: QuotaShard,
-        seq: u64,
-        lease_us: u64,
-        established: bool,
-        now: TimeUs,
-    ) {
-        if self.promises.get(&shard).is_some_and(|promise| promise.excludes(from, now)) {
-            return;
-        }
-        let preferred = self.directory.preferred_owner(&self.zone, shard) == Some(from);
-        if !established && !preferred {
-            return;
-        }
-        let until = now.plus_us(self.settings.outlasting_us(lease_us));
-        self.promises.insert(shard, Promise { owner: from, until });
-        let fresh = self.is_fresh(now);
-        self.send(from, QuotaMessage::LeaseAck { shard, seq, fresh }, now);
-    }
-
     fn on_token_request(
         &mut self,
         from: VmId,
@@ -261,16 +273,16 @@
     }
 
     fn on_token_loan(&mut self, from: VmId, tenant: Tenant, seq: u64, tokens: u64, retry_after_ms: u64, now: TimeUs) {
-        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
-        if !wallet.on_loan(from, seq, tokens, retry_after_ms, &self.settings, now) {
+        let Some(loans) = self.tenant_loans.get_mut(&tenant) else { return };
+        if !loans.on_loan(from, seq, tokens, retry_after_ms, &self.settings, now) {
             return;
         }
         self.wake(&tenant, from, now);
     }
 
     fn on_not_owner(&mut self, from: VmId, tenant: Tenant, seq: u64, owner: Option<VmId>, now: TimeUs) {
-        let Some(wallet) = self.wallets.get_mut(&tenant) else { return };
-        if wallet.on_not_owner(from, seq, owner, now) {
+        let Some(loans) = self.tenant_loans.get_mut(&tenant) else { return };
+        if loans.on_not_owner(from, seq, owner, now) {
             self.wake(&tenant, from, now);
         }
     }
@@ -282,7 +294,7 @@
             return;
         }
         self.request_tokens(tenant, now);
-        let waiting = self.wallets.get(tenant).is_some_and(Wallet::has_waiting);
+        let waiting = self.tenant_loans.get(tenant).is_some_and(TenantLoans::has_waiting);
         if waiting && !self.ready.contains(tenant) {
             self.ready.push(tenant.clone());
         }
@@ -313,16 +325,17 @@
         let seq = self.take_seq();
         let Some(terms) = self.owner.on_requested(shard, seq, members.len(), &self.settings, now) else { return };
         let LeaseTerms { lease_us, established } = terms;
+        let config = self.config_state();
         for member in members {
-            self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established }, now);
+            self.send(member, QuotaMessage::LeaseRequest { shard, seq, lease_us, established, config }, now);
         }
     }
 
-    fn tick_wallets(&mut self, now: TimeUs) {
+    fn tick_loans(&mut self, now: TimeUs) {
         let mut due = Vec::new();
-        for (tenant, wallet) in &mut self.wallets {
-            wallet.tick(&self.settings, now);
-            for found in wallet.due_reports(now) {
+        for (tenant, loans) in &mut self.tenant_loans {
+            loans.tick(&self.settings, now);
+            for found in loans.due_reports(now) {
                 due.push((found.lender, QuotaMessage::LoanReports { tenant: tenant.clone(), reports: found.reports }));
             }
         }
@@ -331,16 +344,11 @@
         }
     }
 
-    /// Returns whether an owner may hold a lease that this node knows nothing of: one that an
-    /// earlier process at this place acknowledged, or one from before this node was seen to join.
-    fn is_fresh(&self, now: TimeUs) -> bool {
-        let members = self.directory.member_count(&self.zone);
-        let started_at = self.started_at.unwrap_or(now);
-        now.us_since(started_at) < self.settings.fresh_us(members)
-    }
-
     fn note_time(&mut self, now: TimeUs) {
-        self.started_at.get_or_insert(now);
+        if self.running_since.is_none() || now.us_since(self.seen_at) > PAUSE_US {
+            self.running_since = Some(now);
+        }
+        self.seen_at = self.seen_at.max(now);
     }
 
     fn take_seq(&mut self) -> u64 {
