--- a/crates/membership/src/apply.rs
+++ b/crates/membership/src/apply.rs
@@ -115,13 +115,16 @@
         self.changed.insert(slot.vm);
     }
 
-    /// Raises the own incarnation when others hold this node for suspect or dead.
+    /// Raises the own incarnation when others hold this node for suspect or dead. An accusation that was
+    /// refuted before comes from a member that missed the refutation, which is then sent again.
     fn refute(&mut self, incarnation: Incarnation, state: MemberState, now: TimeUs) {
         let mut own = self.own_slot();
-        let is_accused = matches!(state, MemberState::Suspect | MemberState::Dead) && incarnation >= own.incarnation;
-        if is_accused || incarnation > own.incarnation {
+        let is_accused = matches!(state, MemberState::Suspect | MemberState::Dead);
+        if (is_accused && incarnation >= own.incarnation) || incarnation > own.incarnation {
             own.incarnation = incarnation;
             self.publish_own(own, now);
+        } else if is_accused && !self.rumours.contains(Subject::Member(self.own)) {
+            self.spread_row(self.own, now);
         }
     }
 
--- a/crates/membership/src/rumour_queue.rs
+++ b/crates/membership/src/rumour_queue.rs
@@ -54,6 +54,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether a rumour about `subject` waits.
+    pub fn contains(&self, subject: Subject) -> bool {
+        self.places.contains_key(&subject)
+    }
+
     /// Adds a rumour.
     pub fn push(&mut self, rumour: Rumour) {
         let subject = rumour.subject();
--- a/crates/membership/tests/regression.rs
+++ b/crates/membership/tests/regression.rs
@@ -7,7 +7,7 @@
 use fleet::{Fleet, zone_name};
 use fulmartrestle_core::{TimeUs, VmId};
 use fulmartrestle_membership::{
-    Incarnation, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings, MessageKind,
+    Incarnation, MemberDelta, MemberRow, MemberState, Membership, MembershipMessage, MembershipSettings, MessageKind,
 };
 use googletest::prelude::*;
 
@@ -56,3 +56,27 @@
     membership.on_datagram(other, message, now);
     expect_that!(membership.take_outgoing(), len(eq(2)), "an accusation and an answer");
 }
+
+/// Issue 5: a member that missed a refutation went on holding its sender for dead, because an accusation
+/// that had been refuted before was not answered.
+#[gtest]
+fn an_outdated_accusation_is_answered_with_the_present_row() {
+    let mut fleet = Fleet::joined(3, 1, 1);
+    let (own, now) = (fleet.vm(0), fleet.now);
+    fleet.nodes[0].membership.set_own_target(None, now);
+    fleet.run_ms(10_000);
+    expect_that!(fleet.nodes[0].membership.queued_rumours(), eq(0));
+    let delta = MemberDelta { vm: own, incarnation: Incarnation(0), state: MemberState::Dead, age_ms: 0 };
+    let message = MembershipMessage {
+        from: fleet.vm(1),
+        kind: MessageKind::Gossip,
+        beats: Vec::new(),
+        rumours: vec![fulmartrestle_membership::Rumour::Delta(delta)],
+        digest: None,
+    };
+    let (address, now) = (fleet.nodes[1].address, fleet.now);
+    fleet.nodes[0].membership.on_datagram(address, message, now);
+    expect_that!(fleet.nodes[0].membership.queued_rumours(), eq(1));
+    let row = fleet.nodes[0].membership.member(own, now);
+    expect_that!(row.map(|row| row.incarnation), some(eq(Incarnation(1))));
+}
