At most once: door and rate before the claim; the wait for a verdict ends at the deadline

Cause: a shed pairing had claimed its key on the log and released it again, and the re-send had to wait for that release.

--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -121,19 +121,34 @@
     std::str::from_utf8(&header.value).ok()?.trim().parse().ok()
 }
 
-/// Lets a request in and runs it.
+/// Lets a request in and sends it.
+async fn run(state: &NodeState, mut spec: CallSpec, body: ReplayBody) -> Result<Dispatched, Refusal> {
+    pass_door_and_rate(state, &mut spec).await?;
+    send(state, &spec, body).await
+}
+
+/// Refuses what the chain would refuse and what is over the tenant's rate.
 ///
 /// # Errors
 ///
 /// Returns the final refusal.
-pub async fn run(state: &NodeState, mut spec: CallSpec, mut body: ReplayBody) -> Result<Dispatched, Refusal> {
+pub async fn pass_door_and_rate(state: &NodeState, spec: &mut CallSpec) -> Result<(), Refusal> {
     // The door comes first: a request that is shed must not cost its tenant a token.
-    spec.door_share = check_door(state, &spec)?;
-    if let Some(tenant) = &spec.tenant {
-        state.rates.admit(tenant).await?;
+    spec.door_share = check_door(state, spec)?;
+    match &spec.tenant {
+        Some(tenant) => state.rates.admit(tenant).await,
+        None => Ok(()),
     }
+}
+
+/// Sends a request that was let in.
+///
+/// # Errors
+///
+/// Returns the final refusal.
+pub async fn send(state: &NodeState, spec: &CallSpec, mut body: ReplayBody) -> Result<Dispatched, Refusal> {
     let mut allowance = RetryAllowance::new(RETRIES_PER_REQUEST);
-    dispatch(state, &spec, &mut body, &mut allowance).await
+    dispatch(state, spec, &mut body, &mut allowance).await
 }
 
 /// Refuses what an isolated zone must not go on with.
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::oneshot;
 
-use super::caller::run;
+use super::caller::{pass_door_and_rate, send};
 use crate::body::whole_body;
 use crate::call::{CallSpec, Dispatched};
 use crate::clock::wall_ms;
@@ -147,14 +147,22 @@
     state.once.finish(&state, key.key, outcome);
 }
 
-async fn claimed_outcome(state: &Arc<NodeState>, spec: CallSpec, body: ReplayBody, key: OnceKey) -> OnceOutcome {
-    let claim = match state.claims.claim(key.key, key.age_ms).await {
-        Ok(claim) => claim,
-        Err(ClaimVerdict::Held { by }) => return held_elsewhere(state, &spec, by.holder, key.key).await,
-        Err(verdict) => return OnceOutcome::Refused(not_claimed(verdict)),
+/// Lets the request in, claims its key and sends it. The claim comes last: a refusal before it costs the
+/// platform's log nothing, and a re-send need not wait for a release.
+async fn claimed_outcome(state: &Arc<NodeState>, mut spec: CallSpec, body: ReplayBody, key: OnceKey) -> OnceOutcome {
+    if let Err(refusal) = pass_door_and_rate(state, &mut spec).await {
+        return OnceOutcome::Refused(refusal);
+    }
+    let claiming = state.claims.claim(key.key, key.age_ms);
+    let claim = match tokio::time::timeout_at(state.clock.instant_of(spec.deadline), claiming).await {
+        Ok(Ok(claim)) => claim,
+        Ok(Err(ClaimVerdict::Held { by })) => return held_elsewhere(state, &spec, by.holder, key.key).await,
+        Ok(Err(verdict)) => return OnceOutcome::Refused(not_claimed(verdict)),
+        // The claim is given up: whatever the log decides, this call never runs under it.
+        Err(_) => return OnceOutcome::Refused(Refusal::not_run(Reason::Deadline, None)),
     };
     state.explain(spec.request_id, || format!("claimed {}", key.key));
-    match run(state, spec, body).await {
+    match send(state, &spec, body).await {
         Ok(answer) => collect(answer).await,
         Err(refusal) => {
             if refusal.outcome == Outcome::NotRun {
