--- a/crates/config/tests/spread_random.rs
+++ b/crates/config/tests/spread_random.rs
@@ -213,6 +213,7 @@
         Case { broken: Broken::TellsWrongOutcome, error: "was told Decided" },
         Case { broken: Broken::WritesAfterRefusal, error: "was told NotAppended" },
         Case { broken: Broken::StaysBehind, error: "the log ends at" },
+        Case { broken: Broken::KeepsOldKeys, error: "a withdrawn key still works" },
     ];
     let steps = [
         Step::Confirm { node: 1, kind: 0 },
@@ -227,6 +228,7 @@
         Step::Wait { ms: 6_000 },
         Step::Restart { node: 0 },
         Step::Wait { ms: 20_000 },
+        Step::Confirm { node: 1, kind: 2 },
     ];
     assert_that!(run(7, 6, &steps, None), ok(anything()));
     for case in cases {
--- a/crates/config/tests/support/sim/checks.rs
+++ b/crates/config/tests/support/sim/checks.rs
@@ -73,7 +73,12 @@
 
     /// Returns how many nodes still accept a key.
     pub fn nodes_accepting(&self, secret: &str) -> usize {
-        let accepts = |slot: &&Slot| slot.node.config().is_some_and(|config| config.tenant_for_key(secret).is_some());
-        self.slots.iter().filter(accepts).count()
+        let keeps_old = |index: usize| index == 0 && self.broken == Some(Broken::KeepsOldKeys);
+        let accepts = |(index, slot): &(usize, &Slot)| {
+            let old = self.saved.as_ref().filter(|_| keeps_old(*index));
+            let config = old.unwrap_or(&slot.node).config();
+            config.is_some_and(|config| config.tenant_for_key(secret).is_some())
+        };
+        self.slots.iter().enumerate().filter(accepts).count()
     }
 }
--- a/crates/config/tests/support/sim/mod.rs
+++ b/crates/config/tests/support/sim/mod.rs
@@ -39,6 +39,8 @@
     WritesAfterRefusal,
     /// One node never learns anything again.
     StaysBehind,
+    /// One node checks keys against the configuration of its start.
+    KeepsOldKeys,
 }
 
 enum Event {
