--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -260,17 +260,18 @@
         let tenant = head.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
         let offer =
             Offer { call, tenant, weight: head.weight, class: head.class, deadline, door_share: head.door_share };
-        match table.gate.offer(offer, now) {
+        let entered = match table.gate.offer(offer, now) {
             Admission::Run => Ok((call, Entered::Run)),
             Admission::Refused(refusal) => Err(refusal),
             Admission::Queued => {
                 let (sender, receiver) = oneshot::channel();
                 table.waiting.insert(call, sender);
-                // The queued call may have taken the place of a less important one.
-                self.pump(&mut table, now);
                 Ok((call, Entered::Wait(receiver)))
             }
-        }
+        };
+        // The offer may have taken the place of less important calls.
+        self.pump(&mut table, now);
+        entered
     }
 
     fn insert_running(&self, call: CallId, head: &CallHead, deadline: TimeUs) {
