--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -17,7 +17,7 @@
 
 use super::control::ControlEnvelope;
 use super::error::PeerError;
-use super::stream::{lost, receive_head, send_body, send_data, whole_stream};
+use super::stream::{lost, receive_head, send_data, send_head_and_body, whole_stream};
 use crate::body::ByteBody;
 use crate::entry::OnceOutcome;
 use crate::wire::{AnswerHead, CallHead, decode_exact, encode, encode_head};
@@ -110,9 +110,8 @@
     pub async fn call(&self, head: &CallHead, body: ByteBody) -> Result<PeerAnswer, PeerError> {
         let head = encode_head(head)?;
         let (response, mut stream) = self.open("/call").await?;
-        send_data(&mut stream, head, false).await?;
         let (head, body) = {
-            let sending = send_body(&mut stream, body);
+            let sending = send_head_and_body(&mut stream, head, body);
             let receiving = async {
                 let response = response.await.map_err(refused_or_lost)?;
                 receive_head::<AnswerHead>(response.into_body()).await
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -17,7 +17,7 @@
 
 use super::control::ControlEnvelope;
 use super::link::PeerAnswer;
-use super::stream::{receive_head, send_body, send_data};
+use super::stream::{receive_head, send_data, send_head_and_body};
 use super::{PeerError, stream};
 use crate::body::ByteBody;
 use crate::entry::OnceOutcome;
@@ -126,8 +126,7 @@
     };
     let head = encode_head(&answer.head)?;
     let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
-    send_data(&mut stream, head, false).await?;
-    send_body(&mut stream, answer.body).await
+    send_head_and_body(&mut stream, head, answer.body).await
 }
 
 async fn serve_control(
--- a/crates/node/src/peer/stream.rs
+++ b/crates/node/src/peer/stream.rs
@@ -5,6 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use h2::{Reason, RecvStream, SendStream};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
@@ -34,13 +35,42 @@
     if end { stream.send_data(Bytes::new(), true).map_err(lost) } else { Ok(()) }
 }
 
+/// Sends a head and a body. What the body has ready goes out in the same frame as the head, because
+/// each frame of its own costs both ends a wake-up.
+///
+/// # Errors
+///
+/// Returns [`PeerError::Lost`] when either side broke off.
+pub async fn send_head_and_body(
+    stream: &mut SendStream<Bytes>,
+    head: Bytes,
+    mut body: ByteBody,
+) -> Result<(), PeerError> {
+    let mut first = BytesMut::from(head);
+    if !body.is_end_stream()
+        && let Some(frame) = body.frame().now_or_never()
+    {
+        match frame {
+            Some(Ok(frame)) => first.extend_from_slice(&data_of(frame).unwrap_or_default()),
+            Some(Err(error)) => {
+                stream.send_reset(Reason::INTERNAL_ERROR);
+                return Err(PeerError::Lost(error.to_string()));
+            }
+            None => return send_data(stream, first.freeze(), true).await,
+        }
+    }
+    let end = body.is_end_stream();
+    send_data(stream, first.freeze(), end).await?;
+    if end { Ok(()) } else { send_body(stream, body).await }
+}
+
 /// Sends a body to its end. A body that breaks off resets the stream, so that the receiver does not
 /// take the part for the whole.
 ///
 /// # Errors
 ///
 /// Returns [`PeerError::Lost`] when either side broke off.
-pub async fn send_body(stream: &mut SendStream<Bytes>, mut body: ByteBody) -> Result<(), PeerError> {
+async fn send_body(stream: &mut SendStream<Bytes>, mut body: ByteBody) -> Result<(), PeerError> {
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => {
