--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -1,39 +1,30 @@
 //! What a node does as time passes.
 
-use std::net::SocketAddr;
-
 use fulmartrestle_core::{TimeUs, VmId};
 use rand::RngExt;
 
 use crate::budget::BudgetShare;
-use crate::probe::Probe;
 use crate::slot::Slot;
-use crate::zone_table::{ZoneEntry, ZoneTable};
+use crate::zone_table::ZoneTable;
 use crate::{MemberState, Membership, MessageKind};
 
 /// Time between two ticks above which the node takes itself to have been paused, in milliseconds.
 const PAUSE_MS: u64 = 1_000;
 /// Interval of dropping what is no longer needed, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 10_000;
-/// Additional time for a probe of another zone's member, in milliseconds: its helpers report back.
-const CROSS_ZONE_WAIT_MS: u64 = 200;
-/// Members that together make one attempt each interval to reach members that are dead or unreachable.
-const RECONNECTING_MEMBERS: usize = 16;
-/// Suspects on the ring that are probed on top of the neighbours.
-const MAX_RING_PROBES: usize = 8;
 
 /// When each periodic step is due.
 #[derive(Clone, Debug, Default)]
 pub struct Timers {
     last_tick: Option<TimeUs>,
-    ring_at: TimeUs,
-    cross_zone_at: TimeUs,
+    pub ring_at: TimeUs,
+    pub cross_zone_at: TimeUs,
     pub gossip_at: TimeUs,
     pub ask_sender_at: TimeUs,
     sync_at: TimeUs,
-    reconnect_at: TimeUs,
+    pub reconnect_at: TimeUs,
     expiry_at: TimeUs,
-    next_cross_zone: u16,
+    pub next_cross_zone: u16,
 }
 
 impl Membership {
@@ -91,49 +82,6 @@
         }
     }
 
-    fn check_probes(&mut self, now: TimeUs) {
-        let timeout_ms = self.settings.ack_timeout_ms;
-        for (sequence, probe) in self.probes.take_unanswered(timeout_ms, now) {
-            self.ask_helpers(sequence, &probe, now);
-        }
-        let failed_ms = timeout_ms + self.settings.indirect_timeout_ms;
-        let directory = &self.directory;
-        let wait_ms = |probe: &Probe| match directory.get(probe.subject) {
-            Some(slot) if slot.zone != ZoneTable::OWN => failed_ms + CROSS_ZONE_WAIT_MS,
-            _ => failed_ms,
-        };
-        let failed = self.probes.take_failed(|probe| now.ms_since(probe.sent_at) >= wait_ms(probe));
-        for probe in failed {
-            self.on_failed_probe(&probe, now);
-        }
-        for relay in self.probes.take_unanswered_relays(timeout_ms, now) {
-            self.send(relay.origin, MessageKind::Nack { sequence: relay.origin_sequence }, now);
-        }
-    }
-
-    /// Asks helpers to probe a member: its neighbours where it is in another zone, with one member of
-    /// any zone that may have a way around a cut.
-    fn ask_helpers(&mut self, sequence: u32, probe: &Probe, now: TimeUs) {
-        let Some(zone) = self.directory.get(probe.subject).map(|slot| slot.zone) else { return };
-        for index in 0..self.settings.helpers {
-            let helper = if index == 0 { self.random_member() } else { self.random_member_of(zone) };
-            let Some(helper) = helper.filter(|helper| helper.vm != probe.subject) else { continue };
-            let kind = MessageKind::PingRequest { sequence, subject: probe.subject, address: probe.address };
-            self.send(helper.peer_address(), kind, now);
-        }
-    }
-
-    /// Suspects a member that did not answer. In another zone, one of its neighbours has to have
-    /// confirmed it: the way between the two zones may be cut while both are reached over a third, and a
-    /// zone that was lost as a whole is noticed by its heartbeat.
-    fn on_failed_probe(&mut self, probe: &Probe, now: TimeUs) {
-        let Some(slot) = self.directory.get(probe.subject).copied() else { return };
-        let is_evident = slot.zone == ZoneTable::OWN || probe.confirmed_in_zone;
-        if is_evident && slot.incarnation == probe.incarnation && !self.is_frozen(slot.zone) {
-            self.suspect(probe.subject, now);
-        }
-    }
-
     fn check_suspects(&mut self, now: TimeUs) {
         let timeout_ms = self.settings.suspicion_timeout_ms;
         for vm in self.suspects.clone() {
@@ -177,70 +125,6 @@
         }
     }
 
-    fn probe_ring(&mut self, now: TimeUs) {
-        if now < self.timers.ring_at {
-            return;
-        }
-        self.timers.ring_at = now.plus_ms(self.settings.probe_interval_ms);
-        for vm in self.ring_subjects() {
-            if !self.probes.is_probing(vm) {
-                self.probe(vm, now);
-            }
-        }
-    }
-
-    /// Returns the next neighbours on the ring that are not suspect, and the suspects before them.
-    fn ring_subjects(&self) -> Vec<VmId> {
-        let mut subjects = Vec::new();
-        let mut neighbours = 0;
-        for vm in self.zones.get(ZoneTable::OWN).successors(self.own) {
-            if neighbours >= self.settings.ring_neighbours || subjects.len() >= MAX_RING_PROBES {
-                break;
-            }
-            subjects.push(vm);
-            neighbours += usize::from(!self.suspects.contains(&vm));
-        }
-        subjects
-    }
-
-    /// Probes a random member of the next zone in turn: it carries rumours and heartbeats across, and
-    /// finds members that all their neighbours lost at the same time.
-    fn probe_across_zones(&mut self, now: TimeUs) {
-        if now < self.timers.cross_zone_at {
-            return;
-        }
-        self.timers.cross_zone_at = now.plus_ms(self.settings.probe_interval_ms);
-        let count = self.zones.indexes().end;
-        for _ in 0..count {
-            let index = self.timers.next_cross_zone % count;
-            self.timers.next_cross_zone = index + 1;
-            let zone = self.zones.get(index);
-            if index == ZoneTable::OWN || zone.ring.is_empty() || zone.unreachable_since.is_some() {
-                continue;
-            }
-            let vm = zone.ring[self.random.random_range(0..zone.ring.len())];
-            if !self.probes.is_probing(vm) {
-                self.probe(vm, now);
-            }
-            return;
-        }
-    }
-
-    /// Sends a probe to a member.
-    pub(crate) fn probe(&mut self, vm: VmId, now: TimeUs) {
-        let Some(slot) = self.directory.get(vm).copied() else { return };
-        let probe = Probe {
-            subject: vm,
-            incarnation: slot.incarnation,
-            address: slot.peer_address(),
-            sent_at: now,
-            asked_helpers: false,
-            confirmed_in_zone: false,
-        };
-        let sequence = self.probes.add(probe);
-        self.send(slot.peer_address(), MessageKind::Ping { sequence, subject: vm }, now);
-    }
-
     fn gossip(&mut self, now: TimeUs) {
         if now < self.timers.gossip_at || self.rumours.is_empty() {
             return;
@@ -261,58 +145,6 @@
         }
     }
 
-    /// Tries one member that is dead or unreachable, or a first contact, so that parts of the fleet
-    /// that lost each other meet again.
-    fn reconnect(&mut self, now: TimeUs) {
-        if now < self.timers.reconnect_at {
-            return;
-        }
-        self.timers.reconnect_at = now.plus_ms(self.reconnect_interval_ms());
-        let candidates = self.reconnect_candidates();
-        if candidates.is_empty() {
-            return;
-        }
-        let (address, subject) = candidates[self.random.random_range(0..candidates.len())];
-        // Sequence 0 belongs to no probe: a missing answer is no news.
-        self.send(address, MessageKind::Ping { sequence: 0, subject }, now);
-        if let Some(slot) = self.directory.get(subject).copied()
-            && slot.state == MemberState::Dead
-        {
-            self.tell_suspicion(&slot, now);
-        }
-    }
-
-    /// Returns the interval of this node's attempts, such that all members together make no more of
-    /// them as the fleet grows: they would otherwise flood the few addresses that are tried.
-    fn reconnect_interval_ms(&mut self) -> u64 {
-        let live: usize = self.zones.iter().map(|zone| self.other_members(zone)).sum();
-        let interval_ms =
-            self.settings.reconnect_interval_ms.saturating_mul((live / RECONNECTING_MEMBERS).max(1) as u64);
-        self.random.random_range(interval_ms / 2..=interval_ms.saturating_add(interval_ms / 2))
-    }
-
-    fn reconnect_candidates(&mut self) -> Vec<(SocketAddr, VmId)> {
-        let mut candidates = Vec::new();
-        for index in self.zones.indexes() {
-            let zone = self.zones.get(index);
-            if zone.unreachable_since.is_some() && !zone.ring.is_empty() {
-                let vm = zone.ring[self.random.random_range(0..zone.ring.len())];
-                candidates.extend(self.directory.get(vm).map(|slot| (slot.peer_address(), vm)));
-            }
-        }
-        if !self.dead.is_empty() {
-            let index = self.random.random_range(0..self.dead.len());
-            let vm = self.dead.iter().nth(index).copied();
-            let slot = vm.and_then(|vm| self.directory.get(vm));
-            candidates.extend(slot.map(|slot| (slot.peer_address(), slot.vm)));
-        }
-        let unknown = |vm: VmId| self.directory.get(vm).is_none();
-        let contacts = self.contacts.iter().filter(|contact| unknown(contact.vm));
-        candidates.extend(contacts.map(|contact| (contact.peer_address, contact.vm)));
-        candidates.retain(|(_, vm)| *vm != self.own);
-        candidates
-    }
-
     fn expire(&mut self, now: TimeUs) {
         if now < self.timers.expiry_at {
             return;
@@ -343,55 +175,6 @@
         }
     }
 
-    /// Returns a random member that can be reached as far as is known, or a first contact.
-    pub(crate) fn random_contact(&mut self) -> Option<SocketAddr> {
-        if let Some(slot) = self.random_member() {
-            return Some(slot.peer_address());
-        }
-        if self.contacts.is_empty() {
-            return None;
-        }
-        let index = self.random.random_range(0..self.contacts.len());
-        Some(self.contacts[index].peer_address)
-    }
-
-    /// Returns a random member other than this node that can be reached as far as is known.
-    fn random_member(&mut self) -> Option<Slot> {
-        let count: usize = self.zones.iter().map(|zone| self.other_members(zone)).sum();
-        if count == 0 {
-            return None;
-        }
-        let mut index = self.random.random_range(0..count);
-        for zone in self.zones.iter() {
-            let others = self.other_members(zone);
-            if index < others {
-                let start = zone.ring.partition_point(|vm| *vm <= self.own);
-                let vm = zone.ring[(start + index) % zone.ring.len()];
-                return self.directory.get(vm).copied();
-            }
-            index -= others;
-        }
-        None
-    }
-
-    /// Returns a random member of a zone other than this node.
-    fn random_member_of(&mut self, zone: u16) -> Option<Slot> {
-        let ring = &self.zones.get(zone).ring;
-        if ring.is_empty() {
-            return None;
-        }
-        let vm = ring[self.random.random_range(0..ring.len())];
-        self.directory.get(vm).filter(|slot| slot.vm != self.own).copied()
-    }
-
-    /// Returns how many members of a reachable zone there are beside this node.
-    fn other_members(&self, zone: &ZoneEntry) -> usize {
-        if zone.unreachable_since.is_some() {
-            return 0;
-        }
-        zone.ring.len() - usize::from(zone.ring.binary_search(&self.own).is_ok())
-    }
-
     fn after_random(&mut self, interval_ms: u64, now: TimeUs) -> TimeUs {
         now.plus_us(self.random.random_range(0..interval_ms.max(1) * 1_000))
     }
