--- a/crates/membership/examples/membership_slopes.rs
+++ b/crates/membership/examples/membership_slopes.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p fulmartrestle-membership --example membership_slopes -- 50 200 800 7100`
 //! runs fleets of these sizes in nine zones; all nodes are state machines in this one process, which
-//! takes some 6 GB at 7,100. With `superseded` it compares the queue with and without dropping
+//! takes some 7 GB at 7,100. With `superseded` it compares the queue with and without dropping
 //! superseded updates, with `directory` it fills one directory with 7,100 members. Processor time is that of one node's calls, encoding and decoding, replayed alone
 //! from a recording.
 
