Node daemon on one thread

Cause: a call through two nodes makes some 14 task wake-ups; with ten worker threads each wakes another thread.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -171,7 +171,7 @@
 /// The least that a process in the middle can do with `hyper`.
 async fn serve_pass_through(target: SocketAddr) -> SocketAddr {
     let client: Caller = Client::builder(TokioExecutor::new()).build_http();
-    serve(move |request: Request<Incoming>| {
+    on_own_thread(serve(move |request: Request<Incoming>| {
         let client = client.clone();
         async move {
             let uri = format!("http://{target}{}", request.uri().path());
@@ -180,7 +180,7 @@
             let body = response.into_body().collect().await.expect("a whole answer").to_bytes();
             Response::new(Full::new(body))
         }
-    })
+    }))
     .await
 }
 
@@ -207,10 +207,25 @@
     address
 }
 
+/// Starts a node on a thread of its own, as the daemon runs it.
 async fn start_node(zone: &str, log: &Arc<dyn PlatformLog>) -> NodeHandle {
     let zone = zone.parse().expect("a zone's name");
     let settings = SettingsBuilder::new(zone, "bench".parse().expect("a region's name")).build();
-    Node::start(settings, NodeOptions::new(Arc::clone(log))).await.expect("the node starts")
+    let options = NodeOptions::new(Arc::clone(log));
+    on_own_thread(async move { Node::start(settings, options).await.expect("the node starts") }).await
+}
+
+/// Runs a start-up on a runtime with one thread, which goes on running what was started.
+async fn on_own_thread<T: Send + 'static>(start: impl Future<Output = T> + Send + 'static) -> T {
+    let (sender, started) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let _ = sender.send(start.await);
+            std::future::pending::<()>().await;
+        });
+    });
+    started.await.expect("the start-up ends")
 }
 
 /// Renews the target's announcement for as long as the bench runs.
--- a/src/bin/fulmartrestled.rs
+++ b/src/bin/fulmartrestled.rs
@@ -36,7 +36,9 @@
     if let Err(error) = init_logging(settings.log_level) {
         return fail(EXIT_START, &error);
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    // One thread: a node has a small VM to itself, and with several threads most of a call's added time was
+    // spent waking them (see docs/CAPACITY.md).
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return fail(EXIT_START, &error),
