--- a/crates/claims/src/node.rs
+++ b/crates/claims/src/node.rs
@@ -56,6 +56,11 @@
         self.advance_batchers(now);
     }
 
+    /// Sets how many zones share the appends, as the fleet's configuration says.
+    pub fn set_zone_count(&mut self, zone_count: u64) {
+        self.settings.zone_count = zone_count.max(1);
+    }
+
     /// Claims a key that its caller drew `key_age_ms` ago. The returned id names the claim in the
     /// verdict, which may be among the effects at once. Only a claim that has won may run its call.
     pub fn begin(&mut self, key: ClaimKey, key_age_ms: u64, now: TimeUs) -> ClaimId {
--- a/crates/core/src/class.rs
+++ b/crates/core/src/class.rs
@@ -4,15 +4,17 @@
 
 use crate::ParseError;
 
-/// How important a route's calls are. Lower classes are shed first.
+/// How important a route's calls are. Browsing and lookups are shed before anything protected. Between
+/// the two, a tenant's own browsing goes before its lookups, but fairness between tenants comes first:
+/// a tenant that sends too many lookups must not push out another's browsing. See `docs/ADMISSION.md`.
 #[value]
 #[derive(Default)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
-    /// Browsing: shed first.
+    /// Browsing: shed before the same tenant's lookups.
     #[default]
     Browse,
-    /// Lookups of single records: shed after browsing.
+    /// Lookups of single records.
     Lookup,
     /// Pairings and certificates: shed only when no lower class is admitted.
     Protected,
--- a/crates/node/src/call/dispatch.rs
+++ b/crates/node/src/call/dispatch.rs
@@ -77,7 +77,7 @@
             let mut crashes = lock(&state.crashes);
             decide_retry(&question, allowance, &mut budgets, &mut crashes, now)
         };
-        state.explain(spec.request_id, || {
+        state.explain(spec.context.request_id, || {
             let target = target.map_or_else(|| "none".to_owned(), |target| target.to_string());
             format!("{}: attempt {} at {target} failed: {result:?}; {decision:?}", spec.service, tried.len())
         });
@@ -99,21 +99,21 @@
     let open = open_tenant();
     let check = DoorCheck {
         chain: &spec.chain,
-        class: spec.class,
-        tenant: spec.tenant.as_ref().unwrap_or(&open),
-        weight: spec.weight,
+        class: spec.context.class,
+        tenant: spec.context.tenant.as_ref().unwrap_or(&open),
+        weight: spec.context.weight,
     };
     let draw = state.draw_u32();
     let checked = lock(&state.door).check(check, state.clock.now(), draw);
     checked.inspect_err(|refusal| {
-        state.explain(spec.request_id, || format!("{}: refused at the door: {refusal}", spec.service));
+        state.explain(spec.context.request_id, || format!("{}: refused at the door: {refusal}", spec.service));
     })
 }
 
 fn choose(state: &NodeState, spec: &CallSpec, tried: &[VmId], now: TimeUs) -> Option<VmId> {
     let request = ChooseRequest { service: &spec.service, own_zone: &state.zone, exclude: tried };
     let chosen = lock(&state.targets).choose(&request, &mut *lock(&state.rng), now);
-    state.explain(spec.request_id, || {
+    state.explain(spec.context.request_id, || {
         let target = chosen.map_or_else(|| "none".to_owned(), |target| target.to_string());
         format!("{}: chose target {target}", spec.service)
     });
@@ -195,7 +195,7 @@
 
 fn peer_failed(state: &NodeState, spec: &CallSpec, target: VmId, error: &PeerError, reserved: u32) -> Attempt {
     let now = state.clock.now();
-    log::debug!("call: {:016x} to {target} failed: {error}", spec.request_id);
+    log::debug!("call: {:016x} to {target} failed: {error}", spec.context.request_id);
     if error.is_not_sent() {
         lock(&state.targets).connection_failed(target, now);
         let refusal = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
--- a/crates/node/src/call/running.rs
+++ b/crates/node/src/call/running.rs
@@ -2,32 +2,21 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_config::fleet::KeyHash;
-use fulmartrestle_core::{CallId, Class, RouteId, Tenant, TimeUs};
-use fulmartrestle_policy::{BasisPoints, RetryAllowance};
+use fulmartrestle_core::{CallId, TimeUs};
+use fulmartrestle_policy::RetryAllowance;
+
+use crate::wire::RequestContext;
 
 /// One call that the own target runs. Child calls take their tenant, class, deadline and retries
 /// from here, so that a target can't change any of them.
 #[derive(Debug)]
 pub struct RunningCall {
-    /// Random number of the whole request.
-    pub request_id: u64,
-    /// Route by which the request entered.
-    pub route: RouteId,
-    /// Tenant whose key came with the request.
-    pub tenant: Option<Tenant>,
-    /// Hash of that key.
-    pub key_hash: Option<KeyHash>,
-    /// The tenant's weight.
-    pub weight: u32,
-    /// Importance of the request.
-    pub class: Class,
+    /// What the entry decided about the request.
+    pub context: RequestContext,
     /// When the answer must be there.
     pub deadline: TimeUs,
     /// Hops between this call and the entry.
     pub depth: u8,
-    /// The share of such requests that the entry's door let in.
-    pub door_share: BasisPoints,
     /// Whether the request must not run twice.
     pub at_most_once: bool,
     /// Retries left for child calls.
--- a/crates/node/src/claims_io.rs
+++ b/crates/node/src/claims_io.rs
@@ -112,6 +112,11 @@
         self.run_effects();
     }
 
+    /// Takes the number of zones that share the log's appends.
+    pub fn set_zone_count(&self, zone_count: usize) {
+        lock(&self.table).node.set_zone_count(zone_count as u64);
+    }
+
     /// Takes the present members.
     pub fn set_members(self: &Arc<Self>, members: &[ClaimMember]) {
         let now = self.clock.now();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,7 @@
 
 use fulmartrestle_claims::ClaimMember;
 use fulmartrestle_config::spread::ConfigMember;
-use fulmartrestle_core::VmId;
+use fulmartrestle_core::{VmId, rendezvous_owner};
 use fulmartrestle_membership::{MemberRow, MemberState, TargetInfo};
 use fulmartrestle_policy::{CrashMark, TargetRow};
 use fulmartrestle_quota::QuotaMember;
@@ -36,6 +36,9 @@
 /// Fast ticks between connection probes of the own target.
 const FAST_TICKS_PER_PROBE: u64 = 50;
 
+/// Role of the member of a zone that tells newcomers of crash marks.
+const CRASH_MARKS_ROLE: &str = "crash-marks";
+
 /// Fast ticks between ticks of the spread of configuration.
 const FAST_TICKS_PER_CONFIG: u64 = 10;
 
@@ -80,6 +83,12 @@
             }
         }
         ControlMessage::Quota(message) => state.rates.on_message(envelope.from, message),
+        ControlMessage::CrashMarks(marks) => {
+            let mut crashes = lock(&state.crashes);
+            for mark in marks {
+                crashes.merge(mark, now);
+            }
+        }
         ControlMessage::Claims(message) => state.claims.on_message(envelope.from, message),
         ControlMessage::Config(message) => state.config_io.on_message(envelope.from, message),
     }
@@ -205,7 +214,9 @@
         lock(&state.targets).remove(row.vm);
         return;
     }
-    state.directory.insert(row.vm, row.peer_address);
+    if state.directory.insert(row.vm, row.peer_address) && row.vm != state.own {
+        note_joined(state, row);
+    }
     let usable = row.state != MemberState::Unreachable;
     let mut targets = lock(&state.targets);
     match row.target.as_ref().filter(|_| usable) {
@@ -214,6 +225,19 @@
     }
 }
 
+/// Picks one member of the newcomer's zone to tell it of all crash marks; it would run blocked requests
+/// without them. Rendezvous picks the same one everywhere, and a second telling would do no harm.
+fn note_joined(state: &NodeState, row: &MemberRow) {
+    if row.zone != state.zone || lock(&state.crashes).is_empty() {
+        return;
+    }
+    let zone = lock(&state.membership).live_in_zone(&state.zone);
+    let others = zone.into_iter().filter(|vm| *vm != row.vm);
+    if rendezvous_owner(CRASH_MARKS_ROLE, others) == Some(state.own) {
+        lock(&state.unmarked).push(row.vm);
+    }
+}
+
 fn target_row(row: &MemberRow, info: &TargetInfo) -> TargetRow {
     TargetRow {
         target: row.vm,
@@ -254,6 +278,11 @@
     for send in gossip {
         send_control(state, socket, send.to, ControlMessage::Membership(send.message)).await;
     }
+    let unmarked = std::mem::take(&mut *lock(&state.unmarked));
+    for vm in unmarked {
+        let marks = lock(&state.crashes).all_marks(state.clock.now());
+        send_to_vm(state, socket, vm, ControlMessage::CrashMarks(marks)).await;
+    }
     for send in state.config_io.take_outgoing() {
         send_to_vm(state, socket, send.to, ControlMessage::Config(send.message)).await;
     }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -15,9 +15,9 @@
 }
 
 impl PeerDirectory {
-    /// Notes where a member is reached.
-    pub fn insert(&self, vm: VmId, address: SocketAddr) {
-        lock(&self.addresses).insert(vm, address);
+    /// Notes where a member is reached, and returns whether the member is new.
+    pub fn insert(&self, vm: VmId, address: SocketAddr) -> bool {
+        lock(&self.addresses).insert(vm, address).is_none()
     }
 
     /// Forgets a member and returns where it was reached.
@@ -29,9 +29,4 @@
     pub fn peer_address(&self, vm: VmId) -> Option<SocketAddr> {
         lock(&self.addresses).get(&vm).copied()
     }
-
-    /// Tells whether a member is reached at `address`.
-    pub fn contains_address(&self, address: &SocketAddr) -> bool {
-        lock(&self.addresses).values().any(|known| known == address)
-    }
 }
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -16,7 +16,7 @@
 use crate::call::{CallSpec, Dispatched, check_door, dispatch};
 use crate::replay_body::ReplayBody;
 use crate::state::NodeState;
-use crate::wire::HeaderPair;
+use crate::wire::{HeaderPair, RequestContext};
 
 /// Retries that one request may cause over its whole chain. With three, one lost answer at each of
 /// two hops is still made good, and no request causes more than four times its first attempts.
@@ -87,18 +87,21 @@
     let body = read_body(body, state.settings.limits.max_body_bytes as u64).await?;
     let fingerprint = fingerprint(&method, &path, caller.tenant.as_ref(), body.leading_bytes());
     let wait_ms = timeout_ms.map_or(route.timeout_ms, |timeout_ms| timeout_ms.min(route.timeout_ms));
-    let spec = CallSpec {
+    let context = RequestContext {
         request_id,
-        service: route.service.clone(),
-        chain: chain_of(route),
         route: route.route.clone(),
         tenant: caller.tenant,
         key_hash: caller.key_hash,
         weight: caller.weight,
         class: route.class,
+        door_share: BasisPoints::FULL,
+    };
+    let spec = CallSpec {
+        context,
+        service: route.service.clone(),
+        chain: chain_of(route),
         deadline: state.clock.now().plus_ms(wait_ms),
         depth: 0,
-        door_share: BasisPoints::FULL,
         at_most_once: route.at_most_once,
         retryable: route.retryable,
         fingerprint,
@@ -134,8 +137,8 @@
 /// Returns the final refusal.
 pub async fn pass_door_and_rate(state: &NodeState, spec: &mut CallSpec) -> Result<(), Refusal> {
     // The door comes first: a request that is shed must not cost its tenant a token.
-    spec.door_share = check_door(state, spec)?;
-    match &spec.tenant {
+    spec.context.door_share = check_door(state, spec)?;
+    match &spec.context.tenant {
         Some(tenant) => state.rates.admit(tenant).await,
         None => Ok(()),
     }
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -93,8 +93,8 @@
     /// Returns the identity of a request. A key that is a time-ordered UUID (version 7) tells its age;
     /// any other is taken for new.
     pub fn new(spec: &CallSpec, idempotency_key: &str) -> Self {
-        let tenant = spec.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
-        let key = ClaimKey::of(&tenant, &spec.route, idempotency_key);
+        let tenant = spec.context.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
+        let key = ClaimKey::of(&tenant, &spec.context.route, idempotency_key);
         let made_at = uuid::Uuid::parse_str(idempotency_key).ok().and_then(|uuid| uuid.get_timestamp());
         let made_at_ms = made_at.map(|time| time.to_unix()).map(|(s, ns)| s * 1_000 + u64::from(ns) / 1_000_000);
         let age_ms = made_at_ms.map_or(0, |made_at_ms| wall_ms().saturating_sub(made_at_ms));
@@ -161,7 +161,7 @@
         // The claim is given up: whatever the log decides, this call never runs under it.
         Err(_) => return OnceOutcome::Refused(Refusal::not_run(Reason::Deadline, None)),
     };
-    state.explain(spec.request_id, || format!("claimed {}", key.key));
+    state.explain(spec.context.request_id, || format!("claimed {}", key.key));
     match send(state, &spec, body).await {
         Ok(answer) => collect(answer).await,
         Err(refusal) => {
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -77,7 +77,7 @@
 impl PeerService for EntryService {
     async fn call(&self, head: CallHead, body: ByteBody) -> PeerAnswer {
         let config = self.state.config.get();
-        let route = config.routes().get(&head.route).map(|route| route.chain.clone());
+        let route = config.routes().get(&head.context.route).map(|route| route.chain.clone());
         let mut answer = self.state.gate.run(head, body).await;
         let now = self.state.clock.now();
         answer.head.reports = lock(&self.state.door).reports(&route.unwrap_or_default(), now);
--- a/crates/node/src/entry/sidecar.rs
+++ b/crates/node/src/entry/sidecar.rs
@@ -30,17 +30,11 @@
     let body = read_body(request.body, state.settings.limits.max_body_bytes as u64).await?;
     let leading = fingerprint(&request.method, &request.path, None, body.leading_bytes());
     let spec = state.gate.with_running(parent, |running| CallSpec {
-        request_id: running.request_id,
+        context: running.context.clone(),
         service: route.service.clone(),
         chain: chain_of(route),
-        route: running.route.clone(),
-        tenant: running.tenant.clone(),
-        key_hash: running.key_hash,
-        weight: running.weight,
-        class: running.class,
         deadline: running.deadline,
         depth: running.depth.saturating_add(1),
-        door_share: running.door_share,
         at_most_once: route.at_most_once,
         retryable: route.retryable,
         fingerprint: leading,
--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -234,7 +234,7 @@
     }
 
     fn check_head(&self, head: &CallHead) -> Result<(), Refusal> {
-        if head.key_hash.is_some_and(|hash| !self.keys.is_active(&hash)) {
+        if head.context.key_hash.is_some_and(|hash| !self.keys.is_active(&hash)) {
             return Err(Refusal::not_run(Reason::Unauthorized, None));
         }
         let now = self.clock.now();
@@ -257,9 +257,15 @@
         }
         let call = CallId(table.next_call);
         table.next_call += 1;
-        let tenant = head.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
-        let offer =
-            Offer { call, tenant, weight: head.weight, class: head.class, deadline, door_share: head.door_share };
+        let tenant = head.context.tenant.clone().unwrap_or_else(crate::keys::open_tenant);
+        let offer = Offer {
+            call,
+            tenant,
+            weight: head.context.weight,
+            class: head.context.class,
+            deadline,
+            door_share: head.context.door_share,
+        };
         let entered = match table.gate.offer(offer, now) {
             Admission::Run => Ok((call, Entered::Run)),
             Admission::Refused(refusal) => Err(refusal),
@@ -276,15 +282,9 @@
 
     fn insert_running(&self, call: CallId, head: &CallHead, deadline: TimeUs) {
         let row = RunningCall {
-            request_id: head.request_id,
-            route: head.route.clone(),
-            tenant: head.tenant.clone(),
-            key_hash: head.key_hash,
-            weight: head.weight,
-            class: head.class,
+            context: head.context.clone(),
             deadline,
             depth: head.depth,
-            door_share: head.door_share,
             at_most_once: head.at_most_once,
             allowance: RetryAllowance::new(head.retry_allowance),
         };
@@ -355,7 +355,7 @@
     fn target_failed(&self, call: CallId, place: Place, head: &CallHead, error: &TargetError) -> PeerAnswer {
         let unspent = lock(&self.running).close_allowance(call);
         place.finish(Completion::Failed);
-        log::info!("gate: call {:016x} failed: {error}", head.request_id);
+        log::info!("gate: call {:016x} failed: {error}", head.context.request_id);
         match error {
             TargetError::Connect(_) => {
                 self.set_reachable(false);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -256,6 +256,7 @@
         door: Mutex::new(Door::default()),
         budgets: Mutex::new(RetryBudgets::default()),
         crashes,
+        unmarked: Mutex::default(),
         rates: Rates::new(clock, quota),
         claims: Arc::new(claims),
         once: OnceTable::default(),
@@ -271,13 +272,14 @@
     })
 }
 
-/// Tells rates and objectives of each version that comes in force, until the task is aborted.
+/// Tells rates, claims and objectives of each version that comes in force, until the task is aborted.
 async fn follow_config(state: Arc<NodeState>) {
     let mut changes = state.config.changes();
     changes.mark_changed();
     while changes.changed().await.is_ok() {
         let config = state.config.get();
         state.rates.set_config(quota_config(&config));
+        state.claims.set_zone_count(config.zones().len());
         lock(&state.burn).set_objectives(objectives(&config));
     }
 }
--- a/crates/node/src/peer/control.rs
+++ b/crates/node/src/peer/control.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_core::VmId;
 use fulmartrestle_derive::record;
 use fulmartrestle_membership::MembershipMessage;
+use fulmartrestle_policy::CrashMark;
 use fulmartrestle_quota::QuotaMessage;
 
 /// What one part of a node says to the same part of another.
@@ -16,6 +17,8 @@
     Quota(QuotaMessage),
     /// Spread of configuration.
     Config(ConfigMessage),
+    /// All crash marks that the sender holds, for a node that has just joined.
+    CrashMarks(Vec<CrashMark>),
     /// Claims of calls that run at most once.
     Claims(ClaimMessage),
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -54,6 +54,8 @@
     pub budgets: Mutex<RetryBudgets>,
     /// Requests that crashed targets.
     pub crashes: Arc<Mutex<CrashTable>>,
+    /// Members that have just joined and must hear of all crash marks.
+    pub unmarked: Mutex<Vec<VmId>>,
     /// Tokens of tenants' rates.
     pub rates: Rates,
     /// The part in claims of calls that run at most once.
