Silent connections to the own target are given up early for calls that may be repeated

Cause: HTTP/1.1 has no ping, so a call on a connection that fell silent waited for its deadline and ended in 504 (the new end-to-end test failed so, 3 s a call). The gate now gives such a call up after 20 times the usual answer time, at least 500 ms, and replaces the connections; the entry tries again, on a target that was tried when no other is left (without that the test failed with no_target, all three targets being silent). Calls that run at most once still wait for their deadline.

--- a/crates/node/src/call/dispatch.rs
+++ b/crates/node/src/call/dispatch.rs
@@ -49,7 +49,10 @@
     let mut may_have_run = false;
     loop {
         let now = state.clock.now();
-        let target = choose(state, spec, &tried, now);
+        let untried = choose(state, spec, &tried, now);
+        // After an attempt whose connection failed, a target that was tried is better than none: its node has
+        // replaced the connection.
+        let target = if may_have_run { untried.or_else(|| choose(state, spec, &[], now)) } else { untried };
         let result = match (target, body.next_attempt()) {
             (Some(target), Some(attempt_body)) => {
                 tried.push(target);
--- a/crates/node/src/call/spec.rs
+++ b/crates/node/src/call/spec.rs
@@ -41,6 +41,7 @@
             retry_allowance,
             depth: self.depth,
             at_most_once: self.at_most_once,
+            retryable: self.retryable && !self.at_most_once,
             fingerprint: self.fingerprint,
             method: self.method.clone(),
             path: self.path.clone(),
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -3,6 +3,7 @@
 mod own_target;
 mod place;
 mod runner;
+mod silence;
 mod target_client;
 
 pub use own_target::{OwnTarget, TargetAnnouncement, TargetProtocol};
--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -14,6 +14,7 @@
 
 use super::own_target::{OwnTarget, TargetAnnouncement, TargetProtocol};
 use super::place::{Place, PlacedBody};
+use super::silence::SilenceDetector;
 use super::target_client::{TargetClient, TargetError, probe};
 use crate::body::{ByteBody, empty_body, incoming_body};
 use crate::call::{RunningCall, RunningCalls};
@@ -33,6 +34,7 @@
     table: Mutex<GateTable>,
     running: Mutex<RunningCalls>,
     client: Mutex<Arc<TargetClient>>,
+    silence: SilenceDetector,
     sealer: ContextSealer,
     keys: Arc<dyn KeyCheck>,
     crashes: Arc<Mutex<CrashTable>>,
@@ -72,6 +74,7 @@
             table: Mutex::new(table),
             running: Mutex::default(),
             client: Mutex::new(Arc::new(TargetClient::new(TargetProtocol::default()))),
+            silence: SilenceDetector::default(),
             sealer,
             keys,
             crashes,
@@ -293,7 +296,9 @@
 
     /// Hands a call to the target and returns the head of its answer.
     async fn forward(&self, call: CallId, place: Place, head: CallHead, body: ByteBody) -> PeerAnswer {
-        let deadline_left = Duration::from_micros(head.deadline_left_us);
+        let silence_us = if head.retryable { self.silence.limit_us() } else { u64::MAX };
+        let wait = Duration::from_micros(head.deadline_left_us.min(silence_us));
+        let started = self.clock.now();
         let request = match self.target_request(call, &head, body) {
             Ok(request) => request,
             Err(refusal) => {
@@ -302,16 +307,21 @@
             }
         };
         let client = Arc::clone(&lock(&self.client));
-        let answered = tokio::time::timeout(deadline_left, client.send(request)).await;
+        let answered = tokio::time::timeout(wait, client.send(request)).await;
         match answered {
-            Ok(Ok(response)) => self.answered(call, place, response),
+            Ok(Ok(response)) => {
+                self.silence.answered(self.clock.now().us_since(started));
+                self.answered(call, place, response)
+            }
             Ok(Err(error)) => self.target_failed(call, place, &head, &error),
             Err(_) => {
                 // The connection may have gone silent; new calls get new connections.
                 client.replace_connections();
                 let unspent = lock(&self.running).close_allowance(call);
                 place.finish(Completion::TimedOut);
-                self.refused(Refusal::unknown(Reason::Deadline), unspent, false)
+                let is_silent = silence_us < head.deadline_left_us;
+                let reason = if is_silent { Reason::TargetFailed } else { Reason::Deadline };
+                self.refused(Refusal::unknown(reason), unspent, false)
             }
         }
     }
--- a/crates/node/src/wire/call_head.rs
+++ b/crates/node/src/wire/call_head.rs
@@ -21,6 +21,9 @@
     pub depth: u8,
     /// Whether the request must not run twice.
     pub at_most_once: bool,
+    /// Whether an attempt whose outcome is unknown may be followed by another. Only then may the gate give
+    /// up on a silent connection before the deadline.
+    pub retryable: bool,
     /// Hash by which requests that crash targets are recognised.
     pub fingerprint: Fingerprint,
     /// HTTP method.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -226,3 +226,19 @@
     wait_until_steady(&fleet, 0, &key).await;
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_replaced_without_failing_their_calls() -> Result<()> {
+    let (fleet, key) = start(&three_targets()).await;
+    wait_until_steady(&fleet, 0, &key).await;
+    for vm in 0..fleet.vms.len() {
+        let silenced = fleet.client.send(&Request::post(fleet.target_url(vm, "/standin/silence"), "")).await;
+        verify_that!(silenced.status, lt(300)).or_fail()?;
+    }
+    for index in 0..STEADY_REQUESTS {
+        let request = Request::get(fleet.caller_url(index % 3, &format!("/search/silent-{index}"))).key(&key);
+        let answer = fleet.client.send(&request).await;
+        verify_that!(answer.status, eq(200)).with_failure_message(|| answer.body.clone())?;
+    }
+    Ok(())
+}
