--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -296,7 +296,7 @@
 
     /// Hands a call to the target and returns the head of its answer.
     async fn forward(&self, call: CallId, place: Place, head: CallHead, body: ByteBody) -> PeerAnswer {
-        let silence_us = if head.retryable { self.silence.limit_us() } else { u64::MAX };
+        let silence_us = if head.retryable { self.silence.limit_us(head.deadline_left_us) } else { u64::MAX };
         let wait = Duration::from_micros(head.deadline_left_us.min(silence_us));
         let started = self.clock.now();
         let request = match self.target_request(call, &head, body) {
--- a/crates/node/src/gate/silence.rs
+++ b/crates/node/src/gate/silence.rs
@@ -29,8 +29,11 @@
         self.usual_us.store(next_us, Ordering::Relaxed);
     }
 
-    /// Returns the time without an answer after which a connection counts as silent, in microseconds.
-    pub fn limit_us(&self) -> u64 {
-        self.usual_us.load(Ordering::Relaxed).saturating_mul(FACTOR).max(FLOOR_US)
+    /// Returns the time without an answer after which a connection counts as silent, in microseconds. It is
+    /// never less than half of the time left: a target that has just become slow is not silent, and with a
+    /// shorter limit calls of 0.5 s failed at a target that used to take 15 ms.
+    pub fn limit_us(&self, deadline_left_us: u64) -> u64 {
+        let usual_us = self.usual_us.load(Ordering::Relaxed).saturating_mul(FACTOR);
+        usual_us.max(FLOOR_US).max(deadline_left_us / 2)
     }
 }
