--- a/crates/quota/tests/strict_bound.rs
+++ b/crates/quota/tests/strict_bound.rs
@@ -61,7 +61,7 @@
 
 #[gtest]
 fn admissions_never_pass_burst_and_rate_in_any_interval() {
-    let steps = env_or("FULMARTRESTLE_STEPS", 20_000);
+    let steps = env_or("FULMARTRESTLE_STEPS", 24_000);
     let shift = env_or("FULMARTRESTLE_SEED", 0);
     for case in cases() {
         let seed = case.seed + shift;
@@ -129,7 +129,7 @@
     let broken = QuotaSettings { refill_margin_ppm: 0, ..QuotaSettings::default() };
     let mut fleet = Fleet::new(12, 9, broken, faults, config(1, &[("rover", 500, 30)]));
     fleet.load.insert(tenant("rover"), Load { per_s: [700, 700, 700] });
-    fleet.run(25_000);
+    fleet.run(40_000);
     expect_that!(fleet.totals.violations, gt(0), "{:?}", fleet.totals);
 }
 
