--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -4,7 +4,7 @@
 
 use fulmartrestle_api::Decision;
 
-/// Decisions kept. At 400 bytes each this is 1.6 MB, a twentieth of the node's memory.
+/// Decisions kept. Each is a short line of text, so that the log stays a small part of the node's memory.
 const MAX_DECISIONS: usize = 4_096;
 
 /// The latest decisions, oldest first.
--- a/crates/node/src/gather.rs
+++ b/crates/node/src/gather.rs
@@ -9,7 +9,7 @@
 use crate::peer::{PeerError, PeerLink};
 use crate::state::NodeState;
 
-/// Nodes asked at one time. Each costs a connection for the moment, some 40 KB.
+/// Nodes asked at one time. Each costs a connection for the moment.
 const CONCURRENT_NODES: usize = 32;
 
 /// Time for one node's answer, in milliseconds.
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -5,7 +5,7 @@
 use fulmartrestle_config::plan::TrafficFacts;
 use fulmartrestle_core::{AvailabilityZone, RatePerS, RouteId, Tenant, TimeUs};
 
-/// Pairs of route and tenant that are counted. At 200 bytes each this is 0.4 MB.
+/// Pairs of route and tenant that are counted; a bound on memory, whatever callers send.
 const MAX_ROWS: usize = 2_048;
 
 /// Time after which a request counts for a third, in seconds. Plans should see a minute or two.
