--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,6 @@
 //! flows.
 
 mod admin;
-mod body;
 mod burn;
 mod call;
 mod claims_io;
@@ -19,6 +18,7 @@
 mod directory;
 mod drains;
 mod entry;
+
 mod explain;
 mod gate;
 mod gather;
@@ -32,11 +32,13 @@
 mod node;
 pub mod peer;
 mod rates;
-mod replay_body;
 mod state;
 mod traffic;
 pub mod wire;
 
+pub(crate) use fulmartrestle_transport as body;
+pub(crate) use fulmartrestle_transport as replay_body;
+
 pub use counters::{Counter, Counters};
 pub use gate::{TargetAnnouncement, TargetProtocol};
 pub use link_faults::{LinkFaults, NoLinkFaults};
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -1,42 +1,19 @@
 //! One connection to one peer.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use bytes::Bytes;
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_config::plan::TrafficFacts;
-use h2::client::SendRequest;
-use http::Request;
-use http_body_util::{BodyExt, Limited};
+use fulmartrestle_transport::Link;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 
 use super::control::ControlEnvelope;
-use super::error::PeerError;
-use super::stream::{lost, receive_head, send_data, send_head_and_body, whole_stream};
 use crate::body::ByteBody;
 use crate::entry::OnceOutcome;
-use crate::wire::{AnswerHead, CallHead, decode_exact, encode, encode_head};
-
-/// Time for a TCP and `h2` handshake. Peers are in the same region or a few hops away.
-const CONNECT_TIMEOUT_MS: u64 = 500;
-
-/// Pause between pings on a connection that carries calls.
-const PING_INTERVAL_MS: u64 = 500;
-
-/// Time for a ping's answer. Zones are about a millisecond apart; 250 ms cut off peers during their
-/// pauses under load.
-const PING_TIMEOUT_MS: u64 = 1_000;
-
-/// Flow-control window of a stream, in bytes. Smaller windows stalled answers of 64 KiB.
-const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
-
-/// Flow-control window of a connection, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
+use crate::peer::PeerError;
+use crate::wire::{AnswerHead, CallHead, encode, encode_head};
 
 /// Longest answer to a question, in bytes: the outcome of a call that runs at most once.
 const MAX_ANSWER_BYTES: usize = 5 << 20;
@@ -49,56 +26,29 @@
     pub body: ByteBody,
 }
 
-/// One `h2` connection to a peer. It is replaced when it closes or falls silent.
+/// A link to a peer, with the messages that nodes exchange over it.
 #[derive(Clone)]
-pub struct PeerLink {
-    sender: SendRequest<Bytes>,
-    closed: Arc<AtomicBool>,
+pub struct PeerLink(Link);
+
+impl From<Link> for PeerLink {
+    fn from(link: Link) -> Self {
+        Self(link)
+    }
 }
 
 impl PeerLink {
-    /// Connects to a peer and starts the task that drives the connection and pings it.
+    /// Connects to a peer.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError::Connect`] when no connection came up in time.
     pub async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
-        let handshake = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), Self::handshake(address));
-        handshake.await.map_err(|_| PeerError::Connect(format!("{address}: timeout")))?
-    }
-
-    async fn handshake(address: SocketAddr) -> Result<Self, PeerError> {
-        let connect_error = |detail: String| PeerError::Connect(format!("{address}: {detail}"));
-        let tcp = TcpStream::connect(address).await.map_err(|error| connect_error(error.to_string()))?;
-        tcp.set_nodelay(true).map_err(|error| connect_error(error.to_string()))?;
-        let handshake = h2::client::Builder::new()
-            .initial_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .handshake(tcp)
-            .await;
-        let (sender, mut connection) = handshake.map_err(|error| connect_error(error.to_string()))?;
-        let closed = Arc::new(AtomicBool::new(false));
-        let pinger = connection.ping_pong();
-        let closed_by_task = Arc::clone(&closed);
-        tokio::spawn(async move {
-            let pinging = async {
-                match pinger {
-                    Some(pinger) => ping_until_silent(pinger).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                _ = &mut connection => {}
-                () = pinging => log::warn!("peer: connection to {address} fell silent"),
-            }
-            closed_by_task.store(true, Ordering::Release);
-        });
-        Ok(Self { sender, closed })
+        Link::connect(address).await.map(Self)
     }
 
     /// Tells whether the connection is gone.
     pub fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Acquire)
+        self.0.is_closed()
     }
 
     /// Sends a call and waits for the answer's head. Dropping the future resets the stream, which
@@ -108,16 +58,7 @@
     ///
     /// Returns [`PeerError::NotSent`] when the peer certainly did not get the call.
     pub async fn call(&self, head: &CallHead, body: ByteBody) -> Result<PeerAnswer, PeerError> {
-        let head = encode_head(head)?;
-        let (response, mut stream) = self.open("/call").await?;
-        let (head, body) = {
-            let sending = send_head_and_body(&mut stream, head, body);
-            let receiving = async {
-                let response = response.await.map_err(refused_or_lost)?;
-                receive_head::<AnswerHead>(response.into_body()).await
-            };
-            join_exchange(sending, receiving).await?
-        };
+        let (head, body) = self.0.exchange("/call", head, body).await?;
         Ok(PeerAnswer { head, body })
     }
 
@@ -127,15 +68,8 @@
     ///
     /// Returns [`PeerError`] when the peer did not confirm it.
     pub async fn notify(&self, envelope: &ControlEnvelope) -> Result<(), PeerError> {
-        let bytes = Bytes::from(encode(envelope)?);
-        let (response, mut stream) = self.open("/control").await?;
-        send_data(&mut stream, bytes, true).await?;
-        let response = response.await.map_err(lost)?;
-        if response.status().is_success() {
-            Ok(())
-        } else {
-            Err(PeerError::Lost(format!("peer answered {}", response.status())))
-        }
+        let status = self.0.post("/control", Bytes::from(encode(envelope)?)).await?;
+        if status.is_success() { Ok(()) } else { Err(PeerError::Lost(format!("peer answered {status}"))) }
     }
 
     /// Asks for the outcome of a call that runs at most once, waiting while it runs.
@@ -167,55 +101,6 @@
 
     /// Sends a question and reads the whole answer.
     async fn ask<T: DeserializeOwned>(&self, path: &str, question: Bytes) -> Result<T, PeerError> {
-        let (response, mut stream) = self.open(path).await?;
-        send_data(&mut stream, question, true).await?;
-        let response = response.await.map_err(lost)?;
-        let body = Limited::new(whole_stream(response.into_body()), MAX_ANSWER_BYTES).collect().await;
-        let bytes = body.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
-        Ok(decode_exact(&bytes)?)
-    }
-
-    async fn open(&self, path: &str) -> Result<(h2::client::ResponseFuture, h2::SendStream<Bytes>), PeerError> {
-        let not_sent = |error: h2::Error| PeerError::NotSent(error.to_string());
-        let mut sender = self.sender.clone().ready().await.map_err(not_sent)?;
-        let request = Request::post(format!("http://peer{path}"))
-            .body(())
-            .map_err(|error| PeerError::NotSent(error.to_string()))?;
-        sender.send_request(request, false).map_err(not_sent)
-    }
-}
-
-/// Runs both halves of an exchange. The answer may come before the request's body is through; the
-/// rest of the body then goes unsent.
-async fn join_exchange<T>(
-    sending: impl Future<Output = Result<(), PeerError>>,
-    receiving: impl Future<Output = Result<T, PeerError>>,
-) -> Result<T, PeerError> {
-    tokio::pin!(sending, receiving);
-    tokio::select! {
-        received = &mut receiving => received,
-        sent = &mut sending => {
-            // A refusal can reset the sending half while its head is still readable.
-            let received = receiving.await;
-            if received.is_err() { sent?; }
-            received
-        }
-    }
-}
-
-/// A peer that is stopping refuses new streams before it reads them.
-fn refused_or_lost(error: h2::Error) -> PeerError {
-    if error.reason() == Some(h2::Reason::REFUSED_STREAM) { PeerError::NotSent(error.to_string()) } else { lost(error) }
-}
-
-/// Pings until an answer is overdue. Connections can go silent without being closed.
-async fn ping_until_silent(mut pinger: h2::PingPong) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(PING_INTERVAL_MS)).await;
-        let pong = pinger.ping(h2::Ping::opaque());
-        match tokio::time::timeout(Duration::from_millis(PING_TIMEOUT_MS), pong).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(_)) | Err(_) => return,
-        }
+        self.0.ask(path, question, MAX_ANSWER_BYTES).await
     }
 }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -8,17 +8,19 @@
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_config::plan::TrafficFacts;
+use fulmartrestle_transport::{
+    StreamHandler, lost, receive_head, send_data, send_head_and_body, serve_streams, whole_stream,
+};
+use h2::RecvStream;
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
+use super::PeerError;
 use super::control::ControlEnvelope;
 use super::link::PeerAnswer;
-use super::stream::{receive_head, send_data, send_head_and_body};
-use super::{PeerError, stream};
 use crate::body::ByteBody;
 use crate::entry::OnceOutcome;
 use crate::wire::{CallHead, decode_exact, encode, encode_head};
@@ -26,15 +28,6 @@
 /// Longest control message, in bytes: a part of a configuration snapshot with room to spare.
 const MAX_CONTROL_BYTES: usize = 1024 * 1024;
 
-/// Streams that one peer may have open. One node's share of the fleet's calls stays far below.
-const MAX_STREAMS_PER_PEER: u32 = 4_096;
-
-/// Flow-control window of a stream, in bytes.
-const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
-
-/// Flow-control window of a connection, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
-
 /// What a node does with what its peers send.
 #[async_trait]
 pub trait PeerService: Send + Sync + 'static {
@@ -56,59 +49,26 @@
 
 /// Accepts peers until the task is aborted.
 pub async fn serve_peers(listener: TcpListener, service: Arc<dyn PeerService>) {
-    loop {
-        match listener.accept().await {
-            Ok((tcp, _)) => {
-                tokio::spawn(serve_peer(tcp, Arc::clone(&service)));
-            }
-            Err(error) => {
-                log::warn!("peer: accept failed: {error}");
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            }
-        }
-    }
+    serve_streams(listener, Arc::new(PeerStreams { service })).await;
 }
 
-async fn serve_peer(tcp: TcpStream, service: Arc<dyn PeerService>) {
-    // Without it small heads wait for the delayed acknowledgement; failing to set it only costs time.
-    let _ = tcp.set_nodelay(true);
-    let handshake = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_concurrent_streams(MAX_STREAMS_PER_PEER)
-        .handshake::<_, Bytes>(tcp);
-    let mut connection = match handshake.await {
-        Ok(connection) => connection,
-        Err(error) => {
-            log::debug!("peer: handshake failed: {error}");
-            return;
-        }
-    };
-    while let Some(accepted) = connection.accept().await {
-        match accepted {
-            Ok((request, respond)) => {
-                tokio::spawn(serve_stream(request, respond, Arc::clone(&service)));
-            }
-            Err(error) => {
-                log::debug!("peer: connection ended: {error}");
-                return;
-            }
-        }
-    }
+/// Hands the streams of peers to the service.
+struct PeerStreams {
+    service: Arc<dyn PeerService>,
 }
 
-async fn serve_stream(request: Request<RecvStream>, mut respond: SendResponse<Bytes>, service: Arc<dyn PeerService>) {
-    let result = match request.uri().path() {
-        "/call" => serve_call(request.into_body(), &mut respond, service).await,
-        "/outcome" => serve_outcome(request.into_body(), &mut respond, service).await,
-        "/burn" => answer_value(&mut respond, &service.burn_summary()).await,
-        "/traffic" => answer_value(&mut respond, &service.traffic()).await,
-        "/control" => serve_control(request.into_body(), &mut respond, service).await,
-        _ => answer_empty(&mut respond, StatusCode::NOT_FOUND),
-    };
-    if let Err(error) = result {
-        log::debug!("peer: stream ended: {error}");
-        respond.send_reset(Reason::INTERNAL_ERROR);
+#[async_trait]
+impl StreamHandler for PeerStreams {
+    async fn handle(&self, request: Request<RecvStream>, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+        let service = Arc::clone(&self.service);
+        match request.uri().path() {
+            "/call" => serve_call(request.into_body(), respond, service).await,
+            "/outcome" => serve_outcome(request.into_body(), respond, service).await,
+            "/burn" => answer_value(respond, &service.burn_summary()).await,
+            "/traffic" => answer_value(respond, &service.traffic()).await,
+            "/control" => serve_control(request.into_body(), respond, service).await,
+            _ => answer_empty(respond, StatusCode::NOT_FOUND),
+        }
     }
 }
 
@@ -125,7 +85,7 @@
         _ = poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
     };
     let head = encode_head(&answer.head)?;
-    let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
+    let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
     send_head_and_body(&mut stream, head, answer.body).await
 }
 
@@ -134,7 +94,7 @@
     respond: &mut SendResponse<Bytes>,
     service: Arc<dyn PeerService>,
 ) -> Result<(), PeerError> {
-    let body = stream::whole_stream(body);
+    let body = whole_stream(body);
     let collected = Limited::new(body, MAX_CONTROL_BYTES).collect().await;
     let bytes = collected.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
     service.control(decode_exact(&bytes)?);
@@ -143,7 +103,7 @@
 
 async fn answer_value(respond: &mut SendResponse<Bytes>, value: &impl Serialize) -> Result<(), PeerError> {
     let bytes = Bytes::from(encode(value)?);
-    let mut stream = respond.send_response(Response::new(()), false).map_err(stream::lost)?;
+    let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
     send_data(&mut stream, bytes, true).await
 }
 
@@ -163,5 +123,5 @@
 fn answer_empty(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), PeerError> {
     let mut response = Response::new(());
     *response.status_mut() = status;
-    respond.send_response(response, true).map(|_| ()).map_err(stream::lost)
+    respond.send_response(response, true).map(|_| ()).map_err(lost)
 }
--- a/crates/node/src/peer/error.rs
+++ b/crates/transport/src/error.rs
@@ -2,7 +2,7 @@
 
 use quick_error::quick_error;
 
-use crate::wire::HeadError;
+use crate::HeadError;
 
 quick_error! {
     /// A failure of a connection or stream between nodes.
--- a/crates/node/src/peer/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -11,9 +11,8 @@
 use hyper::body::{Body, Frame};
 use serde::de::DeserializeOwned;
 
-use super::PeerError;
 use crate::body::{BodyError, ByteBody, data_of};
-use crate::wire::decode_head;
+use crate::{PeerError, decode_head};
 
 /// Sends `data`, waiting for the receiver's window.
 ///
