--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -18,6 +18,8 @@
 pub enum Reason {
     /// The request can't be understood or lacks a needed header.
     BadRequest,
+    /// The request's body is longer than allowed.
+    TooLarge,
     /// The key is missing, unknown or withdrawn.
     Unauthorized,
     /// The route is not open to this tenant.
@@ -59,6 +61,7 @@
             Self::Forbidden => 403,
             Self::NoRoute => 404,
             Self::Claimed => 409,
+            Self::TooLarge => 413,
             Self::Blocked => 422,
             Self::OverRate => 429,
             Self::Cancelled => 499,
@@ -72,6 +75,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
             Self::Unauthorized => "unauthorized",
             Self::Forbidden => "forbidden",
             Self::NoRoute => "no_route",
--- a/crates/demo/src/fleet/zone_log.rs
+++ b/crates/demo/src/fleet/zone_log.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fulmartrestle_core::{AvailabilityZone, LogOffset};
-use fulmartrestle_platform_log::{LogError, MemoryLog, PlatformLog, ReadPage, StreamName, async_trait};
+use fulmartrestle_platform_log::{LogError, MemoryLog, NewestPage, PlatformLog, ReadPage, StreamName, async_trait};
 
 use super::LinkCuts;
 
@@ -36,4 +36,24 @@
         self.check_link()?;
         page
     }
+
+    async fn read_waiting(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<ReadPage, LogError> {
+        self.check_link()?;
+        let page = self.log.read_waiting(stream, from, max_records, wait_ms).await;
+        self.check_link()?;
+        page
+    }
+
+    async fn newest(&self, stream: &StreamName) -> Result<NewestPage, LogError> {
+        self.check_link()?;
+        let page = self.log.newest(stream).await;
+        self.check_link()?;
+        page
+    }
 }
--- /dev/null
+++ b/crates/mesh/src/clock.rs
@@ -0,0 +1,27 @@
+//! The only place of the node that reads clocks.
+
+use std::time::Duration;
+
+use fulmartrestle_core::TimeUs;
+use rustix::time::{ClockId, clock_gettime};
+
+const US_PER_S: u64 = 1_000_000;
+const NS_PER_US: u64 = 1_000;
+
+/// Reads the clock that also counts the time during which the VM is suspended. Leases and the age of
+/// the configuration must not stand still while the rest of the fleet goes on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Returns the present time.
+    pub fn now(self) -> TimeUs {
+        let time = clock_gettime(ClockId::Boottime);
+        TimeUs(time.tv_sec as u64 * US_PER_S + time.tv_nsec as u64 / NS_PER_US)
+    }
+
+    /// Returns how long it is until `time`.
+    pub fn until(self, time: TimeUs) -> Duration {
+        time.duration_since(self.now())
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/config.rs
@@ -0,0 +1,9 @@
+//! The operator's configuration as the node uses it.
+
+mod mesh_config;
+mod route;
+mod tenant_row;
+
+pub use mesh_config::{CallerLimits, MeshConfig};
+pub use route::{Backend, Route};
+pub use tenant_row::{ApiKey, TenantRow};
--- /dev/null
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -0,0 +1,112 @@
+//! One version of the configuration, indexed for lookups.
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::{Service, Version};
+use fulmartrestle_derive::record;
+use fulmartrestle_quota::TenantRate;
+
+use super::{ApiKey, Route, TenantRow};
+
+/// Bounds on what callers may send and how long they may take.
+#[record]
+#[derive(Copy, Eq)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Time to send a head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    /// The limits until a configuration says otherwise, as in the platform's examples.
+    fn default() -> Self {
+        Self { max_header_bytes: 16_384, max_body_bytes: 64 << 20, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Debug, Default)]
+pub struct MeshConfig {
+    version: Version,
+    limits: CallerLimits,
+    routes: Vec<Route>,
+    by_host: HashMap<String, HashMap<String, usize>>,
+    tenants: Vec<TenantRow>,
+    by_key: HashMap<ApiKey, usize>,
+    max_connections: HashMap<Service, u32>,
+}
+
+impl MeshConfig {
+    /// Builds the indexes of a version. Of two routes with the same host and prefix the first holds, as
+    /// of two tenants with the same key.
+    pub fn new(
+        version: Version,
+        limits: CallerLimits,
+        routes: Vec<Route>,
+        tenants: Vec<TenantRow>,
+        max_connections: HashMap<Service, u32>,
+    ) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().entry(route.prefix.clone()).or_insert(index);
+        }
+        let mut by_key = HashMap::new();
+        for (index, tenant) in tenants.iter().enumerate() {
+            for key in &tenant.keys {
+                by_key.entry(key.clone()).or_insert(index);
+            }
+        }
+        Self { version, limits, routes, by_host, tenants, by_key, max_connections }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the bounds on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Returns the route of a request: of the host's routes the one with the longest prefix that begins
+    /// the path. Prefixes end with a slash, so that only the path's slashes need a look.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = self.by_host.get(host)?;
+        let mut slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
+        let index = slashes.find_map(|(end, _)| prefixes.get(&path[..=end]))?;
+        self.routes.get(*index)
+    }
+
+    /// Returns the tenant that holds a key.
+    pub fn tenant(&self, key: &ApiKey) -> Option<&TenantRow> {
+        self.by_key.get(key).and_then(|index| self.tenants.get(*index))
+    }
+
+    /// Tells whether callers need keys.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// Returns the tenants' rates.
+    pub fn rates(&self) -> Vec<TenantRate> {
+        let rate =
+            |row: &TenantRow| TenantRate { tenant: row.tenant.clone(), rate_per_s: row.rate_per_s, burst: row.burst };
+        self.tenants.iter().map(rate).collect()
+    }
+
+    /// Returns how many connections a target of a service accepts.
+    pub fn max_connections(&self, service: &Service) -> Option<u32> {
+        self.max_connections.get(service).copied()
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry.rs
@@ -0,0 +1,208 @@
+//! Requests of callers and of the own target: from the first byte to the final answer.
+
+mod admitted;
+mod deadline;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use fulmartrestle_core::{Reason, Refusal, TimeUs};
+use fulmartrestle_policy::Rank;
+use fulmartrestle_transport::{
+    BodyError, ByteBody, CallerAnswer, CallerService, HeaderPair, ReplayBody, headers_from_pairs, headers_to_pairs,
+    incoming_body,
+};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use http::{HeaderMap, StatusCode};
+use hyper::Request;
+use hyper::body::Incoming;
+
+use crate::MeshConfig;
+use crate::attempt::send_request;
+use crate::border::CallerFacts;
+use crate::journal::Line;
+use crate::state::{MeshState, Phase};
+use crate::tokens::take_token;
+
+pub use admitted::AdmittedRequest;
+use deadline::give_up_at;
+
+/// When to come back while this node has no configuration, in milliseconds.
+const NO_CONFIG_RETRY_AFTER_MS: u64 = 400;
+
+/// When to come back while this node does not know whether keys are still valid, in milliseconds.
+const STALE_RETRY_AFTER_MS: u64 = 700;
+
+/// Part of the time for withdrawals that is left as a margin, in milliseconds: for the way from the
+/// check of a key to the moment at which the request is sent on.
+const STALE_MARGIN_MS: u64 = 300;
+
+/// A target's answer on its way to the caller.
+pub struct Answered {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderPair>,
+    /// The body.
+    pub body: ByteBody,
+}
+
+/// Answers callers on this VM and the own target's calls.
+pub struct Entry {
+    state: Arc<MeshState>,
+}
+
+impl Entry {
+    /// Returns the entry of one node.
+    pub fn new(state: Arc<MeshState>) -> Self {
+        Self { state }
+    }
+
+    async fn decide(
+        &self,
+        request: Request<Incoming>,
+        facts: &CallerFacts,
+        arrived: TimeUs,
+    ) -> Result<Answered, Refusal> {
+        let state = &*self.state;
+        let not_ready = Refusal::not_run(Reason::NotReady, Some(NO_CONFIG_RETRY_AFTER_MS));
+        let config = state.config().ok_or(not_ready)?;
+        let (parts, body) = request.into_parts();
+        let host = host_of(&parts.headers, parts.uri.host());
+        let no_route = Refusal::not_run(Reason::NoRoute, None);
+        let route = config.route(&host, parts.uri.path()).ok_or(no_route)?;
+        let tenant = match needs_key(&config, route.open) {
+            true => Some(self.check_key(&config, facts)?),
+            false => None,
+        };
+        if let Some(tenant) = tenant {
+            take_token(state, &tenant.tenant, facts.request_id.as_deref()).await?;
+        }
+        let is_call = route.open && facts.key.is_none();
+        let rank = match is_call {
+            true => Rank::STARTED,
+            false => Rank::of_request(tenant.and_then(|tenant| tenant.priority), route.priority),
+        };
+        let give_up = give_up_at(arrived, facts.deadline_ms, route.timeout_ms);
+        let body = self.read_body(incoming_body(body), &config).await?;
+        let place = state.draw();
+        let service = route.backend(place).ok_or(no_route)?.clone();
+        let admitted = AdmittedRequest {
+            request_id: facts.request_id.clone(),
+            route: route.id.clone(),
+            service,
+            rank,
+            tenant: tenant.map(|tenant| tenant.tenant.clone()),
+            caller: state.gate.service().unwrap_or_else(|| state.settings().service.clone()),
+            repeatable: route.repeatable,
+            attempts: route.attempts,
+            give_up,
+            method: parts.method.as_str().to_owned(),
+            path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            headers: self.forwarded(&parts.headers),
+        };
+        send_request(state, &admitted, body).await
+    }
+
+    /// Returns the tenant whose key came with a request. Without recent news of withdrawals no key
+    /// counts.
+    fn check_key<'c>(&self, config: &'c MeshConfig, facts: &CallerFacts) -> Result<&'c crate::TenantRow, Refusal> {
+        let now = self.state.now();
+        let limit_ms = self.state.settings().bounds.revoke_ms.saturating_sub(STALE_MARGIN_MS);
+        let age_ms = self.state.config_age_ms(now);
+        if age_ms.is_none_or(|age_ms| age_ms >= limit_ms) {
+            let line = Line::new("keys_unchecked")
+                .maybe("request", facts.request_id.as_deref())
+                .number("version", config.version().0)
+                .number("age_ms", age_ms.unwrap_or(u64::MAX))
+                .number("limit_ms", limit_ms);
+            self.state.log(line);
+            return Err(Refusal::not_run(Reason::NotReady, Some(STALE_RETRY_AFTER_MS)));
+        }
+        let tenant = facts.key.as_ref().and_then(|key| config.tenant(key));
+        tenant.ok_or(Refusal::not_run(Reason::Unauthorized, None))
+    }
+
+    async fn read_body(&self, body: ByteBody, config: &MeshConfig) -> Result<ReplayBody, Refusal> {
+        ReplayBody::read(body, config.limits().max_body_bytes).await.map_err(|error| match error {
+            BodyError::TooLong(_) => Refusal::not_run(Reason::TooLarge, None),
+            BodyError::Broken(_) => Refusal::not_run(Reason::BadRequest, None),
+        })
+    }
+
+    fn forwarded(&self, headers: &HeaderMap) -> Vec<HeaderPair> {
+        let mut pairs = headers_to_pairs(headers);
+        pairs.retain(|pair| {
+            let Ok(name) = pair.name.parse() else { return false };
+            name != CONTENT_LENGTH && name != EXPECT && !self.state.wire.is_replaced(&name)
+        });
+        pairs
+    }
+
+    fn answer_of(&self, answered: Answered) -> CallerAnswer {
+        let mut answer = hyper::Response::new(answered.body);
+        *answer.status_mut() = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        *answer.headers_mut() = headers_from_pairs(&answered.headers);
+        answer
+    }
+
+    fn log_end(&self, facts: &CallerFacts, result: &Result<Answered, Refusal>, took_us: u64) {
+        let state = &*self.state;
+        match result {
+            Ok(answered) => {
+                let label = if answered.status < 500 { "answered" } else { "target_failed" };
+                state.metrics.observe_us("request", label, took_us);
+                if answered.status >= 500 {
+                    let line = Line::new("target_error")
+                        .maybe("request", facts.request_id.as_deref())
+                        .number("status", answered.status)
+                        .number("took_ms", took_us / 1_000);
+                    state.log(line);
+                }
+            }
+            Err(refusal) => {
+                state.metrics.observe_us("request", refusal.reason.as_str(), took_us);
+                let config = state.config();
+                let line = Line::new("refused")
+                    .maybe("request", facts.request_id.as_deref())
+                    .text("outcome", refusal)
+                    .maybe("retry_after_ms", refusal.retry_after_ms)
+                    .number("took_ms", took_us / 1_000)
+                    .number("version", config.map_or(0, |config| config.version().0))
+                    .maybe("config_age_ms", state.config_age_ms(state.now()));
+                state.log(line);
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl CallerService for Entry {
+    async fn answer(&self, _caller: SocketAddr, request: Request<Incoming>) -> CallerAnswer {
+        let arrived = self.state.now();
+        let facts = self.state.wire.caller_facts(request.headers());
+        let result = self.decide(request, &facts, arrived).await;
+        self.log_end(&facts, &result, self.state.now().us_since(arrived));
+        let mut answer = match result {
+            Ok(answered) => self.answer_of(answered),
+            Err(refusal) => self.state.wire.refusal(&refusal, facts.request_id.as_deref()),
+        };
+        if *self.state.phase.borrow() != Phase::Serving {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
+
+fn needs_key(config: &MeshConfig, open: bool) -> bool {
+    config.has_tenants() && !open
+}
+
+/// Returns the host without its port, in lower case.
+fn host_of(headers: &HeaderMap, uri_host: Option<&str>) -> String {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = header.or(uri_host).unwrap_or_default();
+    let name = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
+    name.map_or(host, |(name, _)| name).to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/mesh/src/entry/admitted.rs
@@ -0,0 +1,56 @@
+//! A request that may be sent to a target.
+
+use fulmartrestle_core::{RouteId, Service, Tenant, TimeUs};
+use fulmartrestle_policy::Rank;
+use fulmartrestle_transport::HeaderPair;
+
+use crate::running::RunHead;
+
+/// Everything about a request that stays the same over its attempts.
+#[derive(Clone, Debug)]
+pub struct AdmittedRequest {
+    /// The caller's id of the request.
+    pub request_id: Option<String>,
+    /// The route.
+    pub route: RouteId,
+    /// The service that was drawn for it.
+    pub service: Service,
+    /// Urgency.
+    pub rank: Rank,
+    /// Whose key came with it.
+    pub tenant: Option<Tenant>,
+    /// The service beside which it began.
+    pub caller: Service,
+    /// Whether it may be sent again when its outcome is unknown.
+    pub repeatable: bool,
+    /// Targets that it may be handed to.
+    pub attempts: u32,
+    /// When it gets its final answer at the latest.
+    pub give_up: TimeUs,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers for the target.
+    pub headers: Vec<HeaderPair>,
+}
+
+impl AdmittedRequest {
+    /// Returns the head for one attempt.
+    pub fn head(&self, instance: String, now: TimeUs) -> RunHead {
+        RunHead {
+            request_id: self.request_id.clone(),
+            route: self.route.clone(),
+            service: self.service.clone(),
+            instance,
+            rank: self.rank,
+            tenant: self.tenant.clone(),
+            caller: self.caller.clone(),
+            deadline_left_us: self.give_up.us_since(now),
+            repeatable: self.repeatable,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/place.rs
@@ -0,0 +1,33 @@
+//! A call's place at the gate, given back however the call ends.
+
+use std::sync::Arc;
+
+use fulmartrestle_core::CallId;
+
+use super::Gate;
+
+/// A waiting or running call's place. Dropping it frees the place, so that a caller that goes away
+/// makes room at once.
+pub struct Place {
+    gate: Arc<Gate>,
+    call: CallId,
+    answered: bool,
+}
+
+impl Place {
+    /// Holds a place that the gate has given or will give to `call`.
+    pub fn new(gate: Arc<Gate>, call: CallId) -> Self {
+        Self { gate, call, answered: false }
+    }
+
+    /// Gives the place back after a whole answer.
+    pub fn finish(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.gate.ended(self.call, self.answered);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and latency histograms, served as text on the metrics address.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Mutex;
+
+use crate::state::lock;
+
+/// Upper bounds of the histograms' buckets, in milliseconds; each about doubles, from a cached answer
+/// to the longest deadlines.
+const BUCKET_BOUNDS_MS: [u64; 13] = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000];
+
+const US_PER_MS: u64 = 1_000;
+
+#[derive(Debug, Default)]
+struct Histogram {
+    counts: [u64; BUCKET_BOUNDS_MS.len()],
+    count: u64,
+    sum_us: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    counters: BTreeMap<(&'static str, String), u64>,
+    gauges: BTreeMap<&'static str, u64>,
+    histograms: BTreeMap<(&'static str, String), Histogram>,
+}
+
+/// What the node counts and measures.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    tables: Mutex<Tables>,
+}
+
+impl Metrics {
+    /// Counts an event under a label.
+    pub fn count(&self, name: &'static str, label: &str) {
+        let mut tables = lock(&self.tables);
+        *tables.counters.entry((name, label.to_owned())).or_default() += 1;
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        lock(&self.tables).gauges.insert(name, value);
+    }
+
+    /// Adds a duration to a histogram.
+    pub fn observe_us(&self, name: &'static str, label: &str, duration_us: u64) {
+        let mut tables = lock(&self.tables);
+        let histogram = tables.histograms.entry((name, label.to_owned())).or_default();
+        histogram.count += 1;
+        histogram.sum_us += duration_us;
+        for (count, bound_ms) in histogram.counts.iter_mut().zip(BUCKET_BOUNDS_MS) {
+            if duration_us <= bound_ms * US_PER_MS {
+                *count += 1;
+            }
+        }
+    }
+
+    /// Returns a counter.
+    pub fn counter(&self, name: &'static str, label: &str) -> u64 {
+        lock(&self.tables).counters.get(&(name, label.to_owned())).copied().unwrap_or_default()
+    }
+
+    /// Returns all metrics as text, one a line.
+    pub fn render(&self) -> String {
+        let tables = lock(&self.tables);
+        let mut text = String::new();
+        // Writing to a `String` can't fail.
+        for ((name, label), value) in &tables.counters {
+            let _ = writeln!(text, "fulmartrestle_{name}_total{{label=\"{label}\"}} {value}");
+        }
+        for (name, value) in &tables.gauges {
+            let _ = writeln!(text, "fulmartrestle_{name} {value}");
+        }
+        for ((name, label), histogram) in &tables.histograms {
+            histogram.render(name, label, &mut text);
+        }
+        text
+    }
+}
+
+impl Histogram {
+    fn render(&self, name: &str, label: &str, text: &mut String) {
+        for (count, bound_ms) in self.counts.iter().zip(BUCKET_BOUNDS_MS) {
+            let _ = writeln!(text, "fulmartrestle_{name}_ms_bucket{{label=\"{label}\",le=\"{bound_ms}\"}} {count}");
+        }
+        let _ = writeln!(text, "fulmartrestle_{name}_ms_bucket{{label=\"{label}\",le=\"+Inf\"}} {}", self.count);
+        let sum_ms = self.sum_us / US_PER_MS;
+        let _ = writeln!(text, "fulmartrestle_{name}_ms_sum{{label=\"{label}\"}} {sum_ms}");
+        let _ = writeln!(text, "fulmartrestle_{name}_ms_count{{label=\"{label}\"}} {}", self.count);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/node.rs
@@ -0,0 +1,289 @@
+//! Starting, reloading and stopping one node.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, SystemTime};
+
+use fulmartrestle_core::VmId;
+use fulmartrestle_platform_log::{PlatformLog, StreamName};
+use fulmartrestle_policy::{Placement, RetryBudgets};
+use fulmartrestle_quota::TokenPool;
+use fulmartrestle_transport::{LinkPool, ListenerLimits, serve_callers, serve_streams};
+use quick_error::quick_error;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::task::JoinSet;
+
+use crate::border::{ConfigCodec, WireProtocol};
+use crate::clock::BootClock;
+use crate::config_follow::follow_config;
+use crate::entry::Entry;
+use crate::freshness::Freshness;
+use crate::gate::Gate;
+use crate::journal::{Journal, Line};
+use crate::metrics::Metrics;
+use crate::peer::PeerStreams;
+use crate::peers::Peers;
+use crate::registry::run_registry;
+use crate::settings::MeshSettings;
+use crate::state::{ConfigInForce, MeshState, Phase};
+use crate::status_io::{receive_status, send_status};
+
+/// Stream of what the operator writes.
+const OPERATOR_STREAM: &str = "keyed.op";
+
+/// Stream of the nodes' addresses.
+const NODES_STREAM: &str = "keyed.nodes";
+
+/// Pause between chores, in milliseconds: log lines are flushed, idle connections closed.
+const CHORE_PAUSE_MS: u64 = 250;
+
+/// Chores between two looks at the settings file.
+const CHORES_PER_LOOK: u32 = 8;
+
+/// Descriptors that are kept free of callers: for links, the target, the store and files.
+const RESERVED_DESCRIPTORS: usize = 900;
+
+/// Least number of callers' connections, for processes with few descriptors.
+const MIN_CALLER_CONNECTIONS: usize = 64;
+
+/// Time in which the other nodes hear that this one leaves, in milliseconds: one message and some delay.
+const LEAVE_NOTICE_MS: u64 = 400;
+
+/// Time in which the platform sends callers elsewhere, in milliseconds: it asks once a second, and twice
+/// before it acts.
+const CALLERS_LEAVE_MS: u64 = 2_600;
+
+/// Time before the end of the grace period by which the process is gone, in milliseconds.
+const END_MARGIN_MS: u64 = 500;
+
+/// Time before the end of the grace period at which connections close, in milliseconds.
+const CLOSE_MARGIN_MS: u64 = 1_300;
+
+/// Pause between looks whether callers' connections are closed, in milliseconds.
+const CLOSED_POLL_MS: u64 = 20;
+
+quick_error! {
+    /// Why a node did not start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// A listener could not be opened.
+        Listen(what: String, address: SocketAddr, error: std::io::Error) {
+            display("can't listen for {} on {}: {}", what, address, error)
+        }
+        /// A fixed name is not valid, which is a fault of the program.
+        Name(error: fulmartrestle_core::ParseError) {
+            display("{}", error)
+            from()
+        }
+    }
+}
+
+/// What a node is given besides its settings.
+pub struct MeshOptions {
+    /// The platform's store.
+    pub store: Arc<dyn PlatformLog>,
+    /// Headers and answers in the platform's words.
+    pub wire: Arc<dyn WireProtocol>,
+    /// Reads configurations.
+    pub codec: Arc<dyn ConfigCodec>,
+    /// Log lines.
+    pub journal: Journal,
+    /// The settings file, which is looked at for changes; absent for none.
+    pub settings_path: Option<PathBuf>,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A running node.
+pub struct MeshNode {
+    state: Arc<MeshState>,
+    places: Arc<Semaphore>,
+    caller_connections: usize,
+    settings_path: Option<PathBuf>,
+    stopping: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+impl MeshNode {
+    /// Opens a node's listeners and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError::Listen`] with the address that can't be used.
+    pub async fn start(settings: MeshSettings, options: MeshOptions) -> Result<Self, StartError> {
+        let callers = listen("callers", settings.caller_address).await?;
+        let peers = listen("peers", settings.peer_address).await?;
+        let datagrams = UdpSocket::bind(settings.peer_address)
+            .await
+            .map_err(|error| StartError::Listen("datagrams".to_owned(), settings.peer_address, error))?;
+        let caller_connections =
+            settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_CALLER_CONNECTIONS);
+        let state = Arc::new(build_state(settings, &options));
+        let places = Arc::new(Semaphore::new(caller_connections));
+        let (stopping, stopped) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        let limits = {
+            let state = Arc::clone(&state);
+            move || caller_limits(&state)
+        };
+        let entry = Arc::new(Entry::new(Arc::clone(&state)));
+        tasks.spawn(serve_callers(callers, entry, limits, Arc::clone(&places), stopped));
+        tasks.spawn(serve_streams(peers, Arc::new(PeerStreams::new(Arc::clone(&state)))));
+        let datagrams = Arc::new(datagrams);
+        tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
+        tasks.spawn(send_status(Arc::clone(&state), datagrams));
+        let operator: StreamName = OPERATOR_STREAM.parse()?;
+        let nodes: StreamName = NODES_STREAM.parse()?;
+        tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&options.store), operator));
+        tasks.spawn(run_registry(Arc::clone(&state), options.store, nodes));
+        tasks.spawn(run_chores(Arc::clone(&state), options.settings_path.clone()));
+        let settings = state.settings();
+        let line = Line::new("started")
+            .text("name", &settings.name)
+            .text("node", state.own)
+            .text("service", &settings.service)
+            .text("zone", &settings.availability_zone)
+            .flag("first_start", settings.first_start);
+        state.log(line);
+        let settings_path = options.settings_path;
+        Ok(Self { state, places, caller_connections, settings_path, stopping, tasks })
+    }
+
+    /// Returns the node's shared tables.
+    pub fn state(&self) -> &Arc<MeshState> {
+        &self.state
+    }
+
+    /// Reads the settings file again.
+    pub fn reload(&self) {
+        if let Some(path) = &self.settings_path {
+            reload_settings(&self.state, path);
+        }
+    }
+
+    /// Stops gracefully. Callers and other nodes are told at once and served until they have turned away;
+    /// then running requests are finished.
+    pub async fn stop(mut self) {
+        let state = &self.state;
+        let started = state.now();
+        let grace_ms = (state.settings().bounds.grace_s * 1e3) as u64;
+        state.log(Line::new("stopping").number("grace_ms", grace_ms));
+        state.phase.send_replace(Phase::Leaving);
+        state.status_due.notify_one();
+        tokio::time::sleep(Duration::from_millis(LEAVE_NOTICE_MS)).await;
+        state.gate.close();
+        let callers_gone = started.plus_ms(CALLERS_LEAVE_MS.min(grace_ms / 2));
+        tokio::time::sleep(state.clock.until(callers_gone)).await;
+        let close_at = started.plus_ms(grace_ms.saturating_sub(CLOSE_MARGIN_MS));
+        // The own target needs this node for its calls as long as it works on anything.
+        let idle = tokio::time::timeout(state.clock.until(close_at), state.gate.wait_until_idle()).await;
+        state.phase.send_replace(Phase::Closing);
+        // Receivers are gone only when the listener's task ended already.
+        let _ = self.stopping.send(true);
+        let end_at = started.plus_ms(grace_ms.saturating_sub(END_MARGIN_MS));
+        let closed = tokio::time::timeout(state.clock.until(end_at), self.wait_until_closed()).await;
+        let line = Line::new("stopped")
+            .flag("target_idle", idle.is_ok())
+            .flag("callers_closed", closed.is_ok())
+            .number("took_ms", state.now().ms_since(started));
+        state.log(line);
+        state.journal.flush(state.now());
+        self.tasks.shutdown().await;
+    }
+
+    async fn wait_until_closed(&self) {
+        while self.places.available_permits() < self.caller_connections {
+            tokio::time::sleep(Duration::from_millis(CLOSED_POLL_MS)).await;
+        }
+    }
+}
+
+async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen(what.to_owned(), address, error))
+}
+
+/// The idle time holds for heads, too: `hyper` has one timer for both, and a connection that closed while
+/// a request was on its way would lose it.
+fn caller_limits(state: &MeshState) -> ListenerLimits {
+    let limits = state.config().map(|config| config.limits()).unwrap_or_default();
+    let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+    ListenerLimits { max_header_bytes: limits.max_header_bytes, head_timeout_ms }
+}
+
+fn build_state(settings: MeshSettings, options: &MeshOptions) -> MeshState {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let clock = BootClock;
+    let metrics: Arc<Metrics> = Arc::default();
+    let gate = Gate::new(
+        clock,
+        settings.target_address,
+        Arc::clone(&options.wire),
+        options.journal.clone(),
+        Arc::clone(&metrics),
+    );
+    MeshState {
+        own: VmId(rng.random()),
+        settings: RwLock::new(Arc::new(settings)),
+        clock,
+        wire: Arc::clone(&options.wire),
+        codec: Arc::clone(&options.codec),
+        config: RwLock::new(ConfigInForce::default()),
+        freshness: Mutex::new(Freshness::default()),
+        gate: Arc::new(gate),
+        placement: Mutex::new(Placement::default()),
+        resend_budgets: Mutex::new(RetryBudgets::default()),
+        rerun_budgets: Mutex::new(RetryBudgets::default()),
+        tokens: Mutex::new(TokenPool::default()),
+        peers: Mutex::new(Peers::default()),
+        links: LinkPool::default(),
+        rng: Mutex::new(rng),
+        journal: options.journal.clone(),
+        metrics,
+        phase: watch::Sender::new(Phase::Serving),
+        status_due: Notify::new(),
+    }
+}
+
+async fn run_chores(state: Arc<MeshState>, settings_path: Option<PathBuf>) {
+    let mut modified = settings_path.as_ref().and_then(modified_at);
+    let mut chores = 0_u32;
+    loop {
+        tokio::time::sleep(Duration::from_millis(CHORE_PAUSE_MS)).await;
+        state.journal.flush(state.now());
+        state.gate.expire();
+        chores = chores.wrapping_add(1);
+        if chores.is_multiple_of(CHORES_PER_LOOK)
+            && let Some(path) = &settings_path
+        {
+            let seen = modified_at(path);
+            if seen != modified {
+                modified = seen;
+                reload_settings(&state, path);
+            }
+        }
+    }
+}
+
+fn modified_at(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// Puts changed settings in force. Addresses of open listeners stay until the next start.
+fn reload_settings(state: &MeshState, path: &PathBuf) {
+    match MeshSettings::load(path) {
+        Ok(settings) => {
+            let mut in_force = state.settings.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let changed = **in_force != settings;
+            // Who started first does not change while the process runs.
+            let first_start = in_force.first_start;
+            *in_force = Arc::new(MeshSettings { first_start, ..settings });
+            drop(in_force);
+            state.log(Line::new("settings_reloaded").flag("changed", changed));
+        }
+        Err(error) => state.log(Line::new("settings_rejected").text("detail", error)),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer.rs
@@ -0,0 +1,88 @@
+//! Streams that other nodes open.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmartrestle_transport::{
+    PeerError, StreamHandler, encode, encode_head, lost, receive_head, send_data, send_head_and_body, whole_stream,
+};
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+
+use crate::running::RunHead;
+use crate::state::MeshState;
+use crate::status::{ConfigCopy, TokenRequest};
+use crate::tokens::give_tokens;
+
+/// Path of streams that carry a request.
+pub const RUN_PATH: &str = "/run";
+
+/// Path of streams that ask for tokens.
+pub const TOKENS_PATH: &str = "/tokens";
+
+/// Path of streams that ask for the configuration.
+pub const CONFIG_PATH: &str = "/config";
+
+/// Longest question, in bytes: a tenant's name with room to spare.
+const MAX_QUESTION_BYTES: usize = 4_096;
+
+/// Answers the streams of other nodes.
+pub struct PeerStreams {
+    state: Arc<MeshState>,
+}
+
+impl PeerStreams {
+    /// Returns the handler of one node.
+    pub fn new(state: Arc<MeshState>) -> Self {
+        Self { state }
+    }
+
+    /// Runs a request until it is answered or the other node resets the stream, which cancels it.
+    async fn run(&self, body: RecvStream, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+        let (head, body) = receive_head::<RunHead>(body).await?;
+        let (answer, body) = tokio::select! {
+            answered = self.state.gate.run(head, body) => answered,
+            _ = poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
+        };
+        let head = encode_head(&answer)?;
+        let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
+        send_head_and_body(&mut stream, head, body).await
+    }
+
+    async fn tokens(&self, body: RecvStream, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+        let body = Limited::new(whole_stream(body), MAX_QUESTION_BYTES).collect().await;
+        let bytes = body.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
+        let request: TokenRequest = fulmartrestle_transport::decode_exact(&bytes)?;
+        answer(respond, &give_tokens(&self.state, &request)).await
+    }
+}
+
+#[async_trait]
+impl StreamHandler for PeerStreams {
+    async fn handle(&self, request: Request<RecvStream>, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+        match request.uri().path() {
+            RUN_PATH => self.run(request.into_body(), respond).await,
+            TOKENS_PATH => self.tokens(request.into_body(), respond).await,
+            CONFIG_PATH => {
+                let bytes = self.state.config_bytes();
+                answer(respond, &ConfigCopy { bytes: bytes.as_ref().clone() }).await
+            }
+            _ => {
+                let mut response = Response::new(());
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                respond.send_response(response, true).map(|_| ()).map_err(lost)
+            }
+        }
+    }
+}
+
+async fn answer(respond: &mut SendResponse<Bytes>, value: &impl Serialize) -> Result<(), PeerError> {
+    let bytes = Bytes::from(encode(value)?);
+    let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
+    send_data(&mut stream, bytes, true).await
+}
--- /dev/null
+++ b/crates/mesh/src/status_io.rs
@@ -0,0 +1,167 @@
+//! Sending and receiving status messages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fulmartrestle_core::{TimeUs, Version};
+use fulmartrestle_policy::{BasisPoints, RetryBudgetSettings};
+use fulmartrestle_transport::{decode_exact, encode};
+use tokio::net::UdpSocket;
+
+use crate::config_follow::apply_config;
+use crate::journal::Line;
+use crate::peer::CONFIG_PATH;
+use crate::state::{MeshState, Phase, lock};
+use crate::status::{ConfigCopy, Status};
+
+/// Pause between status messages, in milliseconds.
+const STATUS_PAUSE_MS: u64 = 1_000;
+
+/// Shortest pause between two rounds of messages that changes ask for, in milliseconds.
+const LEAST_PAUSE_MS: u64 = 40;
+
+/// Longest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 2_048;
+
+/// Longest configuration that is taken from another node, in bytes; the store's own limit for a record
+/// is below it.
+const MAX_CONFIG_BYTES: usize = 4 << 20;
+
+/// Share of the operator's ratio of repetitions that is used for requests that no target ran. The rest
+/// is room for nodes that count differently and for repetitions below a repeated request.
+const RESEND_SHARE: f64 = 0.4;
+
+/// Share of the ratio for requests that may have run: each repeats all calls below it.
+const RERUN_SHARE: f64 = 0.05;
+
+/// Share of the operator's slack that all nodes together may use at once.
+const SLACK_SHARE: f64 = 0.5;
+
+/// Sends this node's status until the task is aborted.
+pub async fn send_status(state: Arc<MeshState>, socket: Arc<UdpSocket>) {
+    loop {
+        let now = state.now();
+        report_own(&state, now);
+        let peers: Vec<_> = lock(&state.peers).addresses();
+        for address in peers {
+            send(&state, &socket, address).await;
+        }
+        share_bounds(&state, now);
+        let pause = Duration::from_millis(STATUS_PAUSE_MS);
+        if tokio::time::timeout(pause, state.status_due.notified()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(LEAST_PAUSE_MS)).await;
+        }
+    }
+}
+
+/// Receives the status of other nodes until the task is aborted.
+pub async fn receive_status(state: Arc<MeshState>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; MAX_MESSAGE_BYTES];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                state.log(Line::new("status_not_received").text("detail", error));
+                tokio::time::sleep(Duration::from_millis(LEAST_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        match decode_exact::<Status>(&buffer[..length]) {
+            Ok(status) => take(&state, status),
+            Err(error) => state.log(Line::new("status_unreadable").text("peer", sender).text("detail", error)),
+        }
+    }
+}
+
+/// Keeps the own target among those that can be chosen.
+fn report_own(state: &MeshState, now: TimeUs) {
+    let zone = state.settings().availability_zone.clone();
+    lock(&state.placement).report(state.own, &zone, state.gate.report(), now);
+}
+
+async fn send(state: &MeshState, socket: &UdpSocket, address: SocketAddr) {
+    let now = state.now();
+    let settings = state.settings();
+    let status = Status {
+        node: state.own,
+        address: settings.peer_address,
+        zone: settings.availability_zone.clone(),
+        leaving: *state.phase.borrow() != Phase::Serving,
+        target: state.gate.report(),
+        version: state.config().map_or(Version(0), |config| config.version()),
+        config_age_ms: state.config_age_ms(now),
+        stamp_us: now.0,
+        echo_us: lock(&state.peers).get(&address).map(|peer| peer.stamp_us).filter(|stamp| *stamp > 0),
+    };
+    let sent = match encode(&status) {
+        Ok(message) => socket.send_to(&message, address).await.map(|_| ()),
+        Err(error) => return state.log(Line::new("status_not_sent").text("detail", error)),
+    };
+    if let Err(error) = sent {
+        state.log(Line::new("status_not_sent").text("peer", address).text("detail", error));
+    }
+}
+
+fn take(state: &Arc<MeshState>, status: Status) {
+    let now = state.now();
+    let own_version = state.config().map_or(Version(0), |config| config.version());
+    let (replaced, is_new) = {
+        let mut peers = lock(&state.peers);
+        let is_new = peers.get(&status.address).is_none_or(|peer| peer.node != Some(status.node));
+        let replaced = peers.heard(status.address, status.node, status.stamp_us, status.version, now);
+        (replaced, is_new)
+    };
+    {
+        let mut placement = lock(&state.placement);
+        if let Some(replaced) = replaced {
+            placement.remove(replaced);
+        }
+        let target = status.target.filter(|_| !status.leaving);
+        placement.report(status.node, &status.zone, target, now);
+    }
+    if is_new {
+        state.log(Line::new("peer_heard").text("peer", status.address).text("node", status.node));
+        state.status_due.notify_one();
+    }
+    if let (Some(echo_us), Some(age_ms)) = (status.echo_us, status.config_age_ms) {
+        lock(&state.freshness).heard(TimeUs(echo_us), age_ms, status.version, own_version);
+    }
+    if status.version > own_version {
+        tokio::spawn(fetch_config(Arc::clone(state), status.address));
+    }
+}
+
+/// Takes over a newer configuration from another node, for nodes that don't reach the store.
+async fn fetch_config(state: Arc<MeshState>, address: SocketAddr) {
+    let asked = async {
+        let link = state.links.link(address).await?;
+        link.ask::<ConfigCopy>(CONFIG_PATH, Bytes::new(), MAX_CONFIG_BYTES).await
+    };
+    match tokio::time::timeout(Duration::from_millis(STATUS_PAUSE_MS), asked).await {
+        Ok(Ok(copy)) if !copy.bytes.is_empty() => {
+            apply_config(&state, &copy.bytes, "peer");
+        }
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => state.log(Line::new("config_not_fetched").text("peer", address).text("detail", error)),
+        Err(_) => state.log(Line::new("config_not_fetched").text("peer", address).text("detail", "no answer in time")),
+    }
+}
+
+/// Splits what holds for the whole fleet among the nodes that are known.
+fn share_bounds(state: &MeshState, now: TimeUs) {
+    let sharers = lock(&state.peers).sharers(now);
+    lock(&state.tokens).set_nodes(sharers, now);
+    let bounds = state.settings().bounds;
+    let burst = (bounds.retry_slack * SLACK_SHARE / sharers.max(1) as f64).max(1.0) as u64;
+    let settings = |share: f64, burst| {
+        RetryBudgetSettings::default()
+            .success_share(BasisPoints::from_fraction(bounds.retry_ratio * share))
+            .burst(burst)
+            .trickle_per_s(0)
+    };
+    lock(&state.resend_budgets).set_settings(settings(RESEND_SHARE, burst));
+    lock(&state.rerun_budgets).set_settings(settings(RERUN_SHARE, 1));
+    state.metrics.gauge("sharers", sharers as u64);
+}
--- a/crates/node/src/burn.rs
+++ b/crates/node/src/burn.rs
@@ -32,7 +32,12 @@
 /// Records a request that was refused. Requests that the caller got wrong count for nobody.
 pub fn record_refusal(state: &NodeState, entry: &BurnEntry, refusal: &Refusal) {
     let result = match refusal.reason {
-        Reason::BadRequest | Reason::Unauthorized | Reason::Forbidden | Reason::NoRoute | Reason::Cancelled => return,
+        Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::Unauthorized
+        | Reason::Forbidden
+        | Reason::NoRoute
+        | Reason::Cancelled => return,
         Reason::OverRate => BurnResult::OverRate,
         Reason::Shed => BurnResult::Shed,
         Reason::Deadline => BurnResult::Late,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
 use crate::admin::{AdminState, serve_admin};
@@ -132,9 +132,9 @@
         let limits = ListenerLimits {
             max_header_bytes: state.settings.limits.max_header_bytes,
             head_timeout_ms: state.settings.limits.head_timeout_ms,
-            max_connections: state.settings.limits.max_connections,
         };
-        tasks.spawn(serve_callers(listeners.callers, Arc::clone(&service) as _, limits, stopped));
+        let places = Arc::new(Semaphore::new(state.settings.limits.max_connections));
+        tasks.spawn(serve_callers(listeners.callers, Arc::clone(&service) as _, move || limits, places, stopped));
         tasks.spawn(serve_peers(listeners.peers, service));
         tasks.spawn(receive_datagrams(Arc::clone(&state), Arc::clone(&listeners.datagrams)));
         tasks.spawn(run_ticks(Arc::clone(&state), listeners.datagrams));
--- a/crates/platform-log/src/entry.rs
+++ b/crates/platform-log/src/entry.rs
@@ -10,6 +10,4 @@
     pub offset: LogOffset,
     /// The bytes that were appended.
     pub payload: Vec<u8>,
-    /// When the platform took the record, in milliseconds since the Unix epoch by its own clock.
-    pub wall_ms: u64,
 }
--- a/crates/platform-log/src/log.rs
+++ b/crates/platform-log/src/log.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use fulmartrestle_core::LogOffset;
 
-use crate::{LogError, ReadPage, StreamName};
+use crate::{LogError, NewestPage, ReadPage, StreamName};
 
 /// An append-only log with offsets. The records of one stream are in one order for all readers.
 #[async_trait]
@@ -24,4 +24,25 @@
     /// lies beyond the stream's end, [`LogError::Unavailable`] or [`LogError::AnswerLost`] when the log is
     /// out of reach.
     async fn read(&self, stream: &StreamName, from: LogOffset, max_records: usize) -> Result<ReadPage, LogError>;
+
+    /// Reads like [`PlatformLog::read`], but waits up to `wait_ms` milliseconds for a record when there is
+    /// none yet. An answer without records proves the stream's end as of the call's start only.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformLog::read`].
+    async fn read_waiting(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<ReadPage, LogError>;
+
+    /// Returns the newest record of each key of a keyed stream.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformLog::read`].
+    async fn newest(&self, stream: &StreamName) -> Result<NewestPage, LogError>;
 }
--- a/crates/platform-log/src/memory.rs
+++ b/crates/platform-log/src/memory.rs
@@ -6,14 +6,17 @@
 
 use async_trait::async_trait;
 use fulmartrestle_core::LogOffset;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::stream::Stream;
-use crate::{LogError, LogFaults, LogStats, PlatformLog, ReadPage, StreamName};
+use crate::{LogError, LogFaults, LogStats, NewestPage, PlatformLog, ReadPage, StreamName};
 
 /// A log in memory that fails on demand.
 #[derive(Debug, Default)]
 pub struct MemoryLog {
     state: Mutex<State>,
+    appended: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +102,15 @@
         self.stream(stream, wall_ms).read(from, max)
     }
 
+    fn newest(&mut self, stream: &StreamName) -> Result<NewestPage, LogError> {
+        self.stats.reads += 1;
+        if self.faults.down {
+            return Err(LogError::Unavailable);
+        }
+        let empty = NewestPage { records: Vec::new(), end: LogOffset(0) };
+        Ok(self.streams.get(stream).map_or(empty, Stream::newest))
+    }
+
     /// Returns the stream, made when needed, without the records that have expired.
     fn stream(&mut self, stream: &StreamName, wall_ms: u64) -> &mut Stream {
         let retention_ms = self.faults.retention_ms;
@@ -115,6 +127,7 @@
     async fn append(&self, stream: &StreamName, records: Vec<Vec<u8>>) -> Result<LogOffset, LogError> {
         self.half_delay().await;
         let result = self.lock().append(stream, records, wall_ms());
+        self.appended.notify_waiters();
         self.half_delay().await;
         result
     }
@@ -125,6 +138,30 @@
         self.half_delay().await;
         result
     }
+
+    async fn read_waiting(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<ReadPage, LogError> {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let appended = self.appended.notified();
+            let page = self.read(stream, from, max_records).await?;
+            if !page.records.is_empty() || tokio::time::timeout_at(until, appended).await.is_err() {
+                return Ok(page);
+            }
+        }
+    }
+
+    async fn newest(&self, stream: &StreamName) -> Result<NewestPage, LogError> {
+        self.half_delay().await;
+        let result = self.lock().newest(stream);
+        self.half_delay().await;
+        result
+    }
 }
 
 fn wall_ms() -> u64 {
--- a/crates/platform-log/src/stream.rs
+++ b/crates/platform-log/src/stream.rs
@@ -1,16 +1,24 @@
 //! The records of one stream.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use fulmartrestle_core::LogOffset;
 
-use crate::{LogEntry, LogError, ReadPage};
+use crate::{KeyedRecord, LogEntry, LogError, NewestPage, ReadPage};
 
 /// One stream of the stand-in: the records that are held and where they begin.
 #[derive(Debug, Default)]
 pub(crate) struct Stream {
     first: u64,
-    entries: VecDeque<LogEntry>,
+    entries: VecDeque<StoredEntry>,
+    newest: BTreeMap<String, KeyedRecord>,
+}
+
+/// A record with the time at which it was taken, in milliseconds since the Unix epoch.
+#[derive(Debug)]
+struct StoredEntry {
+    entry: LogEntry,
+    wall_ms: u64,
 }
 
 impl Stream {
@@ -23,8 +31,11 @@
         let begin = self.end();
         let offsets = begin..;
         let entries = offsets.zip(records);
-        let entries = entries.map(|(offset, payload)| LogEntry { offset: LogOffset(offset), payload, wall_ms });
-        self.entries.extend(entries);
+        for (offset, payload) in entries {
+            let entry = LogEntry { offset: LogOffset(offset), payload };
+            self.note_newest(&entry);
+            self.entries.push_back(StoredEntry { entry, wall_ms });
+        }
         LogOffset(begin)
     }
 
@@ -38,11 +49,26 @@
             return Err(LogError::BadRequest(reason));
         }
         let skipped = (from.0 - self.first) as usize;
-        let records: Vec<_> = self.entries.iter().skip(skipped).take(max_records).cloned().collect();
+        let records: Vec<_> =
+            self.entries.iter().skip(skipped).take(max_records).map(|stored| stored.entry.clone()).collect();
         let next = LogOffset(from.0 + records.len() as u64);
         Ok(ReadPage { records, next, end: LogOffset(self.end()), first: LogOffset(self.first) })
     }
 
+    /// Returns the newest record of each key, also of keys whose records were dropped.
+    pub(crate) fn newest(&self) -> NewestPage {
+        NewestPage { records: self.newest.values().cloned().collect(), end: LogOffset(self.end()) }
+    }
+
+    fn note_newest(&mut self, entry: &LogEntry) {
+        let Some(record) = KeyedRecord::decode(entry) else { return };
+        if record.value.is_empty() {
+            self.newest.remove(&record.key);
+        } else {
+            self.newest.insert(record.key.clone(), record);
+        }
+    }
+
     /// Drops the records before `before`.
     pub(crate) fn trim_before(&mut self, before: LogOffset) {
         while self.first < before.0 && self.entries.pop_front().is_some() {
@@ -52,7 +78,7 @@
 
     /// Drops the records that are older than `retention_ms`.
     pub(crate) fn expire(&mut self, retention_ms: u64, wall_ms: u64) {
-        let expired = |entry: &LogEntry| entry.wall_ms.saturating_add(retention_ms) < wall_ms;
+        let expired = |stored: &StoredEntry| stored.wall_ms.saturating_add(retention_ms) < wall_ms;
         while self.entries.front().is_some_and(expired) {
             self.entries.pop_front();
             self.first += 1;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,10 @@
 mod door;
 mod gate;
 mod level;
+mod placement;
+mod rank;
 mod retry;
+mod slot_queue;
 mod target;
 
 pub use crash::{CrashMark, CrashSettings, CrashTable, CrashVerdict};
@@ -18,8 +21,11 @@
 pub use level::{
     AdmissionLevel, BasisPoints, LevelReport, MAX_TENANT_SHARES, SheddableShares, TenantHash, TenantShares,
 };
+pub use placement::{Placement, TargetReport};
+pub use rank::Rank;
 pub use retry::{
     AttemptResult, FailedAttempt, Reservation, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryDecision,
     RetryQuestion, decide_retry,
 };
+pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use target::{CallEnd, ChooseRequest, EndResult, TargetRow, TargetSettings, TargetTable};
--- /dev/null
+++ b/crates/policy/src/rank.rs
@@ -0,0 +1,29 @@
+//! The order in which requests are served.
+
+use fulmartrestle_core::number_newtype;
+
+number_newtype!(
+    /// Urgency of a request; the smallest number goes first. The operator's priority is the upper part,
+    /// so that no lower part outweighs it. See `docs/ADMISSION.md`.
+    Rank,
+    u32,
+    "rank"
+);
+
+/// Bits below the priorities, in which requests of one priority are spread.
+const SPREAD_BITS: u32 = 8;
+
+impl Rank {
+    /// Calls of requests that run already. Refusing one wastes all the work above it.
+    pub const STARTED: Self = Self(0);
+
+    /// Returns the rank of a new request. `tenant` is the tenant's own priority, which goes before the
+    /// route's; the route's orders requests of one tenant priority.
+    pub const fn of_request(tenant: Option<u8>, route: u8) -> Self {
+        let first = match tenant {
+            Some(tenant) => tenant,
+            None => route,
+        };
+        Self(1 + ((first as u32) << SPREAD_BITS | route as u32))
+    }
+}
--- a/crates/policy/src/retry/budgets.rs
+++ b/crates/policy/src/retry/budgets.rs
@@ -69,6 +69,11 @@
         Self { settings, rows: HashMap::new() }
     }
 
+    /// Replaces the settings; what was saved up beyond the new burst is lost.
+    pub fn set_settings(&mut self, settings: RetryBudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Earns a part of a retry.
     pub fn on_success(&mut self, service: &Service, now: TimeUs) {
         let earned = u64::from(self.settings.success_share.0);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -22,6 +22,7 @@
 mod share;
 mod share_table;
 mod tenant_loans;
+mod token_pool;
 
 pub use config::{QuotaConfig, TenantRate};
 pub use decision::RateDecision;
@@ -31,3 +32,4 @@
 pub use settings::QuotaSettings;
 pub use shard::{QuotaShard, SHARD_COUNT};
 pub use share::ZoneShare;
+pub use token_pool::{Taken, TokenPool};
--- a/crates/node/src/http/listener.rs
+++ b/crates/transport/src/callers.rs
@@ -13,7 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
-use super::CallerAnswer;
+use crate::{ByteBody, limit_silence};
+
+/// An answer on its way to a caller.
+pub type CallerAnswer = hyper::Response<ByteBody>;
 
 /// First bytes of an HTTP/2 connection with prior knowledge; no HTTP/1.1 method begins so.
 const H2_PREFACE_START: &[u8; 4] = b"PRI ";
@@ -21,6 +24,13 @@
 /// Pause between looks at a connection that has sent less than four bytes.
 const PEEK_PAUSE_MS: u64 = 5;
 
+/// Pause after a failed accept, in milliseconds: connections that close free descriptors.
+const ACCEPT_PAUSE_MS: u64 = 10;
+
+/// Time for a caller to take sent bytes, in milliseconds. Callers may read slowly, but not for longer than
+/// their usual deadlines.
+const CALLER_SILENCE_MS: u64 = 15_000;
+
 /// Streams that one h2c caller may have open.
 const MAX_STREAMS_PER_CALLER: u32 = 1_024;
 
@@ -35,10 +45,8 @@
 pub struct ListenerLimits {
     /// Longest head of a request, in bytes.
     pub max_header_bytes: usize,
-    /// Time to send a head, in milliseconds.
+    /// Time to send a head, in milliseconds. A connection may be idle for as long.
     pub head_timeout_ms: u64,
-    /// Connections at one time.
-    pub max_connections: usize,
 }
 
 /// Answers one request of a caller. Dropping the future means that the caller went away.
@@ -48,14 +56,16 @@
     async fn answer(&self, caller: SocketAddr, request: Request<Incoming>) -> CallerAnswer;
 }
 
-/// Accepts callers until `stopping` turns true, then lets open connections finish their requests.
+/// Accepts callers until `stopping` turns true, then lets open connections finish their requests. Each
+/// connection holds one of `places`; `limits` is asked for each of them, because a configuration may
+/// change them.
 pub async fn serve_callers(
     listener: TcpListener,
     service: Arc<dyn CallerService>,
-    limits: ListenerLimits,
+    limits: impl Fn() -> ListenerLimits + Send,
+    places: Arc<Semaphore>,
     mut stopping: watch::Receiver<bool>,
 ) {
-    let places = Arc::new(Semaphore::new(limits.max_connections));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -63,7 +73,7 @@
         };
         let Ok((tcp, caller)) = accepted else {
             // Out of descriptors: connections that close free some.
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             continue;
         };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
@@ -72,6 +82,7 @@
         };
         let service = Arc::clone(&service);
         let stopping = stopping.clone();
+        let limits = limits();
         tokio::spawn(async move {
             serve_connection(tcp, caller, service, limits, stopping).await;
             drop(place);
@@ -88,6 +99,9 @@
 ) {
     // Without it small answers wait for the delayed acknowledgement; failing to set it only costs time.
     let _ = tcp.set_nodelay(true);
+    if let Err(error) = limit_silence(&tcp, CALLER_SILENCE_MS) {
+        log::warn!("callers: can't bound the silence of a connection: {error}");
+    }
     let head_timeout = Duration::from_millis(limits.head_timeout_ms);
     let Ok(Ok(is_h2)) = tokio::time::timeout(head_timeout, starts_as_h2(&tcp)).await else {
         return;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform, send their calls over these links.
 
 mod body;
+mod callers;
 mod codec;
 mod error;
 mod header_pair;
@@ -15,6 +16,7 @@
 mod stream;
 
 pub use body::{BodyError, ByteBody, data_of, empty_body, incoming_body, whole_body};
+pub use callers::{CallerAnswer, CallerService, ListenerLimits, serve_callers};
 pub use codec::{HeadError, decode_exact, decode_head, encode, encode_head};
 pub use error::PeerError;
 pub use header_pair::{HeaderPair, headers_from_pairs, headers_to_pairs};
--- a/src/bin/fulmartrestle-standin-log.rs
+++ b/src/bin/fulmartrestle-standin-log.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use fulmartrestle_platform_log::{DaemonArgs, LogFaults, run_daemon};
+use fulmartrestle_platform::{DaemonArgs, run_daemon};
+use fulmartrestle_platform_log::LogFaults;
 
 /// Serve an append-only log from memory, for tests. Its faults are set with `POST /faults`.
 #[derive(FromArgs)]
--- a/src/bin/fulmartrestled.rs
+++ b/src/bin/fulmartrestled.rs
@@ -10,7 +10,7 @@
 use argh::FromArgs;
 use fulmartrestle_config::Settings;
 use fulmartrestle_node::{Node, NodeHandle, NodeOptions, init_logging};
-use fulmartrestle_platform_log::HttpLog;
+use fulmartrestle_platform::StoreClient;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for wrong settings or arguments.
@@ -47,7 +47,7 @@
 }
 
 async fn run(settings: Settings) -> ExitCode {
-    let log = match HttpLog::new(&settings.log_url) {
+    let log = match StoreClient::new(&settings.log_url) {
         Ok(log) => log,
         Err(error) => return fail(EXIT_SETTINGS, &error),
     };
