Full targets stay usable, and a stopping node's target works on while callers leave

Cause: two of three verifier nodes restarted at once; the third was avoided for 40 ms after each refusal, so that requests ended with no target, unseen by its demand meter, and the door stayed open. The gate of a stopping node closed 0.4 s after the signal though callers came for two seconds more.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -66,6 +66,7 @@
     slots: SlotQueue,
     waiting: HashMap<CallId, oneshot::Sender<Result<(), Refusal>>>,
     next_call: u64,
+    closing: bool,
     closed: bool,
     parents: RunningParents,
     demand: DemandMeter,
@@ -91,6 +92,7 @@
             slots: SlotQueue::new(UNKNOWN_SLOTS),
             waiting: HashMap::new(),
             next_call: 0,
+            closing: false,
             closed: false,
             parents: RunningParents::default(),
             demand: DemandMeter::default(),
@@ -136,7 +138,12 @@
         self.journal.write(Line::new("target_withdrawn").text("instance", instance), now);
     }
 
-    /// Takes no calls of other nodes from now on, because this node stops.
+    /// Asks other nodes to turn away, because this node stops; calls on their way are still taken.
+    pub fn announce_close(&self) {
+        lock(&self.table).closing = true;
+    }
+
+    /// Takes no calls from now on, because this node stops.
     pub fn close(&self) {
         lock(&self.table).closed = true;
     }
@@ -450,7 +457,7 @@
     Some(TargetReport {
         service: known.service.clone(),
         instance: known.instance.clone(),
-        ready: !table.closed && table.target.usable(now).is_some(),
+        ready: !table.closing && table.target.usable(now).is_some(),
         limit: load.limit,
         running: load.running,
         waiting: load.waiting,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 
-use fulmartrestle_core::VmId;
+use fulmartrestle_core::{TimeUs, VmId};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
 use fulmartrestle_policy::{CapacityDoor, Placement, RetryBudgets};
 use fulmartrestle_quota::TokenPool;
@@ -56,8 +56,13 @@
 /// Least number of callers' connections, for processes with few descriptors.
 const MIN_CALLER_CONNECTIONS: usize = 64;
 
-/// Time in which the other nodes hear that this one leaves, in milliseconds: one message and some delay.
-const LEAVE_NOTICE_MS: u64 = 400;
+/// Time in which the other nodes hear that this one takes no more requests, in milliseconds: one message
+/// and some delay.
+const LEAVE_NOTICE_MS: u64 = 300;
+
+/// Time before callers are gone at which other nodes turn away, in milliseconds. Until then the target
+/// works on, because a planned stop need not cost its capacity for longer than the running requests take.
+const GATE_CLOSES_EARLY_MS: u64 = 1_100;
 
 /// Time in which the platform sends callers elsewhere, in milliseconds: it asks once a second, and twice
 /// before it acts.
@@ -180,9 +185,13 @@
         state.log(Line::new("stopping").number("grace_ms", grace_ms));
         state.phase.send_replace(Phase::Leaving);
         state.status_due.notify_one();
+        let callers_gone = started.plus_ms(CALLERS_LEAVE_MS.min(grace_ms / 2));
+        let notice_us = GATE_CLOSES_EARLY_MS * 1_000;
+        tokio::time::sleep(state.clock.until(TimeUs(callers_gone.0.saturating_sub(notice_us)))).await;
+        state.gate.announce_close();
+        state.status_due.notify_one();
         tokio::time::sleep(Duration::from_millis(LEAVE_NOTICE_MS)).await;
         state.gate.close();
-        let callers_gone = started.plus_ms(CALLERS_LEAVE_MS.min(grace_ms / 2));
         tokio::time::sleep(state.clock.until(callers_gone)).await;
         let close_at = started.plus_ms(grace_ms.saturating_sub(CLOSE_MARGIN_MS));
         // The own target needs this node for its calls as long as it works on anything.
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -17,8 +17,6 @@
     pub address: SocketAddr,
     /// The zone that it is in.
     pub zone: AvailabilityZone,
-    /// Whether it is stopping.
-    pub leaving: bool,
     /// Its target.
     pub target: GateLoad,
     /// What is asked of its target.
--- a/crates/mesh/src/status_io.rs
+++ b/crates/mesh/src/status_io.rs
@@ -13,7 +13,7 @@
 use crate::config_follow::apply_config;
 use crate::journal::Line;
 use crate::peer::CONFIG_PATH;
-use crate::state::{MeshState, Phase, lock};
+use crate::state::{MeshState, lock};
 use crate::status::{ConfigCopy, Status};
 
 /// Pause between status messages, in milliseconds.
@@ -79,7 +79,8 @@
 fn report_own(state: &MeshState, now: TimeUs) {
     let zone = state.settings().availability_zone.clone();
     lock(&state.placement).report(state.own, &zone, state.gate.report(), now);
-    lock(&state.door).report(state.own, state.gate.demand(), now);
+    let takes_calls = state.gate.report().is_some_and(|target| target.ready);
+    lock(&state.door).report(state.own, state.gate.demand().filter(|_| takes_calls), now);
 }
 
 async fn send(state: &MeshState, socket: &UdpSocket, address: SocketAddr) {
@@ -89,7 +90,6 @@
         node: state.own,
         address: settings.peer_address,
         zone: settings.availability_zone.clone(),
-        leaving: *state.phase.borrow() != Phase::Serving,
         target: state.gate.report(),
         demand: state.gate.demand(),
         version: state.config().map_or(Version(0), |config| config.version()),
@@ -120,15 +120,15 @@
         if let Some(replaced) = replaced {
             placement.remove(replaced);
         }
-        let target = status.target.filter(|_| !status.leaving);
-        placement.report(status.node, &status.zone, target, now);
+        placement.report(status.node, &status.zone, status.target.clone(), now);
     }
     {
         let mut door = lock(&state.door);
         if let Some(replaced) = replaced {
             door.remove(replaced);
         }
-        door.report(status.node, status.demand.filter(|_| !status.leaving), now);
+        let takes_calls = status.target.as_ref().is_some_and(|target| target.ready);
+        door.report(status.node, status.demand.filter(|_| takes_calls), now);
     }
     if is_new {
         state.log(Line::new("peer_heard").text("peer", status.address).text("node", status.node));
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -30,9 +30,13 @@
 const MIN_BACKOFF_MS: u64 = 150;
 const MAX_BACKOFF_MS: u64 = 2_000;
 
-/// A pause of a target that refused a call for lack of room, in milliseconds.
+/// Time for which a target that refused a call for lack of room is chosen only for want of others, in
+/// milliseconds. It stays usable: a gate that is not asked can't tell how much is asked of it.
 const REFUSED_PAUSE_MS: u64 = 40;
 
+/// Factor of the wait at a target that refused a call a moment ago.
+const REFUSED_FACTOR: f64 = 3.0;
+
 /// Draws for one choice among many targets.
 const MAX_DRAWS: usize = 8;
 
@@ -65,6 +69,7 @@
     heard: TimeUs,
     failures: u32,
     avoided_until: TimeUs,
+    refused_until: TimeUs,
 }
 
 /// Targets of all services as this node knows them.
@@ -91,8 +96,15 @@
             _ => {
                 self.remove(node);
                 self.services.entry(report.service.clone()).or_default().push(node);
-                let row =
-                    Row { zone: zone.clone(), report, sent_since: 0, heard: now, failures: 0, avoided_until: now };
+                let row = Row {
+                    zone: zone.clone(),
+                    report,
+                    sent_since: 0,
+                    heard: now,
+                    failures: 0,
+                    avoided_until: now,
+                    refused_until: now,
+                };
                 self.rows.insert(node, row);
             }
         }
@@ -119,15 +131,16 @@
         let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now);
         let (near, far): (Vec<VmId>, Vec<VmId>) =
             nodes.iter().copied().filter(usable).partition(|node| self.rows[node].zone == *own_zone);
-        let best_near = self.better_of_two(&near, rng);
+        let best_near = self.better_of_two(&near, rng, now);
         if let Some(node) = best_near
             && self.occupancy(node) < BUSY_LOAD
+            && now >= self.rows[&node].refused_until
         {
             return Some(node);
         }
-        let best_far = self.better_of_two(&far, rng);
+        let best_far = self.better_of_two(&far, rng, now);
         match (best_near, best_far) {
-            (Some(near), Some(far)) if self.wait_us(far) * SPILL_FACTOR < self.wait_us(near) => Some(far),
+            (Some(near), Some(far)) if self.wait_us(far, now) * SPILL_FACTOR < self.wait_us(near, now) => Some(far),
             (near, far) => near.or(far),
         }
     }
@@ -161,7 +174,7 @@
     pub fn refused(&mut self, node: VmId, now: TimeUs) {
         if let Some(row) = self.rows.get_mut(&node) {
             row.heard = now;
-            row.avoided_until = row.avoided_until.max(now.plus_ms(REFUSED_PAUSE_MS));
+            row.refused_until = now.plus_ms(REFUSED_PAUSE_MS);
         }
     }
 
@@ -190,7 +203,7 @@
         f64::from(load) / f64::from(row.report.limit.max(1))
     }
 
-    fn wait_us(&self, node: VmId) -> f64 {
+    fn wait_us(&self, node: VmId, now: TimeUs) -> f64 {
         let row = &self.rows[&node];
         let service_us = self.hold_us.get(&row.report.service).copied().unwrap_or(INITIAL_HOLD_US);
         let hold_us = match row.report.hold_us {
@@ -198,15 +211,16 @@
             0 => service_us,
             hold_us => f64::from(hold_us),
         };
-        hold_us * (self.occupancy(node) + f64::from(row.report.limit.max(1)).recip())
+        let factor = if now < row.refused_until { REFUSED_FACTOR } else { 1.0 };
+        factor * hold_us * (self.occupancy(node) + f64::from(row.report.limit.max(1)).recip())
     }
 
-    fn better_of_two(&self, nodes: &[VmId], rng: &mut impl Rng) -> Option<VmId> {
+    fn better_of_two(&self, nodes: &[VmId], rng: &mut impl Rng, now: TimeUs) -> Option<VmId> {
         let first = *nodes.get(rng.random_range(0..nodes.len().max(1)))?;
         for _ in 0..MAX_DRAWS {
             let second = nodes[rng.random_range(0..nodes.len())];
             if second != first {
-                return Some(if self.wait_us(second) < self.wait_us(first) { second } else { first });
+                return Some(if self.wait_us(second, now) < self.wait_us(first, now) { second } else { first });
             }
         }
         Some(first)
