--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -37,9 +37,6 @@
 /// Factor of the wait at a target that refused a call a moment ago.
 const REFUSED_FACTOR: f64 = 3.0;
 
-/// Draws for one choice among many targets.
-const MAX_DRAWS: usize = 8;
-
 /// A target as its node reports it.
 #[record]
 pub struct TargetReport {
@@ -216,13 +213,12 @@
     }
 
     fn better_of_two(&self, nodes: &[VmId], rng: &mut impl Rng, now: TimeUs) -> Option<VmId> {
-        let first = *nodes.get(rng.random_range(0..nodes.len().max(1)))?;
-        for _ in 0..MAX_DRAWS {
-            let second = nodes[rng.random_range(0..nodes.len())];
-            if second != first {
-                return Some(if self.wait_us(second, now) < self.wait_us(first, now) { second } else { first });
-            }
+        if nodes.len() < 2 {
+            return nodes.first().copied();
         }
-        Some(first)
+        let place = rng.random_range(0..nodes.len());
+        let step = rng.random_range(1..nodes.len());
+        let (first, second) = (nodes[place], nodes[(place + step) % nodes.len()]);
+        Some(if self.wait_us(second, now) < self.wait_us(first, now) { second } else { first })
     }
 }
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,114 @@
+//! The choice among targets whose nodes report their load.
+
+use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
+use fulmartrestle_policy::{Placement, TargetReport};
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const NOW: TimeUs = TimeUs::from_ms(10_000);
+
+fn service() -> Service {
+    "deep".parse().expect("a valid name")
+}
+
+fn zone(name: &str) -> AvailabilityZone {
+    name.parse().expect("a valid name")
+}
+
+fn report(running: u32, hold_us: u32) -> TargetReport {
+    TargetReport {
+        service: service(),
+        instance: "one".to_owned(),
+        ready: true,
+        limit: 10,
+        running,
+        waiting: 0,
+        hold_us,
+        cold: false,
+    }
+}
+
+/// Returns how often each of two targets is chosen in 1,000 choices from zone `near`.
+fn chosen(placement: &Placement) -> [u32; 2] {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = [0; 2];
+    for _ in 0..1_000 {
+        if let Some(node) = placement.choose(&service(), &zone("near"), &[], &mut rng, NOW) {
+            counts[node.0 as usize] += 1;
+        }
+    }
+    counts
+}
+
+#[gtest]
+fn calls_go_where_the_wait_is_short() {
+    struct Case {
+        name: &'static str,
+        zones: [&'static str; 2],
+        reports: [TargetReport; 2],
+        chosen: [u32; 2],
+    }
+    let not_ready = TargetReport { ready: false, ..report(0, 20_000) };
+    let cases = [
+        Case {
+            name: "own zone while it has room",
+            zones: ["near", "far"],
+            reports: [report(6, 20_000), report(0, 20_000)],
+            chosen: [1_000, 0],
+        },
+        Case {
+            name: "another zone when the own is full",
+            zones: ["near", "far"],
+            reports: [report(10, 20_000), report(2, 20_000)],
+            chosen: [0, 1_000],
+        },
+        Case {
+            name: "the faster of two",
+            zones: ["near", "near"],
+            reports: [report(5, 40_000), report(5, 20_000)],
+            chosen: [0, 1_000],
+        },
+        Case {
+            name: "never one that is leaving",
+            zones: ["near", "far"],
+            reports: [not_ready, report(10, 20_000)],
+            chosen: [0, 1_000],
+        },
+    ];
+    for case in cases {
+        let mut placement = Placement::default();
+        for (node, report) in case.reports.into_iter().enumerate() {
+            placement.report(VmId(node as u64), &zone(case.zones[node]), Some(report), NOW);
+        }
+        expect_that!(chosen(&placement), eq(case.chosen), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_target_that_refused_is_still_asked_for_want_of_others() {
+    let mut placement = Placement::default();
+    placement.report(VmId(0), &zone("near"), Some(report(10, 20_000)), NOW);
+    placement.refused(VmId(0), NOW);
+    assert_that!(chosen(&placement), eq([1_000, 0]));
+}
+
+#[gtest]
+fn a_node_that_could_not_be_reached_is_tried_again_after_a_pause() {
+    let mut placement = Placement::default();
+    placement.report(VmId(0), &zone("near"), Some(report(0, 20_000)), NOW);
+    placement.failed(VmId(0), NOW);
+    assert_that!(chosen(&placement), eq([0, 0]));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let later = NOW.plus_ms(200);
+    assert_that!(placement.choose(&service(), &zone("near"), &[], &mut rng, later), some(eq(VmId(0))));
+}
+
+#[gtest]
+fn a_node_that_fell_silent_is_not_chosen() {
+    let mut placement = Placement::default();
+    placement.report(VmId(0), &zone("near"), Some(report(0, 20_000)), NOW);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let later = NOW.plus_ms(3_000);
+    assert_that!(placement.choose(&service(), &zone("near"), &[], &mut rng, later), none());
+}
--- /dev/null
+++ b/crates/quota/tests/token_pool.rs
@@ -0,0 +1,144 @@
+//! Tokens that nodes move between them.
+
+use fulmartrestle_core::{RatePerS, Tenant, TimeUs, Tokens};
+use fulmartrestle_quota::{Taken, TenantRate, TokenPool};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What the users' bounds allow beyond rate and burst, in tokens.
+const RAISED_TOKENS: f64 = 12.0;
+
+const MICRO: f64 = 1e6;
+
+fn tenant() -> Tenant {
+    "agency".parse().expect("a valid name")
+}
+
+fn rate(rate_per_s: u64, burst: u64) -> Vec<TenantRate> {
+    vec![TenantRate { tenant: tenant(), rate_per_s: RatePerS(rate_per_s), burst: Tokens(burst) }]
+}
+
+/// Nodes whose requests are drawn at random. Messages that move tokens are lost at times, and a cut keeps
+/// half of the nodes from the others.
+struct Fleet {
+    pools: Vec<TokenPool>,
+    rng: ChaCha8Rng,
+    lost_share: f64,
+    cut: bool,
+    granted: Vec<TimeUs>,
+}
+
+impl Fleet {
+    fn start(nodes: usize, rates: &[TenantRate], seed: u64, lost_share: f64) -> Self {
+        let mut pools: Vec<TokenPool> = (0..nodes).map(|_| TokenPool::default()).collect();
+        for pool in &mut pools {
+            pool.set_nodes(nodes, TimeUs(0));
+            pool.set_rates(rates, true, TimeUs(0));
+        }
+        Self { pools, rng: ChaCha8Rng::seed_from_u64(seed), lost_share, cut: false, granted: Vec::new() }
+    }
+
+    fn request(&mut self, node: usize, now: TimeUs) -> bool {
+        if self.pools[node].take(&tenant(), now) != Taken::Granted {
+            for _ in 0..3 {
+                self.ask(node, now);
+            }
+            if self.pools[node].take(&tenant(), now) != Taken::Granted {
+                return false;
+            }
+        }
+        self.granted.push(now);
+        true
+    }
+
+    fn ask(&mut self, node: usize, now: TimeUs) {
+        let other = self.rng.random_range(0..self.pools.len());
+        let half = self.pools.len() / 2;
+        if other == node || (self.cut && (other < half) != (node < half)) {
+            return;
+        }
+        // Rounded down, as on the wire.
+        let given = (self.pools[other].give(&tenant(), 1.0, now) * MICRO).floor() / MICRO;
+        if self.rng.random::<f64>() >= self.lost_share {
+            self.pools[node].receive(&tenant(), given, now);
+        }
+    }
+
+    /// Returns the most requests that were granted in any span of `span_ms`.
+    fn most_in(&self, span_ms: u64) -> usize {
+        let starts = self.granted.iter().enumerate();
+        let in_span = |(first, start): (usize, &TimeUs)| {
+            let end = start.plus_ms(span_ms);
+            self.granted[first..].iter().take_while(|at| **at < end).count()
+        };
+        starts.map(in_span).max().unwrap_or(0)
+    }
+}
+
+#[gtest]
+fn no_tenant_gets_more_than_its_rate_and_burst_whoever_is_cut_off() {
+    struct Case {
+        name: &'static str,
+        nodes: usize,
+        rate_per_s: u64,
+        burst: u64,
+        lost_share: f64,
+    }
+    let cases = [
+        Case { name: "large tenant", nodes: 13, rate_per_s: 60, burst: 60, lost_share: 0.0 },
+        Case { name: "small tenant", nodes: 13, rate_per_s: 4, burst: 4, lost_share: 0.0 },
+        Case { name: "many nodes", nodes: 83, rate_per_s: 24, burst: 24, lost_share: 0.0 },
+        Case { name: "lost messages", nodes: 13, rate_per_s: 60, burst: 60, lost_share: 0.3 },
+    ];
+    let span_ms = 5_000;
+    for case in cases {
+        for seed in 0..5 {
+            let mut fleet = Fleet::start(case.nodes, &rate(case.rate_per_s, case.burst), seed, case.lost_share);
+            for ms in 0..12_000 {
+                fleet.cut = (4_000..8_000).contains(&ms);
+                let node = fleet.rng.random_range(0..case.nodes);
+                fleet.request(node, TimeUs::from_ms(ms));
+            }
+            let allowed = case.rate_per_s as f64 * 5.0 + case.burst as f64 + RAISED_TOKENS;
+            expect_that!(fleet.most_in(span_ms) as f64, le(allowed + 1.0), "{} seed {seed}", case.name);
+        }
+    }
+}
+
+#[gtest]
+fn demand_at_one_node_finds_the_tokens_of_the_others() {
+    for nodes in [3, 13] {
+        let mut fleet = Fleet::start(nodes, &rate(60, 60), 1, 0.0);
+        let mut refused = 0;
+        // Half of the rate, all of it at one node.
+        for ms in (0..10_000).step_by(33) {
+            refused += u32::from(!fleet.request(0, TimeUs::from_ms(ms)));
+        }
+        expect_that!(refused, le(10), "{nodes} nodes");
+    }
+}
+
+#[gtest]
+fn a_node_that_starts_again_starts_with_nothing() {
+    let mut pool = TokenPool::default();
+    pool.set_nodes(1, TimeUs(0));
+    pool.set_rates(&rate(10, 10), false, TimeUs(0));
+    assert_that!(pool.take(&tenant(), TimeUs(0)), matches_pattern!(Taken::Short { retry_after_ms: eq(100) }));
+    assert_that!(pool.take(&tenant(), TimeUs::from_ms(150)), eq(Taken::Granted));
+}
+
+#[gtest]
+fn a_node_without_a_slice_earns_nothing() {
+    let mut pool = TokenPool::default();
+    pool.set_rates(&rate(10, 10), false, TimeUs(0));
+    let later = TimeUs::from_s(100);
+    assert_that!(pool.take(&tenant(), later), matches_pattern!(Taken::Short { .. }));
+}
+
+#[gtest]
+fn tenants_without_a_limit_are_never_short() {
+    let mut pool = TokenPool::default();
+    pool.set_rates(&rate(0, 0), false, TimeUs(0));
+    assert_that!(pool.take(&tenant(), TimeUs(0)), eq(Taken::Granted));
+}
