--- /dev/null
+++ b/crates/mesh/tests/routes.rs
@@ -0,0 +1,85 @@
+//! Looking up routes and tenants.
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::{RatePerS, Tokens, Version};
+use fulmartrestle_mesh::{ApiKey, Backend, CallerLimits, MeshConfig, Route, TenantRow};
+use googletest::prelude::*;
+
+fn route(id: &str, host: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+    let backend =
+        |(service, weight): &(&str, u32)| Backend { service: service.parse().expect("a valid name"), weight: *weight };
+    Route {
+        id: id.parse().expect("a valid name"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeatable: true,
+        backends: backends.iter().map(backend).collect(),
+        attempts: 2,
+        timeout_ms: None,
+        objective_ms: None,
+        priority: 1,
+        open: false,
+    }
+}
+
+fn config() -> MeshConfig {
+    let routes = vec![
+        route("all", "a.example", "/", &[("x", 1)]),
+        route("trips", "a.example", "/trips/", &[("x", 1)]),
+        route("lake", "a.example", "/trips/lake/", &[("x", 1)]),
+        route("other", "b.example", "/trips/", &[("x", 1)]),
+    ];
+    let tenant = TenantRow {
+        tenant: "agency".parse().expect("a valid name"),
+        keys: vec![ApiKey::new("one"), ApiKey::new("two")],
+        priority: None,
+        rate_per_s: RatePerS(1),
+        burst: Tokens(1),
+    };
+    MeshConfig::new(Version(1), CallerLimits::default(), routes, vec![tenant], HashMap::new())
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let cases = [
+        Case { host: "a.example", path: "/trips/lake/7", route: Some("lake") },
+        Case { host: "a.example", path: "/trips/lake", route: Some("trips") },
+        Case { host: "a.example", path: "/trips/lakes/7", route: Some("trips") },
+        Case { host: "a.example", path: "/tripsy", route: Some("all") },
+        Case { host: "b.example", path: "/trips/", route: Some("other") },
+        Case { host: "b.example", path: "/", route: None },
+        Case { host: "c.example", path: "/trips/", route: None },
+        Case { host: "a.example", path: "*", route: None },
+    ];
+    let config = config();
+    for case in cases {
+        let found = config.route(case.host, case.path).map(|route| route.id.as_str());
+        expect_that!(found, eq(case.route), "{}{}", case.host, case.path);
+    }
+}
+
+#[gtest]
+fn keys_lead_to_their_tenant_and_are_not_printed() {
+    let config = config();
+    let tenant = |key: &str| config.tenant(&ApiKey::new(key)).map(|row| row.tenant.as_str().to_owned());
+    assert_that!(tenant("two"), some(eq("agency")));
+    assert_that!(tenant("three"), none());
+    assert_that!(format!("{config:?}"), not(contains_substring("two")));
+}
+
+#[gtest]
+fn backends_share_requests_by_weight() {
+    let route = route("split", "a.example", "/", &[("x", 90), ("none", 0), ("y", 10)]);
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for place in 0..1_000 {
+        let service = route.backend(f64::from(place) / 1_000.0).expect("a backend");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert_that!(counts, unordered_elements_are![(eq("x"), eq(&900)), (eq("y"), eq(&100))]);
+}
