--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,7 +5,9 @@
 mod client;
 mod fleet;
 mod process;
+mod sidecar;
 
 pub use client::{Answer, Client, Request};
 pub use fleet::{Fleet, FleetPlan, TargetPlan, wait_until};
 pub use process::Process;
+pub use sidecar::{Behaviour, CallerRequest, SidecarFleet, SidecarVm};
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -39,6 +39,11 @@
         let _ = self.child.wait();
     }
 
+    /// Asks the process to stop, without waiting.
+    pub fn ask_to_stop(&self) {
+        self.signal("TERM");
+    }
+
     /// Asks the process to stop and waits; returns its exit code.
     pub fn terminate(&mut self) -> Option<i32> {
         self.signal("TERM");
