--- a/crates/mesh/src/entry.rs
+++ b/crates/mesh/src/entry.rs
@@ -119,6 +119,8 @@
         let deadline = facts.deadline_ms.map(|deadline_ms| arrived.plus_ms(deadline_ms));
         let origin =
             deadline.and_then(|deadline| self.state.gate.origin_of_call(&route.id, deadline, self.state.draw()));
+        let label = if origin.is_some() { "known" } else { "unknown" };
+        self.state.metrics.count("call_origin", label);
         let rank = origin.as_ref().map_or(Rank::STARTED, |origin| origin.rank.of_call());
         (rank, origin)
     }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -197,7 +197,11 @@
                 self.unknown(&head, Reason::TargetFailed)
             }
             Ok(Ok((connection, response))) => {
-                self.answered(&head, admitted.place, connection, response, deadline).await
+                let answer = self.answered(&head, admitted.place, connection, response, deadline).await;
+                if matches!(answer.0.reply, RunReply::Answered { .. }) {
+                    lock(&self.table).demand.held(&head.route, self.clock.now().us_since(started));
+                }
+                answer
             }
         }
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -277,6 +277,7 @@
             && (load - told_load).abs() >= LOAD_CHANGE
         {
             told_load = load;
+            log_load(&state, load);
             state.status_due.notify_one();
         }
         chores = chores.wrapping_add(1);
@@ -292,6 +293,16 @@
     }
 }
 
+fn log_load(state: &MeshState, load: f64) {
+    let Some(report) = state.gate.report() else { return };
+    let line = Line::new("target_load")
+        .number("load_milli", (load * 1e3) as u64)
+        .number("running", report.running)
+        .number("waiting", report.waiting)
+        .number("limit", report.limit);
+    state.log(line);
+}
+
 fn modified_at(path: &PathBuf) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
