--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -187,7 +187,7 @@
         };
         let started = self.clock.now();
         let origin = head.origin.clone();
-        lock(&self.table).parents.insert(deadline, admitted.place.call(), head.route.clone(), origin);
+        lock(&self.table).parents.insert(deadline, admitted.place.call(), head.route.clone(), origin, started);
         let sending = self.pool.send(self.address, request, head.repeatable, started);
         match tokio::time::timeout(self.clock.until(deadline), sending).await {
             Err(_) => self.unknown(&head, Reason::Deadline),
@@ -209,7 +209,7 @@
     /// Returns the request from outside that a call of the target serves. `draw` is a random number from
     /// 0 to 1.
     pub fn origin_of_call(&self, route: &RouteId, deadline: TimeUs, draw: f64) -> Option<Origin> {
-        lock(&self.table).parents.origin_of_call(route, deadline, draw)
+        lock(&self.table).parents.origin_of_call(route, deadline, draw, self.clock.now())
     }
 
     /// Returns what is asked of the target.
@@ -234,7 +234,7 @@
     fn ended(&self, call: CallId, deadline: TimeUs, answered: bool) {
         let now = self.clock.now();
         let mut table = lock(&self.table);
-        table.parents.remove(deadline, call);
+        table.parents.remove(deadline, call, now);
         table.waiting.remove(&call);
         table.slots.ended(call, answered, now);
         self.settle(&mut table, now);
