Demand follows what is in use; calls are attributed from ten seconds of them

Cause: hold times of middle services stay inflated after an overload below (76 of 170 slots in use, demand reported as 336); 1,200 calls spanned half a second on the second site.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -225,7 +225,7 @@
         let load = {
             let mut table = lock(&self.table);
             let load = table.slots.load();
-            table.demand.tick(load.limit, load.waiting, now)
+            table.demand.tick(load.limit, load.running, load.waiting, now)
         };
         if load { self.demand().map(|demand| demand.load()) } else { None }
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -295,8 +295,10 @@
 
 fn log_load(state: &MeshState, load: f64) {
     let Some(report) = state.gate.report() else { return };
+    let demand = state.gate.demand().map(|demand| demand.to_string());
     let line = Line::new("target_load")
         .number("load_milli", (load * 1e3) as u64)
+        .maybe("demand", demand)
         .number("running", report.running)
         .number("waiting", report.waiting)
         .number("limit", report.limit);
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -31,6 +31,10 @@
 /// Share of the slots that demand may fill. Above, chance arrivals wait long.
 const TARGET_LOAD: f64 = 0.92;
 
+/// Share of the slots in use from which on a target counts as full. What is in use says nothing about the
+/// demand then.
+const FULL_LOAD: f64 = 0.9;
+
 /// Calls that wait, as a share of the slots, from which on the capacity is taken for lower than it seems.
 const QUEUED_SHARE: f64 = 0.5;
 
@@ -84,12 +88,29 @@
     }
 }
 
+impl std::fmt::Display for DemandReport {
+    /// Writes the demand of each route and the capacity, in thousandths of slots.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for route in &self.routes {
+            write!(formatter, "{}/{}={} ", route.route, route.rank, route.slots_milli)?;
+        }
+        write!(formatter, "of {}", self.capacity_milli)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Smoothed {
     span_us: f64,
     slots: f64,
 }
 
+impl Smoothed {
+    fn close(&mut self, elapsed_us: f64, weight: f64) {
+        self.slots += (self.span_us / elapsed_us - self.slots) * weight;
+        self.span_us = 0.0;
+    }
+}
+
 /// The demand for one target.
 #[derive(Debug)]
 pub struct DemandMeter {
@@ -97,11 +118,21 @@
     rows: HashMap<(RouteId, Rank), Smoothed>,
     span_started: TimeUs,
     correction: f64,
+    /// Slots that the calls which came should use, and those that they do use.
+    admitted: Smoothed,
+    used: f64,
 }
 
 impl Default for DemandMeter {
     fn default() -> Self {
-        Self { holds_us: HashMap::new(), rows: HashMap::new(), span_started: TimeUs::default(), correction: 1.0 }
+        Self {
+            holds_us: HashMap::new(),
+            rows: HashMap::new(),
+            span_started: TimeUs::default(),
+            correction: 1.0,
+            admitted: Smoothed::default(),
+            used: 0.0,
+        }
     }
 }
 
@@ -113,6 +144,7 @@
         let share = f64::from(origin.share_milli.max(1)) / MILLI;
         let row = self.rows.entry((origin.route.clone(), origin.rank)).or_default();
         row.span_us += hold_us / share;
+        self.admitted.span_us += hold_us;
     }
 
     /// Learns for how long a call on `route` held its slot.
@@ -127,17 +159,16 @@
     }
 
     /// Closes the span when it is over. Returns whether it was.
-    pub fn tick(&mut self, limit: u32, waiting: u32, now: TimeUs) -> bool {
+    pub fn tick(&mut self, limit: u32, running: u32, waiting: u32, now: TimeUs) -> bool {
         let elapsed_us = now.us_since(self.span_started);
         if elapsed_us < SPAN_US {
             return false;
         }
         self.span_started = now;
         let weight = 1.0 - (-(elapsed_us as f64) / SMOOTHING_US).exp();
-        for row in self.rows.values_mut() {
-            row.slots += (row.span_us / elapsed_us as f64 - row.slots) * weight;
-            row.span_us = 0.0;
-        }
+        self.rows.values_mut().for_each(|row| row.close(elapsed_us as f64, weight));
+        self.admitted.close(elapsed_us as f64, weight);
+        self.used += (f64::from(running + waiting) - self.used) * weight;
         self.rows.retain(|_, row| row.slots >= LEAST_SLOTS / 10.0);
         let queued = f64::from(waiting) > f64::from(limit) * QUEUED_SHARE;
         let factor = if queued { CORRECTION_DOWN } else { CORRECTION_UP };
@@ -145,12 +176,23 @@
         true
     }
 
+    /// Returns by how much calls hold their slots for a shorter time than usual. Calls that wait for others
+    /// hold theirs for long while a service below is overloaded, and for a short time as soon as it is not;
+    /// what is in use says so at once, as long as the target is not full itself.
+    fn scale(&self, limit: u32) -> f64 {
+        if self.used >= f64::from(limit) * FULL_LOAD || self.admitted.slots <= 0.0 {
+            return 1.0;
+        }
+        (self.used / self.admitted.slots).min(1.0)
+    }
+
     /// Returns the demand and the capacity of a target with `limit` slots.
     pub fn report(&self, service: &Service, limit: u32) -> DemandReport {
+        let scale = self.scale(limit);
         let demand = |((route, rank), row): (&(RouteId, Rank), &Smoothed)| RouteDemand {
             route: route.clone(),
             rank: *rank,
-            slots_milli: (row.slots * MILLI) as u32,
+            slots_milli: (row.slots * scale * MILLI) as u32,
         };
         let mut routes: Vec<_> = self.rows.iter().filter(|(_, row)| row.slots >= LEAST_SLOTS).map(demand).collect();
         routes.sort_by_key(|route| std::cmp::Reverse(route.slots_milli));
--- a/crates/policy/src/parents/call_rates.rs
+++ b/crates/policy/src/parents/call_rates.rs
@@ -8,14 +8,20 @@
 /// only runs beside it.
 const MAX_EVENTS: usize = 1_200;
 
+/// Shortest and longest time that the remembered calls may span, in microseconds. Numbers of running
+/// requests that are milliseconds apart tell nothing new, and rates of a minute ago are out of date.
+const MIN_SPAN_US: u64 = 8_000_000;
+const MAX_SPAN_US: u64 = 24_000_000;
+
 /// Routes that are told apart; the ones after these are rare at one target.
 const MAX_ROUTES: usize = 8;
 
-/// Calls between two estimates.
-const EVENTS_PER_ESTIMATE: usize = 100;
+/// Remembered calls between two estimates.
+const EVENTS_PER_ESTIMATE: usize = 40;
 
-/// Steps of one estimate. The rates of routes that make no calls fall by a good part in each.
-const STEPS: usize = 25;
+/// Steps of one estimate. The rates of routes that make no calls fall by a good part in each, and the next
+/// estimate goes on from them.
+const STEPS: usize = 12;
 
 /// Rate of a route before anything is known and the least rate of any, in calls a second. The least
 /// keeps a route that begins to make calls from being ruled out.
@@ -29,6 +35,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Event {
+    at: TimeUs,
     running: PerRoute,
     ran_s: [f64; MAX_ROUTES],
 }
@@ -38,11 +45,15 @@
     events: VecDeque<Event>,
     rates: [f64; MAX_ROUTES],
     since_estimate: usize,
+    /// One of so many calls is remembered.
+    stride: usize,
+    skipped: usize,
 }
 
 impl Default for Calls {
     fn default() -> Self {
-        Self { events: VecDeque::new(), rates: [INITIAL_RATE; MAX_ROUTES], since_estimate: 0 }
+        let rates = [INITIAL_RATE; MAX_ROUTES];
+        Self { events: VecDeque::new(), rates, since_estimate: 0, stride: 1, skipped: 0 }
     }
 }
 
@@ -77,11 +88,10 @@
 
     pub fn call(&mut self, route: &RouteId, now: TimeUs) {
         self.advance(now);
-        let event = Event { running: self.running, ran_s: self.ran_s };
+        let event = Event { at: now, running: self.running, ran_s: self.ran_s };
         let calls = self.calls.entry(route.clone()).or_default();
-        calls.events.push_back(event);
-        if calls.events.len() > MAX_EVENTS {
-            calls.events.pop_front();
+        if !calls.remember(event) {
+            return;
         }
         calls.since_estimate += 1;
         if calls.since_estimate >= EVENTS_PER_ESTIMATE {
@@ -109,6 +119,30 @@
 }
 
 impl Calls {
+    /// Keeps one of some calls, so that those which are kept span the wanted time. Rates come out lower by
+    /// the same factor for all routes, which leaves their relation.
+    fn remember(&mut self, event: Event) -> bool {
+        self.skipped += 1;
+        if self.skipped < self.stride {
+            return false;
+        }
+        self.skipped = 0;
+        self.events.push_back(event);
+        let span_us = |events: &VecDeque<Event>| events.front().map_or(0, |first| event.at.us_since(first.at));
+        while self.events.len() > MAX_EVENTS || span_us(&self.events) > MAX_SPAN_US {
+            self.events.pop_front();
+        }
+        if self.events.len() == MAX_EVENTS && span_us(&self.events) < MIN_SPAN_US {
+            self.stride *= 2;
+            let mut keep = false;
+            self.events.retain(|_| {
+                keep = !keep;
+                keep
+            });
+        }
+        true
+    }
+
     /// Finds the rates under which the calls are most likely, by expectation and maximisation: each call
     /// is split among the routes that ran by their rates, and each rate is a route's part over its time.
     fn estimate(&mut self) {
--- a/crates/policy/tests/capacity_door.rs
+++ b/crates/policy/tests/capacity_door.rs
@@ -109,7 +109,7 @@
                 due -= 1.0;
                 meter.arrived(&route("index"), &origin);
             }
-            meter.tick(10, 0, TimeUs::from_ms(ms));
+            meter.tick(10, 10, 5, TimeUs::from_ms(ms));
         }
         let report = meter.report(&service("deep"), 10);
         assert_that!(report.routes, len(eq(1)));
@@ -122,11 +122,28 @@
     let mut meter = DemandMeter::default();
     let calm = meter.report(&service("deep"), 10).capacity_milli;
     for ms in 0..2_000 {
-        meter.tick(10, 50, TimeUs::from_ms(ms));
+        meter.tick(10, 10, 50, TimeUs::from_ms(ms));
     }
     assert_that!(meter.report(&service("deep"), 10).capacity_milli, lt(calm));
 }
 
+/// Calls of a middle service held their slots for 500 ms while a service below was overloaded, and hold them
+/// for 50 ms now that it is not: 100 calls a second use five slots, not fifty.
+#[gtest]
+fn demand_falls_at_once_when_calls_get_shorter() {
+    let mut meter = DemandMeter::default();
+    meter.held(&route("sync"), 500_000);
+    let origin = Origin { route: route("browse"), rank: Rank(6), share_milli: 1_000 };
+    for ms in 0..4_000 {
+        if ms % 10 == 0 {
+            meter.arrived(&route("sync"), &origin);
+        }
+        meter.tick(40, 5, 0, TimeUs::from_ms(ms));
+    }
+    let report = meter.report(&service("middle"), 40);
+    assert_that!(f64::from(report.routes[0].slots_milli), near(5_000.0, 500.0));
+}
+
 #[gtest]
 fn a_call_serves_the_request_that_it_expires_with() {
     let origin = |name: &str| Origin { route: route(name), rank: Rank(4), share_milli: 1_000 };
