--- a/crates/mesh/src/config_follow.rs
+++ b/crates/mesh/src/config_follow.rs
@@ -93,7 +93,7 @@
     let Some(from) = *next else {
         let page = store.newest(stream).await?;
         let newest: Vec<_> = page.records.iter().filter(|record| record.key == CONFIG_KEY).collect();
-        if take(state, &newest, started) {
+        if apply_all(state, &newest) {
             lock(&state.freshness).confirmed(started);
         }
         *next = Some(page.end);
@@ -107,9 +107,9 @@
         }
         read => read?,
     };
-    let decoded: Vec<_> = page.records.iter().filter_map(|entry| KeyedRecord::decode(entry)).collect();
+    let decoded: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
     let records: Vec<_> = decoded.iter().filter(|record| record.key == CONFIG_KEY).collect();
-    let took = take(state, &records, started);
+    let took = apply_all(state, &records);
     *next = Some(page.next);
     if took && page.next >= page.end {
         lock(&state.freshness).confirmed(started);
@@ -119,6 +119,10 @@
 
 /// Puts records in force in their order. Returns whether all could be read; a version that can't be read
 /// may withdraw keys, so that this node does not know the newest state any more.
-fn take(state: &MeshState, records: &[&KeyedRecord], _now: TimeUs) -> bool {
-    records.iter().fold(true, |all, record| apply_config(state, &record.value, "store") && all)
+fn apply_all(state: &MeshState, records: &[&KeyedRecord]) -> bool {
+    let mut all_read = true;
+    for record in records {
+        all_read &= apply_config(state, &record.value, "store");
+    }
+    all_read
 }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -72,6 +72,13 @@
     demand: DemandMeter,
 }
 
+/// How an offer to the slots went.
+struct Entered {
+    place: Place,
+    /// Tells what becomes of a call that waits; absent for one that may run now.
+    turn: Option<oneshot::Receiver<Result<(), Refusal>>>,
+}
+
 /// The target that a call was admitted to.
 struct Admitted {
     place: Place,
@@ -241,12 +248,12 @@
     }
 
     async fn admit(self: &Arc<Self>, head: &RunHead, deadline: TimeUs) -> Result<Admitted, Refusal> {
-        let (place, waiting) = self.enter(head, deadline)?;
-        if let Some(waiting) = waiting {
+        let Entered { place, turn } = self.enter(head, deadline)?;
+        if let Some(turn) = turn {
             let latest = TimeUs(deadline.0.saturating_sub(REFUSE_EARLY_US));
             let too_late = Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS));
             let closed = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
-            let waited = tokio::time::timeout(self.clock.until(latest), waiting).await;
+            let waited = tokio::time::timeout(self.clock.until(latest), turn).await;
             waited.map_err(|_| too_late)?.unwrap_or(Err(closed))?;
         }
         // The target may have left while the call waited.
@@ -257,12 +264,7 @@
         Ok(Admitted { place, instance: target.instance.clone() })
     }
 
-    #[allow(clippy::type_complexity)]
-    fn enter(
-        self: &Arc<Self>,
-        head: &RunHead,
-        deadline: TimeUs,
-    ) -> Result<(Place, Option<oneshot::Receiver<Result<(), Refusal>>>), Refusal> {
+    fn enter(self: &Arc<Self>, head: &RunHead, deadline: TimeUs) -> Result<Entered, Refusal> {
         let now = self.clock.now();
         let mut table = lock(&self.table);
         if table.closed {
@@ -280,11 +282,11 @@
         let admission = table.slots.offer(SlotRequest { call, rank: head.rank, deadline }, now);
         let entered = match admission {
             Admission::Refused(refusal) => Err(refusal),
-            Admission::Run => Ok((Place::new(Arc::clone(self), call, deadline), None)),
+            Admission::Run => Ok(Entered { place: Place::new(Arc::clone(self), call, deadline), turn: None }),
             Admission::Queued => {
                 let (sender, receiver) = oneshot::channel();
                 table.waiting.insert(call, sender);
-                Ok((Place::new(Arc::clone(self), call, deadline), Some(receiver)))
+                Ok(Entered { place: Place::new(Arc::clone(self), call, deadline), turn: Some(receiver) })
             }
         };
         // A more urgent call may have taken the place of another.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,7 +1,7 @@
 //! Starting, reloading and stopping one node.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 
@@ -265,7 +265,7 @@
 }
 
 async fn run_chores(state: Arc<MeshState>, settings_path: Option<PathBuf>) {
-    let mut modified = settings_path.as_ref().and_then(modified_at);
+    let mut modified = settings_path.as_deref().and_then(modified_at);
     let mut chores = 0_u32;
     let mut told_load = 0.0_f64;
     loop {
@@ -305,12 +305,12 @@
     state.log(line);
 }
 
-fn modified_at(path: &PathBuf) -> Option<SystemTime> {
+fn modified_at(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
 /// Puts changed settings in force. Addresses of open listeners stay until the next start.
-fn reload_settings(state: &MeshState, path: &PathBuf) {
+fn reload_settings(state: &MeshState, path: &Path) {
     match MeshSettings::load(path) {
         Ok(settings) => {
             let mut in_force = state.settings.write().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/policy/src/parents.rs
+++ b/crates/policy/src/parents.rs
@@ -69,6 +69,6 @@
             left -= weight(*candidate);
             left < 0.0
         });
-        chosen.or_else(|| candidates().last()).and_then(|(_, row)| row.origin.clone())
+        chosen.or_else(|| candidates().next_back()).and_then(|(_, row)| row.origin.clone())
     }
 }
