Routes that hardly use the bottleneck pass the door

Ruled out: recovery of nodes (all served within a second of their start), keys, tokens. Change: a route with under 15 in 100 of its rank's demand is not limited by that service; the test failed first.

--- a/crates/policy/src/capacity_door.rs
+++ b/crates/policy/src/capacity_door.rs
@@ -17,6 +17,10 @@
 /// Least share of a route that is let in. Without any, its demand could not be measured any more.
 const LEAST_SHARE: f64 = 0.02;
 
+/// Share of its rank's demand below which a route passes. Turning it away would free next to nothing, and
+/// calls that are taken for the wrong route's would cost a route that does not use the service at all.
+const MINOR_SHARE: f64 = 0.15;
+
 /// Pause between two calculations of the shares, in milliseconds.
 const RECALCULATION_MS: u64 = 50;
 
@@ -89,7 +93,8 @@
         }
     }
 
-    /// Gives the capacity to the most urgent routes first. Routes of one rank get the same share.
+    /// Gives the capacity to the most urgent routes first. Routes of one rank get the same share, apart from
+    /// those that hardly use the service.
     fn shares(&self) -> Vec<((RouteId, Rank), f64)> {
         let mut ranks: Vec<Rank> = self.routes.keys().map(|(_, rank)| *rank).collect();
         ranks.sort_unstable();
@@ -99,9 +104,13 @@
         for rank in ranks {
             let of_rank = self.routes.iter().filter(|((_, other), _)| *other == rank);
             let demand: f64 = of_rank.clone().map(|(_, demand)| demand).sum();
-            let share = if demand > left { (left / demand).max(LEAST_SHARE) } else { 1.0 };
+            let is_minor = |route_demand: f64| route_demand < demand * MINOR_SHARE;
+            let minor: f64 = of_rank.clone().map(|(_, demand)| *demand).filter(|demand| is_minor(*demand)).sum();
+            let (major, left_for_major) = (demand - minor, (left - minor).max(0.0));
+            let share = if major > left_for_major { (left_for_major / major).max(LEAST_SHARE) } else { 1.0 };
             left = (left - demand).max(0.0);
-            shares.extend(of_rank.map(|(route, _)| (route.clone(), share)));
+            let share_of = |route_demand: f64| if is_minor(route_demand) { 1.0 } else { share };
+            shares.extend(of_rank.map(|(route, demand)| (route.clone(), share_of(*demand))));
         }
         shares
     }
--- a/crates/policy/tests/capacity_door.rs
+++ b/crates/policy/tests/capacity_door.rs
@@ -85,6 +85,18 @@
     }
 }
 
+/// A route that asks for next to nothing is not turned away with the others of its rank: that would free
+/// next to nothing, and calls are not always taken for the right route's.
+#[gtest]
+fn routes_that_hardly_use_the_bottleneck_pass() {
+    let mut door = CapacityDoor::default();
+    let routes = vec![demand("browse", 6, 95), demand("view", 6, 5), demand("search", 4, 10)];
+    door.report(VmId(0), Some(report("deep", 24, routes)), NOW);
+    expect_that!(door.share(&route("view"), Rank(6), NOW), near(1.0, 1e-6));
+    expect_that!(door.share(&route("search"), Rank(4), NOW), near(1.0, 1e-6));
+    expect_that!(door.share(&route("browse"), Rank(6), NOW), near(9.0 / 95.0, 1e-6));
+}
+
 #[gtest]
 fn reports_of_nodes_that_fell_silent_do_not_count() {
     let mut door = CapacityDoor::default();
