Shared plumbing of both kinds of node in one place; the platform's names in platform/

Stream names and the configuration's key come from platform/. Settings that were read and not used are gone (objective_ms, max_connections) or used (memory_mb bounds callers' connections).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod class;
 mod id;
+mod lock;
 mod newtype;
 mod parse_error;
 mod refusal;
@@ -16,6 +17,7 @@
 pub use id::{
     AvailabilityZone, CallId, Fingerprint, LogOffset, RatePerS, Region, RouteId, Service, Tenant, Tokens, Version,
 };
+pub use lock::lock;
 pub use parse_error::{MAX_TEXT_ID_BYTES, ParseError, check_text_id};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use rendezvous::{rendezvous_owner, rendezvous_owners, rendezvous_score};
--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId};
+use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId, lock};
 use fulmartrestle_transport::{ByteBody, PeerError, ReplayBody};
 
 use crate::entry::{AdmittedRequest, Answered};
 use crate::journal::Line;
 use crate::peer::RUN_PATH;
 use crate::running::{RunAnswer, RunHead, RunReply};
-use crate::state::{MeshState, lock};
+use crate::state::MeshState;
 
 /// Gates that are asked for one request. Each refusal costs a millisecond or two, and after some of
 /// them a service has no room.
--- a/crates/mesh/src/border.rs
+++ b/crates/mesh/src/border.rs
@@ -1,6 +1,7 @@
 //! What the platform must tell the node, and how the node answers in the platform's words.
 
 use fulmartrestle_core::{Refusal, Service, Tenant};
+use fulmartrestle_platform_log::StreamName;
 use fulmartrestle_transport::ByteBody;
 use http::{HeaderMap, HeaderName, Response, StatusCode};
 use quick_error::quick_error;
@@ -18,6 +19,17 @@
     }
 }
 
+/// Where things are on the platform's store.
+#[derive(Clone, Debug)]
+pub struct StoreLayout {
+    /// Stream of what the operator writes.
+    pub operator_stream: StreamName,
+    /// Key of the configuration among it.
+    pub config_key: String,
+    /// Stream of the nodes' addresses.
+    pub nodes_stream: StreamName,
+}
+
 /// What a caller says in the headers of a request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallerFacts {
--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{Service, Version};
+use fulmartrestle_core::Version;
 use fulmartrestle_derive::record;
 use fulmartrestle_quota::TenantRate;
 
@@ -38,19 +38,12 @@
     by_host: HashMap<String, HashMap<String, usize>>,
     tenants: Vec<TenantRow>,
     by_key: HashMap<ApiKey, usize>,
-    max_connections: HashMap<Service, u32>,
 }
 
 impl MeshConfig {
     /// Builds the indexes of a version. Of two routes with the same host and prefix the first holds, as
     /// of two tenants with the same key.
-    pub fn new(
-        version: Version,
-        limits: CallerLimits,
-        routes: Vec<Route>,
-        tenants: Vec<TenantRow>,
-        max_connections: HashMap<Service, u32>,
-    ) -> Self {
+    pub fn new(version: Version, limits: CallerLimits, routes: Vec<Route>, tenants: Vec<TenantRow>) -> Self {
         let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
         for (index, route) in routes.iter().enumerate() {
             by_host.entry(route.host.clone()).or_default().entry(route.prefix.clone()).or_insert(index);
@@ -61,7 +54,7 @@
                 by_key.entry(key.clone()).or_insert(index);
             }
         }
-        Self { version, limits, routes, by_host, tenants, by_key, max_connections }
+        Self { version, limits, routes, by_host, tenants, by_key }
     }
 
     /// Returns the version.
@@ -100,11 +93,6 @@
         self.tenants.iter().map(rate).collect()
     }
 
-    /// Returns how many connections a target of a service accepts.
-    pub fn max_connections(&self, service: &Service) -> Option<u32> {
-        self.max_connections.get(service).copied()
-    }
-
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/crates/mesh/src/config/route.rs
+++ b/crates/mesh/src/config/route.rs
@@ -29,8 +29,6 @@
     pub attempts: u32,
     /// Longest time that a request is kept waiting, in milliseconds.
     pub timeout_ms: Option<u64>,
-    /// Time within which an answer is worth most, in milliseconds.
-    pub objective_ms: Option<u64>,
     /// Urgency; zero is the highest.
     pub priority: u8,
     /// Whether requests need no key.
--- a/crates/mesh/src/config_follow.rs
+++ b/crates/mesh/src/config_follow.rs
@@ -3,46 +3,41 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmartrestle_core::{LogOffset, TimeUs};
+use fulmartrestle_core::{LogOffset, TimeUs, lock};
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
-use rand::RngExt;
 
 use crate::MeshConfig;
 use crate::journal::Line;
-use crate::state::{ConfigInForce, MeshState, lock};
-
-/// Key of the configuration among what the operator writes.
-const CONFIG_KEY: &str = "config";
-
-/// How long one read waits for news, in milliseconds. Two such spans and the store's slowness must stay
-/// below the time in which a withdrawn key stops working.
-const READ_WAIT_MS: u64 = 1_500;
+use crate::state::{ConfigInForce, MeshState};
+use crate::store_pace::{StorePause, ask_age_ms, read_wait_ms};
 
 /// Records asked for in one read.
 const READ_RECORDS: usize = 64;
 
-/// Pauses after a failed read, in milliseconds, drawn between the two so that nodes do not return
-/// together.
-const MIN_PAUSE_MS: u64 = 80;
-const MAX_PAUSE_MS: u64 = 240;
-
 /// Follows the configuration until the task is aborted.
-pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName) {
-    let mut next = None;
+pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName, key: String) {
+    let mut follower = Follower { state, store, stream, key, next: None };
     let mut connected = None;
+    let mut pause = StorePause::default();
     loop {
-        let result = step(&state, store.as_ref(), &stream, &mut next).await;
-        let failure = result.err();
+        let failure = match follower.step().await {
+            Ok(Step::GivenUp) => continue,
+            Ok(Step::Read) => None,
+            Err(error) => Some(error),
+        };
+        let state = &follower.state;
         if connected != Some(failure.is_none()) {
             connected = Some(failure.is_none());
             let event = if failure.is_none() { "store_regained" } else { "store_lost" };
             let age_ms = state.config_age_ms(state.now());
             state.log(Line::new(event).maybe("detail", failure.as_ref()).maybe("config_age_ms", age_ms));
         }
-        if failure.is_some() {
-            state.metrics.count("store_failed", "config");
-            let pause_ms = lock(&state.rng).random_range(MIN_PAUSE_MS..MAX_PAUSE_MS);
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        match failure {
+            None => pause.succeeded(),
+            Some(_) => {
+                state.metrics.count("store_failed", "config");
+                tokio::time::sleep(Duration::from_millis(pause.failed(state.draw()))).await;
+            }
         }
     }
 }
@@ -81,48 +76,82 @@
     lock(&state.tokens).set_rates(&config.rates(), first_start, now);
 }
 
-/// Reads what is new. Only a read that saw the end of the log proves that there is nothing newer, and it
-/// proves that for its start.
-async fn step(
-    state: &MeshState,
-    store: &dyn PlatformLog,
-    stream: &StreamName,
-    next: &mut Option<LogOffset>,
-) -> Result<(), LogError> {
-    let started = state.now();
-    let Some(from) = *next else {
-        let page = store.newest(stream).await?;
-        let newest: Vec<_> = page.records.iter().filter(|record| record.key == CONFIG_KEY).collect();
-        if apply_all(state, &newest) {
-            lock(&state.freshness).confirmed(started);
+/// What a step came to.
+enum Step {
+    /// The store answered.
+    Read,
+    /// The read was given up, because what is known grew too old while it waited.
+    GivenUp,
+}
+
+/// Reads the operator's records one after the other.
+struct Follower {
+    state: Arc<MeshState>,
+    store: Arc<dyn PlatformLog>,
+    stream: StreamName,
+    key: String,
+    /// The next record; unknown until the newest of each key were read.
+    next: Option<LogOffset>,
+}
+
+impl Follower {
+    /// Reads what is new. Only a read that saw the end of the log proves that there is nothing newer, and it
+    /// proves that for its start.
+    async fn step(&mut self) -> Result<Step, LogError> {
+        let started = self.state.now();
+        let Some(from) = self.next else {
+            let page = self.store.newest(&self.stream).await?;
+            self.take(&page.records, page.end, true, started);
+            return Ok(Step::Read);
+        };
+        let wait_ms = self.wait_ms(started);
+        let reading = self.store.read_waiting(&self.stream, from, READ_RECORDS, wait_ms);
+        let read = tokio::select! {
+            read = reading => read,
+            () = until_stale(&self.state), if wait_ms > 0 => return Ok(Step::GivenUp),
+        };
+        let page = match read {
+            Err(LogError::Trimmed { .. }) => {
+                // The records are gone, but the newest of each key is kept.
+                self.next = None;
+                return Ok(Step::Read);
+            }
+            read => read?,
+        };
+        let records: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
+        self.take(&records, page.next, page.next >= page.end, started);
+        Ok(Step::Read)
+    }
+
+    fn wait_ms(&self, now: TimeUs) -> u64 {
+        let live = lock(&self.state.peers).live_nodes(now);
+        let revoke_ms = self.state.settings().bounds.revoke_ms;
+        read_wait_ms(self.state.own, &live, self.state.config_age_ms(now), revoke_ms)
+    }
+
+    /// Puts records in force in their order. A version that can't be read may withdraw keys, so that this
+    /// node does not know the newest state any more.
+    fn take(&mut self, records: &[KeyedRecord], next: LogOffset, at_end: bool, started: TimeUs) {
+        let mut all_read = true;
+        for record in records.iter().filter(|record| record.key == self.key) {
+            all_read &= apply_config(&self.state, &record.value, "store");
         }
-        *next = Some(page.end);
-        return Ok(());
-    };
-    let page = match store.read_waiting(stream, from, READ_RECORDS, READ_WAIT_MS).await {
-        Err(LogError::Trimmed { .. }) => {
-            // The records are gone, but the newest of each key is kept.
-            *next = None;
-            return Ok(());
+        self.next = Some(next);
+        if all_read && at_end {
+            lock(&self.state.freshness).confirmed(started);
         }
-        read => read?,
-    };
-    let decoded: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
-    let records: Vec<_> = decoded.iter().filter(|record| record.key == CONFIG_KEY).collect();
-    let took = apply_all(state, &records);
-    *next = Some(page.next);
-    if took && page.next >= page.end {
-        lock(&state.freshness).confirmed(started);
     }
-    Ok(())
 }
 
-/// Puts records in force in their order. Returns whether all could be read; a version that can't be read
-/// may withdraw keys, so that this node does not know the newest state any more.
-fn apply_all(state: &MeshState, records: &[&KeyedRecord]) -> bool {
-    let mut all_read = true;
-    for record in records {
-        all_read &= apply_config(state, &record.value, "store");
+/// Waits until what is known is so old that this node must ask for itself.
+async fn until_stale(state: &MeshState) {
+    loop {
+        let ask_age_ms = ask_age_ms(state.settings().bounds.revoke_ms);
+        match state.config_age_ms(state.now()) {
+            Some(age_ms) if age_ms < ask_age_ms => {
+                tokio::time::sleep(Duration::from_millis(ask_age_ms - age_ms)).await;
+            }
+            _ => return,
+        }
     }
-    all_read
 }
--- a/crates/mesh/src/entry.rs
+++ b/crates/mesh/src/entry.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use fulmartrestle_core::{Reason, Refusal, TimeUs};
+use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
 use fulmartrestle_policy::{Origin, Rank};
 use fulmartrestle_transport::{
     BodyError, ByteBody, CallerAnswer, CallerService, HeaderPair, ReplayBody, headers_from_pairs, headers_to_pairs,
@@ -21,7 +21,7 @@
 use crate::attempt::send_request;
 use crate::border::CallerFacts;
 use crate::journal::Line;
-use crate::state::{MeshState, Phase, lock};
+use crate::state::{MeshState, Phase};
 use crate::tokens::take_token;
 use crate::{MeshConfig, Route};
 
--- a/crates/mesh/src/gate/place.rs
+++ b/crates/mesh/src/gate/place.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use fulmartrestle_core::{CallId, TimeUs};
+use fulmartrestle_transport::BodyWatcher;
 
 use super::Gate;
+use crate::target_pool::TargetConnection;
 
 /// A waiting or running call's place. Dropping it frees the place, so that a caller that goes away
 /// makes room at once.
@@ -37,3 +39,22 @@
         self.gate.ended(self.call, self.deadline, self.answered);
     }
 }
+
+/// The place and the connection of a call whose answer is still being passed on. Both are given up when the
+/// body ends or is dropped.
+pub struct HeldPlace {
+    held: Option<(Place, TargetConnection)>,
+}
+
+impl HeldPlace {
+    /// Holds a place and a connection.
+    pub fn new(place: Place, connection: TargetConnection) -> Self {
+        Self { held: Some((place, connection)) }
+    }
+}
+
+impl BodyWatcher for HeldPlace {
+    fn ended(&mut self, _whole: bool) {
+        self.held = None;
+    }
+}
--- a/crates/mesh/src/journal.rs
+++ b/crates/mesh/src/journal.rs
@@ -7,13 +7,11 @@
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
 
-use fulmartrestle_core::TimeUs;
+use fulmartrestle_core::{TimeUs, lock};
 
 pub use line::Line;
 use writer::run_writer;
 
-use crate::state::lock;
-
 /// Lines of one event that are written each second; the rest is counted. An overload refuses
 /// thousands of requests a second for one and the same reason.
 const LINES_PER_EVENT_PER_S: u32 = 40;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -24,6 +24,7 @@
 mod state;
 mod status;
 mod status_io;
+mod store_pace;
 mod target_pool;
 mod tokens;
 
@@ -32,8 +33,9 @@
 pub use freshness::Freshness;
 pub use journal::{Journal, Line};
 pub use metrics::Metrics;
-pub use node::{MeshNode, MeshOptions, StartError};
+pub use node::{MeshNode, MeshOptions};
 pub use own_target::{Accepted, Announcement, OwnTarget};
 pub use running::{GateLoad, RunAnswer, RunHead, RunReply};
 pub use settings::{Bounds, MeshSettings};
 pub use state::MeshState;
+pub use store_pace::{StorePause, ask_age_ms, read_wait_ms};
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::sync::Mutex;
 
-use crate::state::lock;
+use fulmartrestle_core::lock;
 
 /// Upper bounds of the histograms' buckets, in milliseconds; each about doubles, from a cached answer
 /// to the longest deadlines.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,23 +1,22 @@
 //! Starting, reloading and stopping one node.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 
 use fulmartrestle_core::{TimeUs, VmId};
-use fulmartrestle_platform_log::{PlatformLog, StreamName};
+use fulmartrestle_platform_log::PlatformLog;
 use fulmartrestle_policy::{CapacityDoor, Placement, RetryBudgets};
 use fulmartrestle_quota::TokenPool;
-use fulmartrestle_transport::{LinkPool, ListenerLimits, serve_callers, serve_streams};
-use quick_error::quick_error;
+use fulmartrestle_transport::{
+    LinkPool, ListenerLimits, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinSet;
 
-use crate::border::{ConfigCodec, WireProtocol};
+use crate::border::{ConfigCodec, StoreLayout, WireProtocol};
 use crate::clock::BootClock;
 use crate::config_follow::follow_config;
 use crate::entry::Entry;
@@ -32,12 +31,6 @@
 use crate::state::{ConfigInForce, MeshState, Phase};
 use crate::status_io::{receive_status, send_status};
 
-/// Stream of what the operator writes.
-const OPERATOR_STREAM: &str = "keyed.op";
-
-/// Stream of the nodes' addresses.
-const NODES_STREAM: &str = "keyed.nodes";
-
 /// Pause between chores, in milliseconds: demand is measured, log lines are flushed, idle connections closed.
 const CHORE_PAUSE_MS: u64 = 200;
 
@@ -53,9 +46,16 @@
 /// Descriptors that are kept free of callers: for links, the target, the store and files.
 const RESERVED_DESCRIPTORS: usize = 900;
 
-/// Least number of callers' connections, for processes with few descriptors.
+/// Least number of callers' connections, for processes with few descriptors or little memory.
 const MIN_CALLER_CONNECTIONS: usize = 64;
 
+/// Share of the memory that callers' connections may fill. Targets' answers, links and tables need the rest.
+const CALLER_MEMORY_SHARE: f64 = 0.4;
+
+/// Memory of one caller's connection with a request under way, in kilobytes: 15 for `hyper`'s buffers, and
+/// room for a head at its usual limit and a body that is kept for repetitions.
+const CALLER_CONNECTION_KB: f64 = 48.0;
+
 /// Time in which the other nodes hear that this one takes no more requests, in milliseconds: one message
 /// and some delay.
 const LEAVE_NOTICE_MS: u64 = 300;
@@ -77,26 +77,12 @@
 /// Pause between looks whether callers' connections are closed, in milliseconds.
 const CLOSED_POLL_MS: u64 = 20;
 
-quick_error! {
-    /// Why a node did not start.
-    #[derive(Debug)]
-    pub enum StartError {
-        /// A listener could not be opened.
-        Listen(what: String, address: SocketAddr, error: std::io::Error) {
-            display("can't listen for {} on {}: {}", what, address, error)
-        }
-        /// A fixed name is not valid, which is a fault of the program.
-        Name(error: fulmartrestle_core::ParseError) {
-            display("{}", error)
-            from()
-        }
-    }
-}
-
 /// What a node is given besides its settings.
 pub struct MeshOptions {
     /// The platform's store.
     pub store: Arc<dyn PlatformLog>,
+    /// Where things are on the store.
+    pub layout: StoreLayout,
     /// Headers and answers in the platform's words.
     pub wire: Arc<dyn WireProtocol>,
     /// Reads configurations.
@@ -128,11 +114,8 @@
     pub async fn start(settings: MeshSettings, options: MeshOptions) -> Result<Self, StartError> {
         let callers = listen("callers", settings.caller_address).await?;
         let peers = listen("peers", settings.peer_address).await?;
-        let datagrams = UdpSocket::bind(settings.peer_address)
-            .await
-            .map_err(|error| StartError::Listen("datagrams".to_owned(), settings.peer_address, error))?;
-        let caller_connections =
-            settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_CALLER_CONNECTIONS);
+        let datagrams = listen_for_datagrams(settings.peer_address).await?;
+        let caller_connections = max_caller_connections(settings.max_descriptors, settings.memory_mb);
         let state = Arc::new(build_state(settings, &options));
         let places = Arc::new(Semaphore::new(caller_connections));
         let (stopping, stopped) = watch::channel(false);
@@ -147,10 +130,10 @@
         let datagrams = Arc::new(datagrams);
         tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
         tasks.spawn(send_status(Arc::clone(&state), datagrams));
-        let operator: StreamName = OPERATOR_STREAM.parse()?;
-        let nodes: StreamName = NODES_STREAM.parse()?;
-        tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&options.store), operator));
-        tasks.spawn(run_registry(Arc::clone(&state), options.store, nodes));
+        let StoreLayout { operator_stream, config_key, nodes_stream } = options.layout;
+        let store = options.store;
+        tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), operator_stream, config_key));
+        tasks.spawn(run_registry(Arc::clone(&state), store, nodes_stream));
         tasks.spawn(run_chores(Arc::clone(&state), options.settings_path.clone()));
         let settings = state.settings();
         let line = Line::new("started")
@@ -217,8 +200,11 @@
     }
 }
 
-async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen(what.to_owned(), address, error))
+/// Returns how many callers' connections the process can hold.
+fn max_caller_connections(max_descriptors: usize, memory_mb: u64) -> usize {
+    let by_memory = memory_mb as f64 * 1024.0 * CALLER_MEMORY_SHARE / CALLER_CONNECTION_KB;
+    let by_descriptors = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    by_descriptors.min(by_memory as usize).max(MIN_CALLER_CONNECTIONS)
 }
 
 /// The idle time holds for heads, too: `hyper` has one timer for both, and a connection that closed while
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -87,6 +87,12 @@
         self.rows.iter().filter(|(_, peer)| live(peer)).map(|(address, _)| *address).collect()
     }
 
+    /// Returns the runs of nodes that are expected to answer.
+    pub fn live_nodes(&self, now: TimeUs) -> Vec<VmId> {
+        let live = self.rows.values().filter(|peer| now.ms_since(peer.heard) < SILENT_AFTER_MS);
+        live.filter_map(|peer| peer.node).collect()
+    }
+
     /// Returns among how many nodes the rates are shared, this one included; zero while this node has
     /// no slice.
     pub fn sharers(&self, now: TimeUs) -> usize {
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -5,14 +5,11 @@
 use std::time::Duration;
 
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
-use rand::RngExt;
 
 use crate::journal::Line;
-use crate::state::{MeshState, lock};
-
-/// Pauses after a failed call, in milliseconds, drawn between the two.
-const MIN_PAUSE_MS: u64 = 150;
-const MAX_PAUSE_MS: u64 = 400;
+use crate::state::MeshState;
+use crate::store_pace::StorePause;
+use fulmartrestle_core::lock;
 
 /// Pauses between looks at the list: soon after the start, when others start too, then seldom, because
 /// nodes that register tell the others themselves.
@@ -22,13 +19,17 @@
 /// Registers this node and reads who else is registered, until the task is aborted.
 pub async fn run_registry(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName) {
     let mut looks = EARLY_LOOKS_MS.into_iter();
+    let mut pause = StorePause::default();
     loop {
         let pause_ms = match look(&state, store.as_ref(), &stream).await {
-            Ok(()) => looks.next().unwrap_or(LATER_LOOK_MS),
+            Ok(()) => {
+                pause.succeeded();
+                looks.next().unwrap_or(LATER_LOOK_MS)
+            }
             Err(error) => {
                 state.metrics.count("store_failed", "registry");
                 state.log(Line::new("registry_failed").text("detail", error));
-                lock(&state.rng).random_range(MIN_PAUSE_MS..MAX_PAUSE_MS)
+                pause.failed(state.draw())
             }
         };
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -1,8 +1,8 @@
 //! What the parts of one node share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use fulmartrestle_core::{TimeUs, VmId};
+use fulmartrestle_core::{TimeUs, VmId, lock};
 use fulmartrestle_policy::{CapacityDoor, Placement, RetryBudgets};
 use fulmartrestle_quota::TokenPool;
 use fulmartrestle_transport::LinkPool;
@@ -125,8 +125,3 @@
         *self.phase.borrow() == Phase::Serving && self.config().is_some()
     }
 }
-
-/// Locks a table. No decision leaves a table half changed, so that a poisoned lock is taken over.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/mesh/src/status_io.rs
+++ b/crates/mesh/src/status_io.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmartrestle_core::{TimeUs, Version};
+use fulmartrestle_core::{TimeUs, Version, lock};
 use fulmartrestle_policy::{BasisPoints, RetryBudgetSettings};
 use fulmartrestle_transport::{decode_exact, encode};
 use tokio::net::UdpSocket;
@@ -13,7 +13,7 @@
 use crate::config_follow::apply_config;
 use crate::journal::Line;
 use crate::peer::CONFIG_PATH;
-use crate::state::{MeshState, lock};
+use crate::state::MeshState;
 use crate::status::{ConfigCopy, Status};
 
 /// Pause between status messages, in milliseconds.
--- a/crates/mesh/src/target_pool.rs
+++ b/crates/mesh/src/target_pool.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use fulmartrestle_core::TimeUs;
+use fulmartrestle_core::{TimeUs, lock};
 use fulmartrestle_transport::{ByteBody, limit_silence};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,8 +13,6 @@
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 
-use crate::state::lock;
-
 /// Time for a new connection, in milliseconds. The target is on the same VM, but a full accept queue
 /// drops the first packet, which is sent again after a second.
 const CONNECT_TIMEOUT_MS: u64 = 1_500;
--- a/crates/mesh/src/tokens.rs
+++ b/crates/mesh/src/tokens.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmartrestle_core::{Reason, Refusal, Tenant};
+use fulmartrestle_core::{Reason, Refusal, Tenant, lock};
 use fulmartrestle_quota::Taken;
 use fulmartrestle_transport::encode;
 use futures_util::future::join_all;
@@ -12,7 +12,7 @@
 
 use crate::journal::Line;
 use crate::peer::TOKENS_PATH;
-use crate::state::{MeshState, lock};
+use crate::state::MeshState;
 use crate::status::{TokenGrant, TokenRequest};
 
 /// Nodes that are asked for tokens at a time.
--- a/crates/mesh/tests/routes.rs
+++ b/crates/mesh/tests/routes.rs
@@ -17,7 +17,6 @@
         backends: backends.iter().map(backend).collect(),
         attempts: 2,
         timeout_ms: None,
-        objective_ms: None,
         priority: 1,
         open: false,
     }
@@ -37,7 +36,7 @@
         rate_per_s: RatePerS(1),
         burst: Tokens(1),
     };
-    MeshConfig::new(Version(1), CallerLimits::default(), routes, vec![tenant], HashMap::new())
+    MeshConfig::new(Version(1), CallerLimits::default(), routes, vec![tenant])
 }
 
 #[gtest]
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -17,8 +17,8 @@
 use super::plans::{confirm_document, confirm_pending, make_plan};
 use super::status::status;
 use super::targets::announce;
-use crate::lock::lock;
 use crate::state::NodeState;
+use fulmartrestle_core::lock;
 
 /// Operator that local requests run as while no operator is configured.
 const BOOTSTRAP_OPERATOR: &str = "bootstrap";
--- a/crates/node/src/admin/plans.rs
+++ b/crates/node/src/admin/plans.rs
@@ -14,8 +14,8 @@
 use super::error::ApiError;
 use crate::clock::wall_ms;
 use crate::gather::ask_all;
-use crate::lock::lock;
 use crate::state::NodeState;
+use fulmartrestle_core::lock;
 
 /// Makes a plan of the intent in the body.
 #[handler]
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -11,8 +11,8 @@
 use super::error::ApiError;
 use crate::clock::wall_ms;
 use crate::drains::own_target_facts;
-use crate::lock::lock;
 use crate::state::NodeState;
+use fulmartrestle_core::lock;
 
 /// Returns the node's status.
 #[handler]
--- a/crates/node/src/burn.rs
+++ b/crates/node/src/burn.rs
@@ -1,21 +1,17 @@
 //! Recording how requests end, and gathering the fleet's report on service-level burn.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 
-use bytes::Bytes;
 use fulmartrestle_burn::{
     BurnReport, BurnResult, BurnSample, BurnSettings, BurnSummary, MissingNode, Objective, ShareMillionths,
 };
 use fulmartrestle_config::FleetConfig;
-use fulmartrestle_core::{Reason, Refusal, RouteId, Tenant, TimeUs};
-use hyper::body::{Body, Frame, SizeHint};
+use fulmartrestle_core::{Reason, Refusal, RouteId, Tenant, TimeUs, lock};
+use hyper::body::Body;
 
-use crate::body::{BodyError, ByteBody};
+use crate::body::{BodyWatcher, ByteBody, WatchedBody};
 use crate::clock::wall_ms;
 use crate::gather::ask_all;
-use crate::lock::lock;
 use crate::state::NodeState;
 
 /// A request whose end is still to be recorded.
@@ -55,9 +51,8 @@
     lock(&state.burn).record(&sample, wall_ms());
 }
 
-/// An answer's body that records how the request ended once the body has.
-pub struct RecordedBody {
-    inner: ByteBody,
+/// Records how a request ended once its answer's body has.
+pub struct BurnRecorder {
     state: Arc<NodeState>,
     entry: BurnEntry,
     /// Whether the target's status says that the answer is good.
@@ -68,31 +63,30 @@
     recorded: bool,
 }
 
-impl RecordedBody {
-    /// Returns `inner`, which records the request's end. An answer without a body ends at once.
-    pub fn new(
-        inner: ByteBody,
-        state: Arc<NodeState>,
-        entry: BurnEntry,
-        good: bool,
-        length_bytes: Option<u64>,
-    ) -> Self {
-        let mut body = Self { inner, state, entry, good, left_bytes: length_bytes, recorded: false };
-        if body.inner.is_end_stream() || length_bytes == Some(0) {
-            body.record_once(true);
-        }
-        body
+/// Returns `inner`, which records the request's end. An answer without a body ends at once.
+pub fn recorded_body(
+    inner: ByteBody,
+    state: Arc<NodeState>,
+    entry: BurnEntry,
+    good: bool,
+    length_bytes: Option<u64>,
+) -> WatchedBody<BurnRecorder> {
+    let mut recorder = BurnRecorder { state, entry, good, left_bytes: length_bytes, recorded: false };
+    if inner.is_end_stream() || length_bytes == Some(0) {
+        recorder.ended(true);
     }
+    WatchedBody::new(inner, recorder)
+}
 
-    fn note_frame(&mut self, frame: &Frame<Bytes>) {
-        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
-        self.left_bytes = self.left_bytes.map(|left| left.saturating_sub(length));
-        if self.left_bytes == Some(0) || self.inner.is_end_stream() {
-            self.record_once(true);
+impl BodyWatcher for BurnRecorder {
+    fn frame(&mut self, data_bytes: usize) {
+        self.left_bytes = self.left_bytes.map(|left| left.saturating_sub(data_bytes as u64));
+        if self.left_bytes == Some(0) {
+            self.ended(true);
         }
     }
 
-    fn record_once(&mut self, whole: bool) {
+    fn ended(&mut self, whole: bool) {
         if self.recorded {
             return;
         }
@@ -103,33 +97,6 @@
     }
 }
 
-impl Body for RecordedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(context);
-        match &polled {
-            Poll::Ready(None) => self.record_once(true),
-            Poll::Ready(Some(Err(_))) => self.record_once(false),
-            Poll::Ready(Some(Ok(frame))) => self.note_frame(frame),
-            Poll::Pending => {}
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// Returns the objectives of a configuration.
 pub fn objectives(config: &FleetConfig) -> Vec<Objective> {
     let rows = config.objectives().rows().iter().map(|row| Objective {
--- a/crates/node/src/call/dispatch.rs
+++ b/crates/node/src/call/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends one call: chooses a target, makes attempts within the allowance, returns one final result.
 
-use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, VmId};
+use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
     AttemptResult, BasisPoints, CallEnd, ChooseRequest, DoorCheck, EndResult, FailedAttempt, RetryAllowance,
     RetryDecision, RetryQuestion, decide_retry,
@@ -9,7 +9,6 @@
 use super::CallSpec;
 use crate::body::ByteBody;
 use crate::keys::open_tenant;
-use crate::lock::lock;
 use crate::peer::{PeerAnswer, PeerError};
 use crate::replay_body::ReplayBody;
 use crate::state::NodeState;
--- a/crates/node/src/claims_io.rs
+++ b/crates/node/src/claims_io.rs
@@ -7,13 +7,12 @@
     AppendResult, ClaimBatch, ClaimEffect, ClaimId, ClaimKey, ClaimMember, ClaimMessage, ClaimNode, ClaimRecord,
     ClaimStream, ClaimVerdict, LogToken, NotRunReason, ReadPage, ReadResult,
 };
-use fulmartrestle_core::{LogOffset, ParseError, VmId};
+use fulmartrestle_core::{LogOffset, ParseError, VmId, lock};
 use fulmartrestle_platform_log::{LogEntry, LogError, PlatformLog, StreamName};
 use futures_util::future::BoxFuture;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
-use crate::lock::lock;
 use crate::wire::{decode_exact, encode};
 
 /// Records of the log asked for in one read; each holds a batch of claims.
--- a/crates/node/src/config_io.rs
+++ b/crates/node/src/config_io.rs
@@ -11,13 +11,12 @@
     AppendResult, ConfigEffect, ConfigMember, ConfigMessage, ConfigNode, ConfigStatus, ConfirmOutcome, LogTicket,
     ReadResult,
 };
-use fulmartrestle_core::{LogOffset, VmId};
+use fulmartrestle_core::{LogOffset, VmId, lock};
 use fulmartrestle_platform_log::{LogError, PlatformLog, StreamName};
 use tokio::sync::oneshot;
 
 use crate::clock::{Clock, wall_ms};
 use crate::config::CurrentConfig;
-use crate::lock::lock;
 
 /// Records asked for in one read.
 const READ_RECORDS: usize = 256;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,7 @@
 
 use fulmartrestle_claims::ClaimMember;
 use fulmartrestle_config::spread::ConfigMember;
-use fulmartrestle_core::{VmId, rendezvous_owner};
+use fulmartrestle_core::{VmId, lock, rendezvous_owner};
 use fulmartrestle_membership::{MemberRow, MemberState, TargetInfo};
 use fulmartrestle_policy::{CrashMark, TargetRow};
 use fulmartrestle_quota::QuotaMember;
@@ -15,7 +15,6 @@
 use crate::clock::wall_ms;
 use crate::drains::{own_target_facts, should_leave};
 use crate::gate::OwnTarget;
-use crate::lock::lock;
 use crate::peer::{ControlEnvelope, ControlMessage};
 use crate::state::NodeState;
 use crate::wire::{decode_exact, encode};
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use fulmartrestle_core::VmId;
-
-use crate::lock::lock;
+use fulmartrestle_core::{VmId, lock};
 
 /// Addresses of the members that can be reached, kept in step with membership.
 #[derive(Debug, Default)]
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -12,7 +12,7 @@
 use super::fingerprint::fingerprint;
 use super::once::{OnceKey, run_once};
 use super::request::{ReceivedRequest, read_body};
-use crate::burn::{BurnEntry, RecordedBody, record_refusal};
+use crate::burn::{BurnEntry, record_refusal, recorded_body};
 use crate::call::{CallSpec, Dispatched, check_door, dispatch};
 use crate::replay_body::ReplayBody;
 use crate::state::NodeState;
@@ -68,7 +68,7 @@
 
 fn recorded(state: &Arc<NodeState>, burn: BurnEntry, answer: Dispatched) -> Dispatched {
     let good = answer.status < FIRST_SERVER_ERROR;
-    let body = RecordedBody::new(answer.body, Arc::clone(state), burn, good, content_length(&answer.headers));
+    let body = recorded_body(answer.body, Arc::clone(state), burn, good, content_length(&answer.headers));
     Dispatched { body: body.boxed_unsync(), ..answer }
 }
 
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -8,7 +8,7 @@
     AnswerCache, AnswerCacheSettings, AnswerHeader, ClaimKey, ClaimVerdict, HeldAnswer, JoinOutcome, JoinTable,
     NotRunReason, WaiterId,
 };
-use fulmartrestle_core::{Outcome, Reason, Refusal, VmId};
+use fulmartrestle_core::{Outcome, Reason, Refusal, VmId, lock};
 use fulmartrestle_derive::record;
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::oneshot;
@@ -17,7 +17,6 @@
 use crate::body::whole_body;
 use crate::call::{CallSpec, Dispatched};
 use crate::clock::wall_ms;
-use crate::lock::lock;
 use crate::replay_body::ReplayBody;
 use crate::state::NodeState;
 use crate::wire::HeaderPair;
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -7,7 +7,7 @@
 use fulmartrestle_burn::BurnSummary;
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_config::plan::TrafficFacts;
-use fulmartrestle_core::{CallId, Reason, Refusal};
+use fulmartrestle_core::{CallId, Reason, Refusal, lock};
 use hyper::Request;
 use hyper::body::Incoming;
 
@@ -24,7 +24,6 @@
 use crate::control::receive_control;
 use crate::http::{CallerAnswer, CallerService};
 use crate::keys::take_key;
-use crate::lock::lock;
 use crate::peer::{ControlEnvelope, PeerAnswer, PeerService};
 use crate::state::NodeState;
 use crate::wire::CallHead;
--- a/crates/node/src/gate/place.rs
+++ b/crates/node/src/gate/place.rs
@@ -1,16 +1,12 @@
 //! A call's place at the gate, given back however the call ends.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 
-use bytes::Bytes;
 use fulmartrestle_core::CallId;
 use fulmartrestle_policy::Completion;
-use hyper::body::{Body, Frame, SizeHint};
 
 use super::GateRunner;
-use crate::body::{BodyError, ByteBody};
+use crate::body::BodyWatcher;
 
 /// A queued or running call's place. Dropping it cancels the call, so that a caller that goes away
 /// frees the place at once.
@@ -47,42 +43,8 @@
     }
 }
 
-/// An answer's body that holds its call's place until it ends.
-pub struct PlacedBody {
-    inner: ByteBody,
-    place: Place,
-}
-
-impl PlacedBody {
-    /// Returns `inner` with the place of its call.
-    pub fn new(inner: ByteBody, place: Place) -> Self {
-        Self { inner, place }
-    }
-}
-
-impl Body for PlacedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(context);
-        match &polled {
-            Poll::Ready(None) => self.place.finish_once(Completion::Answered),
-            Poll::Ready(Some(Err(_))) => self.place.finish_once(Completion::Failed),
-            Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.place.finish_once(Completion::Answered),
-            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+impl BodyWatcher for Place {
+    fn ended(&mut self, whole: bool) {
+        self.finish_once(if whole { Completion::Answered } else { Completion::Failed });
     }
 }
--- a/crates/node/src/gate/runner.rs
+++ b/crates/node/src/gate/runner.rs
@@ -1,10 +1,9 @@
 //! Runs calls on the own target, within what the gate admits.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs};
+use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, lock};
 use fulmartrestle_policy::{
     Admission, AdmissionLevel, BasisPoints, Completion, CrashTable, CrashVerdict, Gate, GateEvent, GateSettings, Offer,
     RetryAllowance, TargetHints,
@@ -13,15 +12,14 @@
 use tokio::sync::oneshot;
 
 use super::own_target::{OwnTarget, TargetAnnouncement, TargetProtocol};
-use super::place::{Place, PlacedBody};
+use super::place::Place;
 use super::silence::SilenceDetector;
 use super::target_client::{TargetClient, TargetError, probe};
-use crate::body::{ByteBody, empty_body, incoming_body};
+use crate::body::{ByteBody, Turn, Turns, WatchedBody, empty_body, incoming_body};
 use crate::call::{RunningCall, RunningCalls};
 use crate::clock::Clock;
 use crate::context::{CONTEXT_HEADER, ContextSealer};
 use crate::keys::KeyCheck;
-use crate::lock::lock;
 use crate::peer::PeerAnswer;
 use crate::wire::{AnswerHead, CallHead, Reply, headers_from_pairs, headers_to_pairs};
 
@@ -44,7 +42,7 @@
 struct GateTable {
     target: Option<OwnTarget>,
     gate: Gate,
-    waiting: HashMap<CallId, oneshot::Sender<Result<(), Refusal>>>,
+    turns: Turns,
     next_call: u64,
     stopping: bool,
     told_to_leave: bool,
@@ -55,7 +53,7 @@
     /// The call may run now.
     Run,
     /// The call waits for its turn.
-    Wait(oneshot::Receiver<Result<(), Refusal>>),
+    Wait(oneshot::Receiver<Turn>),
 }
 
 impl GateRunner {
@@ -64,7 +62,7 @@
         let table = GateTable {
             target: None,
             gate: Gate::new(GateSettings::default()),
-            waiting: HashMap::new(),
+            turns: Turns::default(),
             next_call: 0,
             stopping: false,
             told_to_leave: false,
@@ -214,7 +212,7 @@
         let now = self.clock.now();
         lock(&self.running).remove(call);
         let mut table = lock(&self.table);
-        table.waiting.remove(&call);
+        table.turns.forget(call);
         table.gate.cancel(call, now);
         self.pump(&mut table, now);
     }
@@ -272,11 +270,7 @@
         let entered = match table.gate.offer(offer, now) {
             Admission::Run => Ok((call, Entered::Run)),
             Admission::Refused(refusal) => Err(refusal),
-            Admission::Queued => {
-                let (sender, receiver) = oneshot::channel();
-                table.waiting.insert(call, sender);
-                Ok((call, Entered::Wait(receiver)))
-            }
+            Admission::Queued => Ok((call, Entered::Wait(table.turns.wait(call)))),
         };
         // The offer may have taken the place of less important calls.
         self.pump(&mut table, now);
@@ -350,7 +344,7 @@
             place.finish(Completion::Answered);
             body
         } else {
-            http_body_util::BodyExt::boxed_unsync(PlacedBody::new(body, place))
+            http_body_util::BodyExt::boxed_unsync(WatchedBody::new(body, place))
         };
         let head = AnswerHead {
             reply: Reply::Answer { status, headers },
@@ -410,9 +404,7 @@
                     GateEvent::Start(call) => (call, Ok(())),
                     GateEvent::Drop(call, refusal) => (call, Err(refusal)),
                 };
-                let waiting = table.waiting.remove(&call);
-                let delivered = waiting.is_some_and(|waiting| waiting.send(turn).is_ok());
-                if !delivered && turn.is_ok() {
+                if !table.turns.give(call, turn) && turn.is_ok() {
                     table.gate.cancel(call, now);
                 }
             }
--- a/crates/node/src/gather.rs
+++ b/crates/node/src/gather.rs
@@ -5,9 +5,9 @@
 use fulmartrestle_membership::{MemberRow, MemberState};
 use futures_util::stream::{self, StreamExt};
 
-use crate::lock::lock;
 use crate::peer::{PeerError, PeerLink};
 use crate::state::NodeState;
+use fulmartrestle_core::lock;
 
 /// Nodes asked at one time. Each costs a connection for the moment.
 const CONCURRENT_NODES: usize = 32;
--- a/crates/node/src/join.rs
+++ b/crates/node/src/join.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmartrestle_core::LogOffset;
+use fulmartrestle_core::{LogOffset, lock};
 use fulmartrestle_membership::JoinRecord;
 use fulmartrestle_platform_log::{LogError, PlatformLog, StreamName};
 
-use crate::lock::lock;
 use crate::state::NodeState;
 use crate::wire::{decode_exact, encode};
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,12 +9,12 @@
 use fulmartrestle_config::Settings;
 use fulmartrestle_config::plan::TimeZones;
 use fulmartrestle_config::spread::{ConfigMember, ConfigNode, ConfigNodeSettings};
-use fulmartrestle_core::VmId;
+use fulmartrestle_core::{VmId, lock};
 use fulmartrestle_membership::{Incarnation, MemberRow, MemberState, Membership, MembershipSettings};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
 use fulmartrestle_policy::{CrashTable, Door, RetryBudgets, TargetTable};
 use fulmartrestle_quota::{QuotaConfig, QuotaNode, QuotaSettings, TenantRate};
-use quick_error::quick_error;
+use fulmartrestle_transport::{StartError, listen, listen_for_datagrams};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
@@ -36,7 +36,6 @@
 use crate::http::{ListenerLimits, serve_callers};
 use crate::join::run_joins;
 use crate::link_faults::{LinkFaults, NoLinkFaults};
-use crate::lock::lock;
 use crate::metrics::run_metrics;
 use crate::peer::{PeerPool, serve_peers};
 use crate::rates::Rates;
@@ -59,22 +58,6 @@
 /// milliseconds. Gossip takes about a second to reach everyone.
 const LEAVE_NOTICE_MS: u64 = 1_500;
 
-quick_error! {
-    /// Why a node did not start.
-    #[derive(Debug)]
-    pub enum StartError {
-        /// A listener could not be opened.
-        Listen(what: String, address: SocketAddr, error: std::io::Error) {
-            display("can't listen for {} on {}: {}", what, address, error)
-        }
-        /// A fixed name is not valid, which is a fault of the program.
-        Name(error: fulmartrestle_core::ParseError) {
-            display("{}", error)
-            from()
-        }
-    }
-}
-
 /// What a node is given besides its settings.
 pub struct NodeOptions {
     /// The platform's log.
@@ -202,17 +185,11 @@
     let callers = listen("callers", settings.caller_address).await?;
     let peers = listen("peers", settings.peer_address).await?;
     let peer_address = peers.local_addr().unwrap_or(settings.peer_address);
-    let datagrams = UdpSocket::bind(peer_address)
-        .await
-        .map_err(|error| StartError::Listen("datagrams".to_owned(), peer_address, error))?;
+    let datagrams = listen_for_datagrams(peer_address).await?;
     let admin = listen("operators", settings.admin_address).await?;
     Ok(Listeners { callers, peers, datagrams: Arc::new(datagrams), admin })
 }
 
-async fn listen(what: &str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen(what.to_owned(), address, error))
-}
-
 fn build_state(settings: Settings, peer_address: SocketAddr, options: &NodeOptions) -> Result<NodeState, StartError> {
     let seed = options.seed.unwrap_or_else(|| rand::rng().random());
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/node/src/rates.rs
+++ b/crates/node/src/rates.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Mutex;
 
-use fulmartrestle_core::{Reason, Refusal, Tenant, VmId};
+use fulmartrestle_core::{Reason, Refusal, Tenant, VmId, lock};
 use fulmartrestle_quota::{QuotaConfig, QuotaMember, QuotaMessage, QuotaNode, QuotaSend, RateDecision};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::lock::lock;
 
 /// The node's part in the lending of tokens, and the requests that wait for them.
 pub struct Rates {
--- a/crates/standin/src/shared.rs
+++ b/crates/standin/src/shared.rs
@@ -1,9 +1,10 @@
 //! The state that a target's tasks share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use fulmartrestle_core::lock;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -107,8 +108,3 @@
         busy as f64 / f64::from(self.settings.slots.max(1))
     }
 }
-
-/// A poisoned lock is taken over: no holder leaves its value half changed.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/bin/fulmartrestle-sidecar.rs
+++ b/src/bin/fulmartrestle-sidecar.rs
@@ -9,7 +9,7 @@
 
 use argh::FromArgs;
 use fulmartrestle_mesh::{Journal, MeshNode, MeshOptions, MeshSettings};
-use fulmartrestle_platform::{OperatorDocuments, PlatformHeaders, StoreClient, serve_surface};
+use fulmartrestle_platform::{OperatorDocuments, PlatformHeaders, StoreClient, serve_surface, store_layout};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for wrong settings or arguments.
@@ -55,7 +55,12 @@
         Ok(journal) => journal,
         Err(error) => return fail(EXIT_START, &error),
     };
+    let layout = match store_layout() {
+        Ok(layout) => layout,
+        Err(error) => return fail(EXIT_START, &error),
+    };
     let options = MeshOptions {
+        layout,
         store: Arc::new(store),
         wire: Arc::new(PlatformHeaders),
         codec: Arc::new(OperatorDocuments),
