--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -33,6 +33,11 @@
         word.unwrap_or_else(|| panic!("no address {name} in {:?}", self.ready_line)).to_owned()
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process without warning.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
