Refusals close their connection once many are open

Cause: a refused caller returns on a new connection and keeps the old one. Test: refused_callers_do_not_fill_the_room_for_connections fails without the change (connection reset).

--- a/crates/mesh/src/entry.rs
+++ b/crates/mesh/src/entry.rs
@@ -223,11 +223,13 @@
         let facts = self.state.wire.caller_facts(request.headers());
         let result = self.decide(request, &facts, arrived).await;
         self.log_end(&facts, &result, self.state.now().us_since(arrived));
+        // Refused callers come back on new connections.
+        let comes_back = result.as_ref().is_err_and(|refusal| refusal.retry_after_ms.is_some());
         let mut answer = match result {
             Ok(answered) => self.answer_of(answered),
             Err(refusal) => self.state.wire.refusal(&refusal, facts.request_id.as_deref()),
         };
-        if *self.state.phase.borrow() != Phase::Serving {
+        if *self.state.phase.borrow() != Phase::Serving || (comes_back && self.state.callers.is_crowded()) {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 pub mod border;
+mod caller_places;
 mod clock;
 mod config;
 mod config_follow;
@@ -28,6 +29,7 @@
 mod target_pool;
 mod tokens;
 
+pub use caller_places::CallerPlaces;
 pub use clock::BootClock;
 pub use config::{ApiKey, Backend, CallerLimits, MeshConfig, Route, TenantRow};
 pub use freshness::Freshness;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -13,10 +13,11 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use crate::border::{ConfigCodec, StoreLayout, WireProtocol};
+use crate::caller_places::CallerPlaces;
 use crate::clock::BootClock;
 use crate::config_follow::follow_config;
 use crate::entry::Entry;
@@ -43,19 +44,6 @@
 /// Chores between two looks at the settings file.
 const CHORES_PER_LOOK: u32 = 10;
 
-/// Descriptors that are kept free of callers: for links, the target, the store and files.
-const RESERVED_DESCRIPTORS: usize = 900;
-
-/// Least number of callers' connections, for processes with few descriptors or little memory.
-const MIN_CALLER_CONNECTIONS: usize = 64;
-
-/// Share of the memory that callers' connections may fill. Targets' answers, links and tables need the rest.
-const CALLER_MEMORY_SHARE: f64 = 0.4;
-
-/// Memory of one caller's connection with a request under way, in kilobytes: 15 for `hyper`'s buffers, and
-/// room for a head at its usual limit and a body that is kept for repetitions.
-const CALLER_CONNECTION_KB: f64 = 48.0;
-
 /// Time in which the other nodes hear that this one takes no more requests, in milliseconds: one message
 /// and some delay.
 const LEAVE_NOTICE_MS: u64 = 300;
@@ -98,8 +86,6 @@
 /// A running node.
 pub struct MeshNode {
     state: Arc<MeshState>,
-    places: Arc<Semaphore>,
-    caller_connections: usize,
     settings_path: Option<PathBuf>,
     stopping: watch::Sender<bool>,
     tasks: JoinSet<()>,
@@ -115,9 +101,7 @@
         let callers = listen("callers", settings.caller_address).await?;
         let peers = listen("peers", settings.peer_address).await?;
         let datagrams = listen_for_datagrams(settings.peer_address).await?;
-        let caller_connections = max_caller_connections(settings.max_descriptors, settings.memory_mb);
         let state = Arc::new(build_state(settings, &options));
-        let places = Arc::new(Semaphore::new(caller_connections));
         let (stopping, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let limits = {
@@ -125,7 +109,7 @@
             move || caller_limits(&state)
         };
         let entry = Arc::new(Entry::new(Arc::clone(&state)));
-        tasks.spawn(serve_callers(callers, entry, limits, Arc::clone(&places), stopped));
+        tasks.spawn(serve_callers(callers, entry, limits, state.callers.semaphore(), stopped));
         tasks.spawn(serve_streams(peers, Arc::new(PeerStreams::new(Arc::clone(&state)))));
         let datagrams = Arc::new(datagrams);
         tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
@@ -144,7 +128,7 @@
             .flag("first_start", settings.first_start);
         state.log(line);
         let settings_path = options.settings_path;
-        Ok(Self { state, places, caller_connections, settings_path, stopping, tasks })
+        Ok(Self { state, settings_path, stopping, tasks })
     }
 
     /// Returns the node's shared tables.
@@ -194,19 +178,12 @@
     }
 
     async fn wait_until_closed(&self) {
-        while self.places.available_permits() < self.caller_connections {
+        while self.state.callers.open() > 0 {
             tokio::time::sleep(Duration::from_millis(CLOSED_POLL_MS)).await;
         }
     }
 }
 
-/// Returns how many callers' connections the process can hold.
-fn max_caller_connections(max_descriptors: usize, memory_mb: u64) -> usize {
-    let by_memory = memory_mb as f64 * 1024.0 * CALLER_MEMORY_SHARE / CALLER_CONNECTION_KB;
-    let by_descriptors = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-    by_descriptors.min(by_memory as usize).max(MIN_CALLER_CONNECTIONS)
-}
-
 /// The idle time holds for heads, too: `hyper` has one timer for both, and a connection that closed while
 /// a request was on its way would lose it.
 fn caller_limits(state: &MeshState) -> ListenerLimits {
@@ -218,6 +195,7 @@
 fn build_state(settings: MeshSettings, options: &MeshOptions) -> MeshState {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
     let clock = BootClock;
+    let callers = CallerPlaces::new(settings.max_descriptors, settings.memory_mb);
     let metrics: Arc<Metrics> = Arc::default();
     let gate = Gate::new(
         clock,
@@ -235,6 +213,7 @@
         config: RwLock::new(ConfigInForce::default()),
         freshness: Mutex::new(Freshness::default()),
         gate: Arc::new(gate),
+        callers,
         placement: Mutex::new(Placement::default()),
         door: Mutex::new(CapacityDoor::default()),
         resend_budgets: Mutex::new(RetryBudgets::default()),
@@ -257,6 +236,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(CHORE_PAUSE_MS)).await;
         state.journal.flush(state.now());
+        state.metrics.gauge("caller_connections", state.callers.open() as u64);
         state.gate.expire();
         if let Some(load) = state.gate.tick()
             && load.max(told_load) >= PRESSED_LOAD
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::MeshConfig;
 use crate::border::{ConfigCodec, WireProtocol};
+use crate::caller_places::CallerPlaces;
 use crate::clock::BootClock;
 use crate::freshness::Freshness;
 use crate::gate::Gate;
@@ -58,6 +59,8 @@
     pub freshness: Mutex<Freshness>,
     /// The gate in front of the own target.
     pub gate: Arc<Gate>,
+    /// Room for callers' connections.
+    pub callers: CallerPlaces,
     /// Targets of all services.
     pub placement: Mutex<Placement>,
     /// Shares of routes that may enter.
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -7,6 +7,11 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use support::{Behaviour, CallerRequest, SidecarFleet, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Callers that are refused and keep their connections, more than a small node has room for.
+const CALLERS_THAT_RETRY: usize = 150;
 
 fn config(version: u32, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
@@ -172,3 +177,27 @@
     assert_that!(answer.headers["connection"].to_str().ok(), some(eq("close")));
     assert_that!(fleet.vms[0].node.terminate(), some(eq(0)));
 }
+
+#[tokio::test]
+async fn refused_callers_do_not_fill_the_room_for_connections() {
+    // Nothing serves the route's service, so that each request is refused and may come back.
+    let fleet = SidecarFleet::start(&["front"], &config(1, &["key-1"])).await;
+    fleet.wait_for_status(0, &request("GET", "/view/1", "first"), 503).await;
+    let mut kept_open = Vec::new();
+    for number in 0..CALLERS_THAT_RETRY {
+        let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node accepts");
+        let head = format!(
+            "GET /view/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: r-{number}\r\ndeadline: 3000\r\n\
+             authorization: Token key-1\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("the node reads");
+        let mut answer = vec![0; 4_096];
+        let read = caller.read(&mut answer).await.expect("each caller gets an answer");
+        let text = String::from_utf8_lossy(&answer[..read]).to_lowercase();
+        assert_that!(text, starts_with("http/1.1 503"), "caller {number}");
+        if !text.contains("connection: close") {
+            kept_open.push(caller);
+        }
+    }
+    assert_that!(kept_open.len(), all!(ge(1), le(20)));
+}
