--- a/crates/policy/src/capacity_door.rs
+++ b/crates/policy/src/capacity_door.rs
@@ -22,6 +22,11 @@
 /// that are taken for the wrong route's would cost a route that does not use the service at all.
 const MINOR_SHARE: f64 = 0.15;
 
+/// Bounds of the correction of costs. Rates at the entries lead what arrives below by up to a second, so that
+/// a surge makes costs look lower than they are.
+const LEAST_CORRECTION: f64 = 0.7;
+const MOST_CORRECTION: f64 = 3.0;
+
 /// Pause between two calculations of the shares, in milliseconds; reports come once a second and on change.
 const RECALCULATION_MS: u64 = 100;
 
@@ -86,8 +91,9 @@
         self.learn(&services, &entries, elapsed_ms.min(REPORT_VALID_MS) as f64 / MILLI);
         self.shares.clear();
         for (name, service) in &services {
+            let correction = self.cost_correction(name, service, &entries);
             let demand = |((route, rank), asked): (&(RouteId, Rank), &f64)| {
-                ((route.clone(), *rank), asked * self.costs.cost(name, route))
+                ((route.clone(), *rank), asked * self.costs.cost(name, route) * correction)
             };
             let demand: HashMap<_, _> = entries.asked.iter().map(demand).collect();
             for (route, share) in shares(service.capacity, &demand) {
@@ -119,6 +125,15 @@
         services
     }
 
+    /// Returns by how much requests cost more at a service just now than they did over the last seconds. Costs
+    /// fall while calls fail, because the calls after a failed one are not made, and rise at once afterwards.
+    fn cost_correction(&self, name: &Service, service: &ServiceUse, entries: &Entries) -> f64 {
+        let cost_of = |(route, per_s): (&RouteId, &f64)| per_s * self.costs.cost(name, route);
+        let expected: f64 = entries.admitted.iter().map(cost_of).sum();
+        let used: f64 = service.used.values().sum();
+        if expected <= 0.0 { 1.0 } else { (used / expected).clamp(LEAST_CORRECTION, MOST_CORRECTION) }
+    }
+
     fn learn(&mut self, services: &HashMap<Service, ServiceUse>, entries: &Entries, elapsed_s: f64) {
         for (name, service) in services {
             for (route, admitted_per_s) in &entries.admitted {
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -34,12 +34,13 @@
 /// demand then.
 const FULL_LOAD: f64 = 0.9;
 
-/// Calls that wait, as a share of the slots, from which on the capacity is taken for lower than it seems.
+/// Calls that wait, as a share of the slots, from which on the capacity is taken for lower than it seems,
+/// unless what is asked exceeds it anyway.
 const QUEUED_SHARE: f64 = 0.5;
 
 /// Factors by which the capacity is corrected in each span, down while calls wait and up again.
 const CORRECTION_DOWN: f64 = 0.95;
-const CORRECTION_UP: f64 = 1.02;
+const CORRECTION_UP: f64 = 1.04;
 
 /// Lowest correction. Waiting calls beyond it have another cause than the capacity.
 const LEAST_CORRECTION: f64 = 0.6;
@@ -164,11 +165,17 @@
         self.used += (f64::from(running + waiting) - self.used) * weight;
         self.rows.retain(|_, row| row.slots >= LEAST_SLOTS / 10.0);
         let queued = f64::from(waiting) > f64::from(limit) * QUEUED_SHARE;
-        let factor = if queued { CORRECTION_DOWN } else { CORRECTION_UP };
+        let asked: f64 = self.rows.values().map(|row| row.slots).sum();
+        let seems_enough = asked * self.scale(limit) <= self.capacity(limit);
+        let factor = if queued && seems_enough { CORRECTION_DOWN } else { CORRECTION_UP };
         self.correction = (self.correction * factor).clamp(LEAST_CORRECTION, 1.0);
         true
     }
 
+    fn capacity(&self, limit: u32) -> f64 {
+        f64::from(limit) * TARGET_LOAD * self.correction
+    }
+
     /// Returns by how much calls hold their slots for a shorter time than usual. Calls that wait for others
     /// hold theirs for long while a service below is overloaded, and for a short time as soon as it is not;
     /// what is in use says so at once, as long as the target is not full itself.
@@ -189,7 +196,7 @@
         let mut routes: Vec<_> = self.rows.iter().filter(|(_, row)| row.slots >= LEAST_SLOTS).map(used).collect();
         routes.sort_by_key(|route| std::cmp::Reverse(route.slots_milli));
         routes.truncate(MAX_ROUTES);
-        let capacity_milli = (f64::from(limit) * TARGET_LOAD * self.correction * MILLI) as u32;
+        let capacity_milli = (self.capacity(limit) * MILLI) as u32;
         UseReport { service: service.clone(), capacity_milli, routes }
     }
 }
--- a/crates/policy/tests/capacity_door.rs
+++ b/crates/policy/tests/capacity_door.rs
@@ -213,6 +213,58 @@
     assert_that!(total, all!(ge(CAPACITY * 0.85), le(CAPACITY * 1.05)));
 }
 
+/// The first deployment's scale day: calls fail for eight seconds, so that requests make two calls instead of
+/// ten; from then on they make all of them again, and the service is short by half. The door follows within
+/// two seconds.
+#[gtest]
+fn the_door_follows_when_calls_stop_failing() {
+    const CAPACITY: f64 = 30.0;
+    const ASKED_PER_S: f64 = 180.0;
+    let mut door = CapacityDoor::default();
+    let (mut share, mut used) = (1.0, 0.0);
+    for step in 0..200_u64 {
+        let now = NOW.plus_ms(step * 100);
+        let failing = (60..140).contains(&step);
+        let cost = if failing { 0.064 } else { 0.32 };
+        used += (ASKED_PER_S * share * cost - used) * 0.25;
+        if step.is_multiple_of(10) {
+            let usage = UseReport {
+                service: service("deep"),
+                capacity_milli: (CAPACITY * 1e3) as u32,
+                routes: vec![RouteUse { route: route("browse"), slots_milli: (used * 1e3) as u32 }],
+            };
+            let arrivals = RouteArrivals {
+                route: route("browse"),
+                rank: Rank(6),
+                asked_milli: (ASKED_PER_S * 1e3) as u32,
+                admitted_milli: (ASKED_PER_S * share * 1e3) as u32,
+            };
+            door.report(VmId(1), Some(usage), vec![arrivals], now);
+        }
+        share = door.share(&route("browse"), Rank(6), now);
+        if step >= 165 {
+            expect_that!(used, le(CAPACITY * 1.3), "step {step}, share {share}");
+        }
+        if (125..140).contains(&step) {
+            expect_that!(share, ge(0.9), "step {step}");
+        }
+    }
+}
+
+/// A queue that a surge explains says nothing about the capacity: it is still there once the door has acted.
+#[gtest]
+fn a_surge_does_not_make_a_target_look_small() {
+    let mut meter = UseMeter::default();
+    meter.held(&route("index"), 20_000);
+    let origin = Origin { route: route("browse"), rank: Rank(6) };
+    let calm = meter.report(&service("deep"), 10).capacity_milli;
+    for ms in 0..3_000 {
+        meter.arrived(&route("index"), &origin);
+        meter.tick(10, 10, 40, TimeUs::from_ms(ms));
+    }
+    assert_that!(f64::from(meter.report(&service("deep"), 10).capacity_milli), ge(f64::from(calm) * 0.85));
+}
+
 /// A surge of calls at a target of ten slots: 1,000 calls a second that hold a slot for 20 ms each ask for
 /// 20 slots.
 #[gtest]
