--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -16,7 +16,7 @@
 
 /// Time constant of the smoothed demand, in microseconds. Calls come in clumps of several, and shorter
 /// ones take a clump for a surge.
-pub(crate) const SMOOTHING_US: f64 = 600_000.0;
+pub(crate) const SMOOTHING_US: f64 = 300_000.0;
 
 /// Weight of a new hold time in a route's mean.
 const HOLD_WEIGHT: f64 = 0.03;
