--- a/benches/path.rs
+++ b/benches/path.rs
@@ -228,7 +228,7 @@
     started.await.expect("the start-up ends")
 }
 
-/// Renews the target's announcement for as long as the bench runs.
+/// Renews the target's announcement until the process ends.
 fn announce(node: &NodeHandle, target: SocketAddr) {
     let announcement = serde_json::json!({
         "service": "bench", "address": target, "slots": 256, "connections": 1024,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -93,7 +93,7 @@
         self.journal.write(Line::new("target_withdrawn").text("instance", instance), now);
     }
 
-    /// Asks other nodes to turn away, because this node stops; calls on their way are still taken.
+    /// Asks other nodes to send their calls elsewhere, because this node stops; calls on their way are still taken.
     pub fn announce_close(&self) {
         lock(&self.table).closing = true;
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -53,7 +53,7 @@
 /// and some delay.
 const LEAVE_NOTICE_MS: u64 = 300;
 
-/// Time before callers are gone at which other nodes turn away, in milliseconds. Until then the target
+/// Time before callers are gone at which other nodes send their calls elsewhere, in milliseconds. Until then the target
 /// works on, because a planned stop need not cost its capacity for longer than the running requests take.
 const GATE_CLOSES_EARLY_MS: u64 = 1_100;
 
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Stops gracefully. Callers and other nodes are told at once and served until they have turned away;
+    /// Stops gracefully. Callers and other nodes are told at once and served until they have gone elsewhere;
     /// then running requests are finished.
     pub async fn stop(mut self) {
         let state = &self.state;
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -16,6 +16,8 @@
     pub revoke_ms: u64,
     /// Time from the stop signal to the end of the process, in seconds.
     pub grace_s: f64,
+    /// Requests of one tenant by which the whole fleet may exceed its rate and burst.
+    pub quota_slack: f64,
     /// Repetitions per request that a service may get.
     pub retry_ratio: f64,
     /// Repetitions that a service may get beyond that, over all nodes.
@@ -74,11 +76,17 @@
     /// Returns the fault of the text with its place, or of a value that can't work.
     pub fn parse(file_name: &str, text: &str) -> Result<Self, SettingsError> {
         let settings: Self = parse_document(file_name, text)?;
-        if settings.bounds.grace_s <= 0.0 {
-            let value = settings.bounds.grace_s.to_string();
-            let [file, field, reason] = [file_name, "bounds.grace_s", "expected more than 0"].map(str::to_owned);
-            return Err(SettingsError::Value(file, field, value, reason));
+        let Bounds { grace_s, quota_slack, .. } = settings.bounds;
+        if grace_s <= 0.0 {
+            return Err(wrong_value(file_name, "bounds.grace_s", grace_s, "expected more than 0"));
+        }
+        if quota_slack < 0.0 {
+            return Err(wrong_value(file_name, "bounds.quota_slack", quota_slack, "expected 0 or more"));
         }
         Ok(settings)
     }
 }
+
+fn wrong_value(file_name: &str, field: &str, value: f64, reason: &str) -> SettingsError {
+    SettingsError::Value(file_name.to_owned(), field.to_owned(), value.to_string(), reason.to_owned())
+}
--- a/crates/mesh/src/status_io.rs
+++ b/crates/mesh/src/status_io.rs
@@ -164,8 +164,8 @@
 /// Splits what holds for the whole fleet among the nodes that are known.
 fn share_bounds(state: &MeshState, now: TimeUs) {
     let sharers = lock(&state.peers).sharers(now);
-    lock(&state.tokens).set_nodes(sharers, now);
     let bounds = state.settings().bounds;
+    lock(&state.tokens).set_fleet(sharers, bounds.quota_slack, now);
     let burst = (bounds.retry_slack * SLACK_SHARE / sharers.max(1) as f64).max(1.0) as u64;
     let settings = |share: f64, burst| {
         RetryBudgetSettings::default()
--- a/crates/quota/src/token_pool.rs
+++ b/crates/quota/src/token_pool.rs
@@ -14,9 +14,9 @@
 
 const MICRO: f64 = 1e6;
 
-/// A slice of a burst below one token could never admit a request by itself. Slices are raised towards
-/// one token by at most this many tokens over all nodes, which the users' bounds allow on top of a burst.
-const RAISED_TOKENS: f64 = 12.0;
+/// Share of the operator's slack by which all slices together are raised. A slice of a burst below one token
+/// could never admit a request by itself; the rest of the slack is for requests that are on their way.
+const RAISED_SHARE: f64 = 0.6;
 
 /// Time within which a request counts as recent demand of its tenant, in microseconds. A lender with
 /// recent demand keeps a token for itself.
@@ -51,7 +51,14 @@
 #[derive(Debug, Default)]
 pub struct TokenPool {
     rows: HashMap<Tenant, Row>,
+    fleet: Fleet,
+}
+
+/// Among how many nodes the rates are shared, and the tokens by which all slices together are raised.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fleet {
     nodes: usize,
+    raised: f64,
 }
 
 impl TokenPool {
@@ -70,31 +77,33 @@
             });
             row.rate_per_s = rate.rate_per_s.0 as f64;
             row.burst = rate.burst.0 as f64;
-            row.level = row.level.min(row.cap(self.nodes.max(1)));
+            row.level = row.level.min(row.cap(self.fleet));
             self.rows.insert(rate.tenant.clone(), row);
         }
     }
 
-    /// Sets among how many nodes the rates are shared; zero while this node has no slice yet.
-    pub fn set_nodes(&mut self, nodes: usize, now: TimeUs) {
-        if nodes != self.nodes {
+    /// Sets among how many nodes the rates are shared, zero while this node has no slice yet, and by how many
+    /// requests of one tenant the whole fleet may exceed its rate and burst.
+    pub fn set_fleet(&mut self, nodes: usize, slack: f64, now: TimeUs) {
+        let fleet = Fleet { nodes, raised: slack * RAISED_SHARE };
+        if nodes != self.fleet.nodes || fleet.raised != self.fleet.raised {
             self.fill_all(now);
-            self.nodes = nodes;
-            self.rows.values_mut().for_each(|row| row.level = row.level.min(row.cap(nodes)));
+            self.fleet = fleet;
+            self.rows.values_mut().for_each(|row| row.level = row.level.min(row.cap(fleet)));
         }
     }
 
     /// Takes a token for a request.
     pub fn take(&mut self, tenant: &Tenant, now: TimeUs) -> Taken {
-        let nodes = self.nodes;
+        let fleet = self.fleet;
         let Some(row) = self.rows.get_mut(tenant) else { return Taken::Granted };
-        row.fill(nodes, now);
+        row.fill(fleet, now);
         row.asked = Some(now);
         if row.level >= 1.0 {
             row.level -= 1.0;
             return Taken::Granted;
         }
-        Taken::Short { retry_after_ms: row.retry_after_ms(nodes) }
+        Taken::Short { retry_after_ms: row.retry_after_ms(fleet) }
     }
 
     /// Puts a token back whose request was refused and has not run.
@@ -104,9 +113,9 @@
 
     /// Takes tokens out for another node: what it wants, less what this node's own callers need now.
     pub fn give(&mut self, tenant: &Tenant, wanted: f64, now: TimeUs) -> f64 {
-        let nodes = self.nodes;
+        let fleet = self.fleet;
         let Some(row) = self.rows.get_mut(tenant) else { return 0.0 };
-        row.fill(nodes, now);
+        row.fill(fleet, now);
         let in_demand = row.asked.is_some_and(|asked| now.us_since(asked) < RECENT_US);
         let spare = if in_demand { row.level - 1.0 } else { row.level };
         let given = wanted.min(spare).max(0.0);
@@ -116,42 +125,42 @@
 
     /// Adds tokens that another node gave.
     pub fn receive(&mut self, tenant: &Tenant, given: f64, now: TimeUs) {
-        let nodes = self.nodes;
+        let fleet = self.fleet;
         let Some(row) = self.rows.get_mut(tenant) else { return };
-        row.fill(nodes, now);
-        let room = row.cap(nodes).max(2.0);
+        row.fill(fleet, now);
+        let room = row.cap(fleet).max(2.0);
         row.level = (row.level + given).min(row.level.max(room));
     }
 
     fn fill_all(&mut self, now: TimeUs) {
-        let nodes = self.nodes;
-        self.rows.values_mut().for_each(|row| row.fill(nodes, now));
+        let fleet = self.fleet;
+        self.rows.values_mut().for_each(|row| row.fill(fleet, now));
     }
 }
 
 impl Row {
     /// Returns the most tokens that this node earns up to.
-    fn cap(&self, nodes: usize) -> f64 {
-        let nodes = nodes.max(1) as f64;
+    fn cap(&self, fleet: Fleet) -> f64 {
+        let nodes = fleet.nodes.max(1) as f64;
         let slice = self.burst / nodes;
-        slice.max((slice + RAISED_TOKENS / nodes).min(1.0))
+        slice.max((slice + fleet.raised / nodes).min(1.0))
     }
 
-    fn fill(&mut self, nodes: usize, now: TimeUs) {
+    fn fill(&mut self, fleet: Fleet, now: TimeUs) {
         let elapsed_us = now.us_since(self.filled);
         self.filled = self.filled.max(now);
-        if nodes == 0 {
+        if fleet.nodes == 0 {
             return;
         }
-        let earned = self.rate_per_s / nodes as f64 * elapsed_us as f64 / MICRO;
-        let cap = self.cap(nodes);
+        let earned = self.rate_per_s / fleet.nodes as f64 * elapsed_us as f64 / MICRO;
+        let cap = self.cap(fleet);
         if self.level < cap {
             self.level = (self.level + earned).min(cap);
         }
     }
 
-    fn retry_after_ms(&self, nodes: usize) -> u64 {
-        let per_ms = self.rate_per_s / nodes.max(1) as f64 / 1e3;
+    fn retry_after_ms(&self, fleet: Fleet) -> u64 {
+        let per_ms = self.rate_per_s / fleet.nodes.max(1) as f64 / 1e3;
         let missing_ms = (1.0 - self.level).max(0.0) / per_ms.max(f64::MIN_POSITIVE);
         (missing_ms as u64).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
     }
--- a/crates/quota/tests/token_pool.rs
+++ b/crates/quota/tests/token_pool.rs
@@ -7,6 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 
 /// What the users' bounds allow beyond rate and burst, in tokens.
+const SLACK_TOKENS: f64 = 20.0;
+
+/// Tokens of the slack by which all slices together may be raised.
 const RAISED_TOKENS: f64 = 12.0;
 
 const MICRO: f64 = 1e6;
@@ -33,7 +36,7 @@
     fn start(nodes: usize, rates: &[TenantRate], seed: u64, lost_share: f64) -> Self {
         let mut pools: Vec<TokenPool> = (0..nodes).map(|_| TokenPool::default()).collect();
         for pool in &mut pools {
-            pool.set_nodes(nodes, TimeUs(0));
+            pool.set_fleet(nodes, SLACK_TOKENS, TimeUs(0));
             pool.set_rates(rates, true, TimeUs(0));
         }
         Self { pools, rng: ChaCha8Rng::seed_from_u64(seed), lost_share, cut: false, granted: Vec::new() }
@@ -122,7 +125,7 @@
 #[gtest]
 fn a_node_that_starts_again_starts_with_nothing() {
     let mut pool = TokenPool::default();
-    pool.set_nodes(1, TimeUs(0));
+    pool.set_fleet(1, SLACK_TOKENS, TimeUs(0));
     pool.set_rates(&rate(10, 10), false, TimeUs(0));
     assert_that!(pool.take(&tenant(), TimeUs(0)), matches_pattern!(Taken::Short { retry_after_ms: eq(100) }));
     assert_that!(pool.take(&tenant(), TimeUs::from_ms(150)), eq(Taken::Granted));
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -105,7 +105,9 @@
             "peer_address": addresses[3], "metrics_address": addresses[4], "target_address": target_address,
             "service": service, "store_address": self.store.address(""), "max_descriptors": 1_024,
             "memory_mb": 260, "first_start": true,
-            "bounds": {"revoke_ms": 5_000, "grace_s": 6, "retry_ratio": 0.2, "retry_slack": 48}
+            "bounds": {
+                "revoke_ms": 5_000, "grace_s": 6, "quota_slack": 20, "retry_ratio": 0.2, "retry_slack": 48
+            }
         });
         std::fs::write(&file, text.to_string()).expect("settings can be written");
         let node = Process::start(SIDECAR, &[&file.display().to_string()]);
