--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use fulmartrestle_transport::{
-    PeerError, StreamHandler, encode, encode_head, lost, receive_head, send_data, send_head_and_body, whole_stream,
+    PeerError, StreamHandler, encode, encode_head, lost, receive_head, send_first, send_head_and_body, whole_stream,
 };
 use h2::RecvStream;
 use h2::server::SendResponse;
@@ -84,5 +84,5 @@
 async fn answer(respond: &mut SendResponse<Bytes>, value: &impl Serialize) -> Result<(), PeerError> {
     let bytes = Bytes::from(encode(value)?);
     let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
-    send_data(&mut stream, bytes, true).await
+    send_first(&mut stream, bytes, true)
 }
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -9,7 +9,7 @@
 use fulmartrestle_claims::ClaimKey;
 use fulmartrestle_config::plan::TrafficFacts;
 use fulmartrestle_transport::{
-    StreamHandler, lost, receive_head, send_data, send_head_and_body, serve_streams, whole_stream,
+    StreamHandler, lost, receive_head, send_first, send_head_and_body, serve_streams, whole_stream,
 };
 use h2::RecvStream;
 use h2::server::SendResponse;
@@ -104,7 +104,7 @@
 async fn answer_value(respond: &mut SendResponse<Bytes>, value: &impl Serialize) -> Result<(), PeerError> {
     let bytes = Bytes::from(encode(value)?);
     let mut stream = respond.send_response(Response::new(()), false).map_err(lost)?;
-    send_data(&mut stream, bytes, true).await
+    send_first(&mut stream, bytes, true)
 }
 
 async fn serve_outcome(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -30,6 +30,6 @@
 pub use replay_body::{REPLAY_LIMIT_BYTES, ReplayBody};
 pub use server::{StreamHandler, serve_streams};
 pub use socket::limit_silence;
-pub use stream::{lost, receive_head, send_data, send_head_and_body, whole_stream};
+pub use stream::{lost, receive_head, send_first, send_head_and_body, whole_stream};
 pub use turns::{Turn, Turns};
 pub use watched_body::{BodyWatcher, WatchedBody};
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::body::ByteBody;
-use crate::stream::{lost, receive_head, send_data, send_head_and_body, whole_stream};
+use crate::stream::{lost, receive_head, send_first, send_head_and_body, whole_stream};
 use crate::{PeerError, decode_exact, encode_head, limit_silence};
 
 /// Time for a TCP and `h2` handshake. Peers are in the same region or a few hops away.
@@ -116,7 +116,7 @@
     /// Returns [`PeerError`] when no answer came.
     pub async fn post(&self, path: &str, message: Bytes) -> Result<http::StatusCode, PeerError> {
         let (response, mut stream) = self.open(path).await?;
-        send_data(&mut stream, message, true).await?;
+        send_first(&mut stream, message, true)?;
         Ok(response.await.map_err(lost)?.status())
     }
 
@@ -132,7 +132,7 @@
         limit_bytes: usize,
     ) -> Result<T, PeerError> {
         let (response, mut stream) = self.open(path).await?;
-        send_data(&mut stream, question, true).await?;
+        send_first(&mut stream, question, true)?;
         let response = response.await.map_err(lost)?;
         let body = Limited::new(whole_stream(response.into_body()), limit_bytes).collect().await;
         let bytes = body.map_err(|error| PeerError::Lost(error.to_string()))?.to_bytes();
--- a/crates/transport/src/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// Returns [`PeerError::Lost`] when the stream was reset.
-pub async fn send_data(stream: &mut SendStream<Bytes>, mut data: Bytes, end: bool) -> Result<(), PeerError> {
+async fn send_data(stream: &mut SendStream<Bytes>, mut data: Bytes, end: bool) -> Result<(), PeerError> {
     while !data.is_empty() {
         stream.reserve_capacity(data.len());
         let granted = poll_fn(|context| stream.poll_capacity(context)).await;
@@ -34,6 +34,16 @@
     if end { stream.send_data(Bytes::new(), true).map_err(lost) } else { Ok(()) }
 }
 
+/// Sends the first data of a stream, which `h2` buffers if the receiver's window is smaller. A new stream has
+/// no window before its headers are written: waiting for it would cost both ends a wake-up and a system call.
+///
+/// # Errors
+///
+/// Returns [`PeerError::Lost`] when the stream was reset.
+pub fn send_first(stream: &mut SendStream<Bytes>, data: Bytes, end: bool) -> Result<(), PeerError> {
+    stream.send_data(data, end).map_err(lost)
+}
+
 /// Sends a head and a body. What the body has ready goes out in the same frame as the head, because
 /// each frame of its own costs both ends a wake-up.
 ///
@@ -55,11 +65,11 @@
                 stream.send_reset(Reason::INTERNAL_ERROR);
                 return Err(PeerError::Lost(error.to_string()));
             }
-            None => return send_data(stream, first.freeze(), true).await,
+            None => return send_first(stream, first.freeze(), true),
         }
     }
     let end = body.is_end_stream();
-    send_data(stream, first.freeze(), end).await?;
+    send_first(stream, first.freeze(), end)?;
     if end { Ok(()) } else { send_body(stream, body).await }
 }
 
