--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -201,3 +201,26 @@
     }
     assert_that!(kept_open.len(), all!(ge(1), le(20)));
 }
+
+/// A connection that closes with unread bytes is reset, and the reset can overtake the answer.
+#[tokio::test]
+async fn refusals_reach_callers_that_send_long_bodies() {
+    const BODY_BYTES: usize = 24_000;
+    let fleet = start(&["trips"]).await;
+    for number in 0..40 {
+        let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node accepts");
+        let head = format!(
+            "POST /book/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: r-{number}\r\ndeadline: 3000\r\n\
+             authorization: Token unknown\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+        );
+        let mut request = head.into_bytes();
+        request.resize(request.len() + BODY_BYTES, b'x');
+        caller.write_all(&request).await.expect("the node takes the request");
+        // The answer is read only after it has certainly been sent.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let mut answer = vec![0; 4_096];
+        let read = caller.read(&mut answer).await.expect("the answer is not lost");
+        let text = String::from_utf8_lossy(&answer[..read]).to_lowercase();
+        assert_that!(text, starts_with("http/1.1 401"), "caller {number}");
+    }
+}
