--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,6 +21,13 @@
 const LOG: &str = env!("CARGO_BIN_EXE_fulmartrestle-standin-log");
 const SIDECAR: &str = env!("CARGO_BIN_EXE_fulmartrestle-sidecar");
 
+/// Ports for the nodes' listeners, below those that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 15_000;
+const PORTS: u16 = 15_000;
+
+/// The next port to try; no two nodes of one test program get the same.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 /// Time between two heartbeats of a target, in milliseconds.
 const HEARTBEAT_PAUSE_MS: u64 = 200;
 
@@ -168,9 +176,16 @@
     pub deadline_ms: u64,
 }
 
+/// Returns an address that no other listener has and no outgoing connection takes: system-chosen ports of
+/// connections begin above these.
 async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("an address")
+    loop {
+        let port = FIRST_PORT + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).await.is_ok() {
+            return address;
+        }
+    }
 }
 
 async fn announce(control: SocketAddr, service: String, target: Arc<Target>) {
