The door's test fails on costs without memory; comments that claimed measurements

A last check found that the test of mistaken calls also passed with a memory of 0.6 s instead of 10. It now shuts one route out for two seconds: with the memory all other routes keep at least 0.95 from the moment after (passes), without it viewing does not (11 steps fail). Comments named figures that no run gave (24 kB a connection); they say now that they are estimates.

--- a/crates/mesh/src/caller_places.rs
+++ b/crates/mesh/src/caller_places.rs
@@ -17,8 +17,8 @@
 /// Share of the memory that callers' connections may fill. Targets' answers, links and tables need the rest.
 const MEMORY_SHARE: f64 = 0.4;
 
-/// Memory of one caller's connection, in kilobytes: 24 were seen with 3,200 connections in an overload, and
-/// some room for bodies that are kept for repetitions.
+/// Memory of one caller's connection, in kilobytes: an estimate, twice the two buffers of 8 that `hyper` keeps,
+/// for the request under way and bodies that are kept for repetitions.
 const CONNECTION_KB: f64 = 32.0;
 
 /// Share of the room in use from which on a refusal closes its connection. The caller will not use it for its
--- a/crates/mesh/src/store_pace.rs
+++ b/crates/mesh/src/store_pace.rs
@@ -17,7 +17,7 @@
 const NEWS_WAIT_MS: u64 = 6_000;
 
 /// Age of what is known about the configuration from which on a node asks for itself, as a share of the time
-/// in which a withdrawn key must stop working. Confirmed by others, it stays below half of it.
+/// in which a withdrawn key must stop working: the rest is for the answer and a lost message.
 const ASK_AGE_SHARE: f64 = 0.6;
 
 /// Pause after the first failed call, and the longest, in milliseconds. A store that is back is met within
--- a/crates/policy/tests/capacity_door.rs
+++ b/crates/policy/tests/capacity_door.rs
@@ -204,8 +204,14 @@
         for (share, flow) in shares.iter_mut().zip(&flows) {
             *share = door.share(&route(flow.name), Rank(flow.rank), now);
         }
-        if step >= 60 {
-            for (share, flow) in shares.iter().zip(&flows) {
+        // A short cut shuts viewing almost out, as the transient of a surge did.
+        if (30..50).contains(&step) {
+            shares[1] = 0.02;
+        }
+        if step >= 52 {
+            // Browsing finds its share again within five seconds; nothing else may wait for that.
+            let settled = |flow: &Flow| step >= 100 || flow.name != "browse";
+            for (share, flow) in shares.iter().zip(&flows).filter(|(_, flow)| settled(flow)) {
                 expect_that!(*share, ge(flow.least), "{} at step {step}", flow.name);
             }
         }
