--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -66,3 +66,9 @@
     u64,
     "rate per second"
 );
+number_newtype!(
+    /// Rate in thousandths of a request per second.
+    RateMilliPerS,
+    u64,
+    "rate in thousandths per second"
+);
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -97,7 +97,8 @@
         let deadline = response_deadline(arrived, metadata.deadline_ms, route.timeout_ms);
         let body = self.read_body(incoming_body(body), &config).await?;
         let position = state.random_unit();
-        let service = route.select_backend(position).ok_or(no_route)?.clone();
+        let no_service = Refusal::not_run(Reason::NoTarget, Some(NO_CONFIG_RETRY_AFTER_MS));
+        let service = route.select_backend(position).ok_or(no_service)?.clone();
         let admitted = AdmittedRequest {
             request_id: metadata.request_id.clone(),
             route: route.id.clone(),
@@ -174,7 +175,11 @@
             return Err(Refusal::not_run(Reason::NotReady, Some(STALE_CONFIG_RETRY_AFTER_MS)));
         }
         let tenant = metadata.key.as_ref().and_then(|key| config.find_tenant(key));
-        tenant.ok_or(Refusal::not_run(Reason::Unauthorized, None))
+        tenant.ok_or_else(|| match config.has_unreadable_tenants() {
+            // The key may be valid, so the request is not denied for good.
+            true => Refusal::not_run(Reason::NotReady, Some(NO_CONFIG_RETRY_AFTER_MS)),
+            false => Refusal::not_run(Reason::Unauthorized, None),
+        })
     }
 
     async fn read_body(&self, body: ByteBody, config: &MeshConfig) -> Result<ReplayBody, Refusal> {
--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -4,7 +4,7 @@
 
 use fulmartrestle_core::Version;
 use fulmartrestle_derive::record;
-use fulmartrestle_quota::TenantRate;
+use fulmartrestle_quota::TenantLimit;
 
 use super::{ApiKey, Route, TenantConfig};
 
@@ -38,6 +38,7 @@
     by_host: HashMap<String, HashMap<String, usize>>,
     tenants: Vec<TenantConfig>,
     by_key: HashMap<ApiKey, usize>,
+    unreadable_tenants: usize,
 }
 
 impl MeshConfig {
@@ -54,7 +55,18 @@
                 by_key.entry(key.clone()).or_insert(index);
             }
         }
-        Self { version, limits, routes, by_host, tenants, by_key }
+        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0 }
+    }
+
+    /// Sets how many tenants could not be read. Their keys are unknown, but valid.
+    pub fn with_unreadable_tenants(mut self, unreadable_tenants: usize) -> Self {
+        self.unreadable_tenants = unreadable_tenants;
+        self
+    }
+
+    /// Returns whether an unknown key may belong to a tenant that could not be read.
+    pub fn has_unreadable_tenants(&self) -> bool {
+        self.unreadable_tenants > 0
     }
 
     /// Returns the version number.
@@ -83,17 +95,17 @@
 
     /// Returns whether any tenant is configured. If so, routes that are not public require a key.
     pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
+        !self.tenants.is_empty() || self.has_unreadable_tenants()
     }
 
     /// Returns the rate limit of every tenant.
-    pub fn tenant_rates(&self) -> Vec<TenantRate> {
-        let rate = |tenant: &TenantConfig| TenantRate {
+    pub fn tenant_limits(&self) -> Vec<TenantLimit> {
+        let limit = |tenant: &TenantConfig| TenantLimit {
             tenant: tenant.tenant.clone(),
-            rate_per_s: tenant.rate_per_s,
+            rate: tenant.rate,
             burst: tenant.burst,
         };
-        self.tenants.iter().map(rate).collect()
+        self.tenants.iter().map(limit).collect()
     }
 
     /// Returns the number of configured routes.
--- a/crates/mesh/src/config/tenant_config.rs
+++ b/crates/mesh/src/config/tenant_config.rs
@@ -1,6 +1,6 @@
 //! Tenants and their API keys.
 
-use fulmartrestle_core::{RatePerS, Tenant, Tokens};
+use fulmartrestle_core::{RateMilliPerS, Tenant, Tokens};
 
 /// An API key of a caller. Its `Debug` output hides the key.
 #[derive(Clone, PartialEq, Eq, Hash)]
@@ -28,8 +28,8 @@
     pub keys: Vec<ApiKey>,
     /// Priority of all its requests; takes precedence over the priority of the route.
     pub priority: Option<u8>,
-    /// Requests per second over the whole fleet; 0 means no limit.
-    pub rate_per_s: RatePerS,
+    /// Rate of requests over the whole fleet; 0 means no limit.
+    pub rate: RateMilliPerS,
     /// Requests above the rate that may arrive at once after a pause.
     pub burst: Tokens,
 }
--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -6,14 +6,17 @@
 use fulmartrestle_core::{LogOffset, TimeUs, lock};
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
 
-use crate::MeshConfig;
 use crate::event_log::LogLine;
+use crate::platform::DecodedConfig;
 use crate::state::{ActiveConfig, MeshState};
 use crate::store_polling::{StoreBackoff, direct_read_age_ms, long_poll_wait_ms};
 
 /// Maximum number of records requested in one read.
 const MAX_READ_RECORDS: usize = 64;
 
+/// Maximum number of log lines about values of one version that cannot be read.
+const MAX_LOGGED_WARNINGS: usize = 20;
+
 /// Follows the configuration until the task is aborted.
 pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName, config_key: String) {
     let mut follower = ConfigFollower { state, store, stream, config_key, next_offset: None };
@@ -47,8 +50,8 @@
 /// Activates a configuration if its version is newer than the active one. Returns whether `bytes` is a valid
 /// configuration, even if it is not newer.
 pub fn apply_config(state: &MeshState, bytes: &[u8], source: &str) -> bool {
-    let config = match state.config_decoder.decode(bytes) {
-        Ok(config) => config,
+    let DecodedConfig { config, warnings } = match state.config_decoder.decode(bytes) {
+        Ok(decoded) => decoded,
         Err(error) => {
             state.log(LogLine::new("config_rejected").text("source", source).text("detail", error));
             return false;
@@ -66,16 +69,23 @@
             .text("source", source);
         state.log(line);
         let config = Arc::new(config);
-        set_tenant_rates(state, &config, now);
+        lock(&state.tokens).set_limits(&config.tenant_limits(), now);
         *active = ActiveConfig { config: Some(config), bytes: Arc::new(bytes.to_vec()) };
     }
+    log_warnings(state, &warnings);
     state.status_due.notify_one();
     true
 }
 
-fn set_tenant_rates(state: &MeshState, config: &MeshConfig, now: TimeUs) {
-    let first_start = state.settings().first_start;
-    lock(&state.tokens).set_rates(&config.tenant_rates(), first_start, now);
+/// Logs what could not be read in a new version, once for each version.
+fn log_warnings(state: &MeshState, warnings: &[String]) {
+    for warning in warnings.iter().take(MAX_LOGGED_WARNINGS) {
+        state.log(LogLine::new("config_item_unreadable").text("detail", warning));
+    }
+    if warnings.len() > MAX_LOGGED_WARNINGS {
+        let unlogged = warnings.len() - MAX_LOGGED_WARNINGS;
+        state.log(LogLine::new("config_items_unreadable").number("more", unlogged as u64));
+    }
 }
 
 /// Result of one read of the store.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -7,7 +7,7 @@
 use fulmartrestle_core::{TimeUs, VmId, lock};
 use fulmartrestle_platform_log::PlatformLog;
 use fulmartrestle_policy::{CapacityAdmission, LoadBalancer, RetryBudgets};
-use fulmartrestle_quota::TokenPool;
+use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
     ListenerLimits, PeerConnectionPool, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
 };
@@ -214,6 +214,7 @@
     );
     MeshState {
         node_id: VmId(rng.random()),
+        started_at: clock.now(),
         settings: RwLock::new(Arc::new(settings)),
         clock,
         wire_protocol: Arc::clone(&options.wire_protocol),
@@ -228,6 +229,7 @@
         resend_budgets: Mutex::new(RetryBudgets::default()),
         rerun_budgets: Mutex::new(RetryBudgets::default()),
         tokens: Mutex::new(TokenPool::default()),
+        issuing_right: Mutex::new(IssuingRight::default()),
         peers: Mutex::new(PeerTable::default()),
         peer_connections: PeerConnectionPool::default(),
         rng: Mutex::new(rng),
--- a/crates/mesh/src/node_messages.rs
+++ b/crates/mesh/src/node_messages.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_core::{AvailabilityZone, Tenant, Version, VmId};
 use fulmartrestle_derive::record;
 use fulmartrestle_policy::{DemandReport, RouteArrivals};
+use fulmartrestle_quota::IssuerTable;
 
 use crate::call_messages::GateReport;
 
@@ -31,22 +32,40 @@
     pub stamp_us: u64,
     /// The latest stamp that the sender has received from the receiver.
     pub echo_us: Option<u64>,
+    /// The nodes to which the sender leases its right to issue tokens, itself included.
+    pub issuers: IssuerTable,
+    /// Whether the sender stops, so that nothing should be leased to it.
+    pub leaving: bool,
 }
 
 /// Request for tokens of a tenant's rate.
 #[record]
-pub struct TokenRequest {
-    /// The tenant whose tokens are requested.
-    pub tenant: Tenant,
-    /// Millionths of tokens requested.
-    pub requested_micro: u64,
+pub enum TokenRequest {
+    /// A node needs a token for a request.
+    Issue {
+        /// The tenant whose token is requested.
+        tenant: Tenant,
+        /// Tokens requested beyond the one that is needed.
+        ahead: u32,
+    },
+    /// An issuer needs a part of a token, or has room for more.
+    Yield {
+        /// The tenant whose tokens are requested.
+        tenant: Tenant,
+        /// Millionths of tokens that are needed.
+        missing_micro: u64,
+        /// Millionths of tokens for which the sender has room.
+        room_micro: u64,
+    },
 }
 
-/// Tokens that the sender has taken out of its own share of the rate.
+/// Tokens that the sender has taken out of its own stock.
 #[record]
 pub struct TokenGrant {
     /// Millionths of tokens granted.
     pub granted_micro: u64,
+    /// Time until the caller should return if the tokens do not suffice, in milliseconds.
+    pub retry_after_ms: u64,
 }
 
 /// Response to a request for the configuration.
--- a/crates/mesh/src/peer_streams.rs
+++ b/crates/mesh/src/peer_streams.rs
@@ -18,7 +18,7 @@
 use crate::call_messages::CallRequestHead;
 use crate::node_messages::{ConfigResponse, TokenRequest};
 use crate::state::MeshState;
-use crate::tokens::grant_tokens;
+use crate::tokens::answer_token_request;
 
 /// Path of streams that carry a call.
 pub const RUN_PATH: &str = "/run";
@@ -59,7 +59,7 @@
         let body = Limited::new(stream_body(body), MAX_TOKEN_REQUEST_BYTES).collect().await;
         let bytes = body.map_err(|error| PeerError::StreamFailed(error.to_string()))?.to_bytes();
         let request: TokenRequest = fulmartrestle_transport::decode_exact(&bytes)?;
-        send_response(respond, &grant_tokens(&self.state, &request)).await
+        send_response(respond, &answer_token_request(&self.state, request).await).await
     }
 }
 
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -3,7 +3,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use fulmartrestle_core::{TimeUs, Version, VmId};
+use fulmartrestle_core::{AvailabilityZone, TimeUs, Version, VmId};
+use fulmartrestle_quota::{IssuerCandidate, IssuerTable, TokenShard};
+
+use crate::node_messages::NodeStatus;
 
 /// Time without a status message after which a node no longer counts for the division of the tenants' rates, in
 /// milliseconds. It is far longer than the time for which a partitioned node continues to accept requests with keys.
@@ -14,10 +17,22 @@
 const LIVE_TIMEOUT_MS: u64 = 2_600;
 
 /// Time without a status message after which a node's registration is removed from the store, in milliseconds.
-const REGISTRATION_TIMEOUT_MS: u64 = 600_000;
+const REGISTRATION_TIMEOUT_MS: u64 = 60_000;
+
+/// The same for a node that has announced that it stops, in milliseconds. A process that is started again sends
+/// status messages earlier than that.
+const LEAVING_TIMEOUT_MS: u64 = 6_000;
+
+/// Time without a status message after which a node receives no leases any more, in milliseconds: one lost message
+/// and some network delay.
+const LESSEE_TIMEOUT_MS: u64 = 1_500;
+
+/// Time by which a stamp may be older than the last one of the same address and still belong to an earlier run whose
+/// messages are late, in microseconds. A larger difference means that the VM was replaced.
+const MAX_LATE_STAMP_US: u64 = 10_000_000;
 
 /// Local view of one other node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Peer {
     /// ID of the node's current run; `None` until its first status message.
     pub node: Option<VmId>,
@@ -27,6 +42,25 @@
     pub stamp_us: u64,
     /// Its version of the configuration.
     pub version: Version,
+    /// Its zone; `None` until its first status message.
+    pub zone: Option<AvailabilityZone>,
+    /// The nodes to which it leases its right to issue tokens.
+    pub issuers: IssuerTable,
+    /// Whether it stops.
+    pub leaving: bool,
+    /// Whether it has received a status message of this run.
+    pub has_heard_this_run: bool,
+}
+
+/// Effect of a status message on the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatusEffect {
+    /// ID of the previous run at the address, which has ended.
+    pub replaced: Option<VmId>,
+    /// Whether the message is the first one of its run.
+    pub is_new: bool,
+    /// Whether the message is a late one of an earlier run and must be ignored.
+    pub is_outdated: bool,
 }
 
 /// The other nodes by their peer addresses.
@@ -40,8 +74,7 @@
     /// Adds nodes that are registered on the store. Known nodes stay as they are.
     pub fn register(&mut self, addresses: &[SocketAddr], now: TimeUs) {
         for address in addresses {
-            let new_peer = Peer { node: None, last_seen: now, stamp_us: 0, version: Version(0) };
-            self.peers.entry(*address).or_insert(new_peer);
+            self.peers.entry(*address).or_insert_with(|| Peer { last_seen: now, ..Peer::default() });
         }
     }
 
@@ -50,20 +83,51 @@
         self.quota_start.get_or_insert(start);
     }
 
-    /// Records a status message. Returns the ID of the previous run if the node was restarted.
-    pub fn record_status(
-        &mut self,
-        address: SocketAddr,
-        node: VmId,
-        stamp_us: u64,
-        version: Version,
-        now: TimeUs,
-    ) -> Option<VmId> {
-        let new_peer = Peer { node: None, last_seen: now, stamp_us: 0, version };
-        let entry = self.peers.entry(address).or_insert(new_peer);
-        let replaced = entry.node.filter(|known| *known != node);
-        *entry = Peer { node: Some(node), last_seen: now, stamp_us, version };
-        replaced
+    /// Records a status message. `started_at` is the start of this node's run.
+    pub fn record_status(&mut self, status: &NodeStatus, started_at: TimeUs, now: TimeUs) -> StatusEffect {
+        let entry = self.peers.entry(status.address).or_default();
+        let replaced = entry.node.filter(|known| *known != status.node);
+        let stamp_age_us = entry.stamp_us.saturating_sub(status.stamp_us);
+        if replaced.is_some() && stamp_age_us > 0 && stamp_age_us < MAX_LATE_STAMP_US {
+            return StatusEffect { is_outdated: true, ..StatusEffect::default() };
+        }
+        let is_new = entry.node != Some(status.node);
+        let hears_this_run = status.echo_us.is_some_and(|echo_us| TimeUs(echo_us) >= started_at);
+        *entry = Peer {
+            node: Some(status.node),
+            last_seen: now,
+            stamp_us: status.stamp_us,
+            version: status.version,
+            zone: Some(status.zone.clone()),
+            issuers: status.issuers,
+            leaving: status.leaving,
+            has_heard_this_run: hears_this_run || (entry.has_heard_this_run && !is_new),
+        };
+        StatusEffect { replaced, is_new, is_outdated: false }
+    }
+
+    /// Returns the nodes to which rights to issue tokens may be leased.
+    pub fn issuer_candidates(&self, own_zone: &AvailabilityZone, now: TimeUs) -> Vec<IssuerCandidate> {
+        let is_fresh = |peer: &&Peer| !peer.leaving && now.ms_since(peer.last_seen) < LESSEE_TIMEOUT_MS;
+        let to_candidate = |peer: &Peer| {
+            peer.node.map(|node| IssuerCandidate { node, in_own_zone: peer.zone.as_ref() == Some(own_zone) })
+        };
+        self.peers.values().filter(is_fresh).filter_map(to_candidate).collect()
+    }
+
+    /// Returns the issuers of a shard that are named by a live node.
+    pub fn issuers(&self, shard: TokenShard, now: TimeUs) -> Vec<VmId> {
+        let live = self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < LIVE_TIMEOUT_MS);
+        let mut issuers: Vec<VmId> = live.filter_map(|peer| peer.issuers[shard.index()]).collect();
+        issuers.sort_unstable();
+        issuers.dedup();
+        issuers
+    }
+
+    /// Returns whether every known node has received a status message of this run, so that none of them counts on
+    /// what an earlier run on this VM has sent.
+    pub fn all_have_heard_this_run(&self) -> bool {
+        !self.peers.is_empty() && self.peers.values().all(|peer| peer.has_heard_this_run)
     }
 
     /// Returns the entry of the node at `address`.
@@ -104,7 +168,8 @@
 
     /// Returns the addresses of nodes that have sent no status message for so long that they are considered gone.
     pub fn expired_registrations(&self, now: TimeUs) -> Vec<SocketAddr> {
-        let is_expired = |peer: &Peer| now.ms_since(peer.last_seen) >= REGISTRATION_TIMEOUT_MS;
+        let timeout_ms = |peer: &Peer| if peer.leaving { LEAVING_TIMEOUT_MS } else { REGISTRATION_TIMEOUT_MS };
+        let is_expired = |peer: &Peer| now.ms_since(peer.last_seen) >= timeout_ms(peer);
         self.peers.iter().filter(|(_, peer)| is_expired(peer)).map(|(address, _)| *address).collect()
     }
 
--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -92,12 +92,22 @@
     fn refusal_response(&self, refusal: &Refusal, request_id: Option<&str>) -> Response<ByteBody>;
 }
 
+/// One version of the configuration, and what could not be read in it.
+#[derive(Debug)]
+pub struct DecodedConfig {
+    /// The configuration. Items that cannot be used are left out.
+    pub config: MeshConfig,
+    /// One text for each value that could not be read or is not known, with the name of its item.
+    pub warnings: Vec<String>,
+}
+
 /// Decodes the operator's configuration.
 pub trait ConfigDecoder: Send + Sync {
-    /// Decodes one version of the configuration.
+    /// Decodes one version of the configuration. A value that this version of the program does not know affects
+    /// only the item that contains it.
     ///
     /// # Errors
     ///
-    /// Returns [`ConfigError::Invalid`] with what is wrong in `bytes`.
-    fn decode(&self, bytes: &[u8]) -> Result<MeshConfig, ConfigError>;
+    /// Returns [`ConfigError::Invalid`] if `bytes` as a whole cannot be read.
+    fn decode(&self, bytes: &[u8]) -> Result<DecodedConfig, ConfigError>;
 }
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -17,6 +17,9 @@
 const EARLY_REFRESH_PAUSES_MS: [u64; 2] = [1_000, 3_000];
 const REFRESH_PAUSE_MS: u64 = 20_000;
 
+/// Interval between checks for nodes that are gone, in milliseconds.
+const EXPIRY_CHECK_INTERVAL_MS: u64 = 1_000;
+
 /// Registers this node and reads the registrations of the others, until the task is aborted.
 pub async fn run_registry(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName) {
     let mut early_pauses_ms = EARLY_REFRESH_PAUSES_MS.into_iter();
@@ -33,7 +36,20 @@
                 backoff.next_delay_ms(state.random_unit())
             }
         };
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        pause(&state, store.as_ref(), &stream, pause_ms).await;
+    }
+}
+
+/// Waits, and meanwhile removes the registrations of nodes that are gone.
+async fn pause(state: &MeshState, store: &dyn PlatformLog, stream: &StreamName, pause_ms: u64) {
+    let end = state.now().plus_ms(pause_ms);
+    while state.now() < end {
+        let left = state.clock.duration_until(end);
+        tokio::time::sleep(left.min(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS))).await;
+        if let Err(error) = remove_expired(state, store, stream).await {
+            state.log(LogLine::new("registry_failed").text("detail", error));
+            return;
+        }
     }
 }
 
@@ -63,7 +79,7 @@
         peers.set_quota_start(now.plus_ms(wait_ms));
     }
     state.status_due.notify_one();
-    remove_expired(state, store, stream).await
+    Ok(())
 }
 
 /// Removes the registrations of nodes that are gone. Only the live node with the lowest address writes to the
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,7 +4,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
 use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, LoadBalancer, RetryBudgets};
-use fulmartrestle_quota::TokenPool;
+use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -45,6 +45,8 @@
 pub struct MeshState {
     /// ID of this run of the node; random at each start.
     pub node_id: VmId,
+    /// When this run of the node started.
+    pub started_at: TimeUs,
     /// The active settings; replaced on reload.
     pub settings: RwLock<Arc<MeshSettings>>,
     /// The node's only source of time.
@@ -71,8 +73,10 @@
     pub resend_budgets: Mutex<RetryBudgets>,
     /// Budgets for retries of requests that a target may have run.
     pub rerun_budgets: Mutex<RetryBudgets>,
-    /// This node's share of the tenants' rate tokens.
+    /// Tokens of the tenants' rates on this node.
     pub tokens: Mutex<TokenPool>,
+    /// This node's right to issue tokens, which it leases to other nodes.
+    pub issuing_right: Mutex<IssuingRight>,
     /// The other nodes of the fleet.
     pub peers: Mutex<PeerTable>,
     /// Connections to the other nodes.
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fulmartrestle_core::{TimeUs, Version, lock};
+use fulmartrestle_core::{TimeUs, Version, VmId, lock};
 use fulmartrestle_policy::{BasisPoints, RetryBudgetSettings};
+use fulmartrestle_quota::{IssuerCandidate, IssuerTable, IssuingRight};
 use fulmartrestle_transport::{decode_exact, encode};
 use tokio::net::UdpSocket;
 
@@ -14,7 +15,8 @@
 use crate::event_log::LogLine;
 use crate::node_messages::{ConfigResponse, NodeStatus};
 use crate::peer_streams::CONFIG_PATH;
-use crate::state::MeshState;
+use crate::peer_table::StatusEffect;
+use crate::state::{MeshState, NodePhase};
 
 /// Interval of status messages, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 1_000;
@@ -22,6 +24,10 @@
 /// Shortest pause between two rounds of messages that are triggered by changes, in milliseconds.
 const MIN_STATUS_PAUSE_MS: u64 = 40;
 
+/// Longest duration of one round of messages, in milliseconds: half of the time by which the leases that they renew
+/// last longer on this node than on the receivers.
+const MAX_ROUND_MS: u64 = 50;
+
 /// Largest status message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2_048;
 
@@ -45,11 +51,19 @@
     loop {
         let now = state.now();
         record_own_status(&state, now);
+        apply_fleet_shares(&state, now);
+        let issuers = renew_leases(&state, now);
         let peers: Vec<_> = lock(&state.peers).addresses();
         for address in peers {
-            send_status_to(&state, &socket, address).await;
+            let Some(message) = encode_status(&state, address, issuers) else { continue };
+            // A process that was suspended meanwhile would confirm a lease that has ended.
+            if state.now().ms_since(now) >= MAX_ROUND_MS {
+                break;
+            }
+            if let Err(error) = socket.send_to(&message, address).await {
+                state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
+            }
         }
-        apply_fleet_shares(&state, now);
         let interval = Duration::from_millis(STATUS_INTERVAL_MS);
         if tokio::time::timeout(interval, state.status_due.notified()).await.is_ok() {
             tokio::time::sleep(Duration::from_millis(MIN_STATUS_PAUSE_MS)).await;
@@ -86,7 +100,27 @@
     lock(&state.capacity_admission).record_report(state.node_id, demand, arrivals, now);
 }
 
-async fn send_status_to(state: &MeshState, socket: &UdpSocket, address: SocketAddr) {
+/// Renews the leases of this node's right to issue tokens. Returns the lessees.
+fn renew_leases(state: &MeshState, now: TimeUs) -> IssuerTable {
+    let zone = state.settings().availability_zone.clone();
+    let mut candidates = lock(&state.peers).issuer_candidates(&zone, now);
+    if *state.phase.borrow() == NodePhase::Serving || candidates.is_empty() {
+        candidates.push(IssuerCandidate { node: state.node_id, in_own_zone: true });
+    }
+    let has_quota_start = lock(&state.peers).quota_sharers(now) > 0;
+    let all_heard = lock(&state.peers).all_have_heard_this_run();
+    let mut right = lock(&state.issuing_right);
+    if has_quota_start && (all_heard || state.settings().first_start) {
+        right.set_usable_from(now);
+    } else if has_quota_start {
+        right.set_usable_from(IssuingRight::earlier_leases_end(state.started_at));
+    }
+    let issuers = right.renew(state.node_id, &candidates, now);
+    lock(&state.tokens).set_own_rights(&right, state.node_id, now);
+    issuers
+}
+
+fn encode_status(state: &MeshState, address: SocketAddr, issuers: IssuerTable) -> Option<Vec<u8>> {
     let now = state.now();
     let settings = state.settings();
     let status = NodeStatus {
@@ -100,25 +134,27 @@
         config_age_ms: state.config_age_ms(now),
         stamp_us: now.0,
         echo_us: lock(&state.peers).get(&address).map(|peer| peer.stamp_us).filter(|stamp| *stamp > 0),
+        issuers,
+        leaving: *state.phase.borrow() != NodePhase::Serving,
     };
-    let sent = match encode(&status) {
-        Ok(message) => socket.send_to(&message, address).await.map(|_| ()),
-        Err(error) => return state.log(LogLine::new("status_not_sent").text("detail", error)),
-    };
-    if let Err(error) = sent {
-        state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
+    match encode(&status) {
+        Ok(message) => Some(message),
+        Err(error) => {
+            state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
+            None
+        }
     }
 }
 
 fn apply_status(state: &Arc<MeshState>, status: NodeStatus) {
     let now = state.now();
     let own_version = state.config().map_or(Version(0), |config| config.version());
-    let (replaced, is_new) = {
-        let mut peers = lock(&state.peers);
-        let is_new = peers.get(&status.address).is_none_or(|peer| peer.node != Some(status.node));
-        let replaced = peers.record_status(status.address, status.node, status.stamp_us, status.version, now);
-        (replaced, is_new)
-    };
+    let effect = lock(&state.peers).record_status(&status, state.started_at, now);
+    if effect.is_outdated {
+        return;
+    }
+    let StatusEffect { replaced, is_new, .. } = effect;
+    apply_leases(state, &status, replaced, now);
     {
         let mut load_balancer = lock(&state.load_balancer);
         if let Some(replaced) = replaced {
@@ -146,6 +182,20 @@
     }
 }
 
+/// Records the leases of a node, and ends those to and from its earlier run.
+fn apply_leases(state: &MeshState, status: &NodeStatus, replaced: Option<VmId>, now: TimeUs) {
+    if let Some(replaced) = replaced {
+        lock(&state.issuing_right).end_leases_to(replaced);
+    }
+    let mut tokens = lock(&state.tokens);
+    if let Some(replaced) = replaced {
+        tokens.remove_lessor(replaced, now);
+    }
+    if let Some(echo_us) = status.echo_us {
+        tokens.record_leases(status.node, &status.issuers, state.node_id, TimeUs(echo_us), now);
+    }
+}
+
 /// Fetches a newer configuration from another node, for nodes that cannot reach the store.
 async fn fetch_config(state: Arc<MeshState>, address: SocketAddr) {
     let request = async {
--- a/crates/mesh/tests/routes.rs
+++ b/crates/mesh/tests/routes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{RatePerS, Tokens, Version};
+use fulmartrestle_core::{RateMilliPerS, Tokens, Version};
 use fulmartrestle_mesh::{ApiKey, Backend, CallerLimits, MeshConfig, Route, TenantConfig};
 use googletest::prelude::*;
 
@@ -33,7 +33,7 @@
         tenant: "agency".parse().expect("a valid name"),
         keys: vec![ApiKey::new("one"), ApiKey::new("two")],
         priority: None,
-        rate_per_s: RatePerS(1),
+        rate: RateMilliPerS(1_000),
         burst: Tokens(1),
     };
     MeshConfig::new(Version(1), CallerLimits::default(), routes, vec![tenant])
--- a/crates/quota/src/token_pool.rs
+++ b/crates/quota/src/token_pool.rs
@@ -1,172 +1,226 @@
-//! Rate limits split into equal slices, with tokens that nodes transfer between them. See
-//! `docs/RATES.md`.
+//! Rate limits whose tokens are issued by a few nodes on behalf of all. See `docs/RATES.md`.
 //!
-//! Load pattern: a tenant's requests are distributed unevenly over many nodes, some of which are
-//! partitioned from the others. Each node earns an equal slice of the rate. A node without tokens
-//! requests some from other nodes, which deduct them from their own slice before they respond. A lost
-//! response loses tokens, so the sum over all nodes never exceeds the tenant's rate and burst, whichever
-//! nodes are partitioned.
+//! Load pattern: many nodes receive a few requests per second of each of many tenants, and some nodes are
+//! partitioned from the others. Each node has the right to issue an equal part of every tenant's tokens, and leases
+//! it to an issuer, usually one in its zone. Nodes request tokens from the issuer, which removes them from its stock
+//! before it responds: a lost response loses tokens. A right is never used by two nodes, so the sum over all nodes
+//! never exceeds the tenant's rate and burst, whichever nodes are partitioned or restarted.
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{Tenant, TimeUs};
-use fulmartrestle_derive::value;
-
-use crate::TenantRate;
-
-const US_PER_S: f64 = 1e6;
-
-/// Fraction of the slack passed to [`TokenPool::set_fleet_size`] that is added to the capacity of all slices
-/// together. A slice with a capacity below one token could never admit a request by itself. The rest of the
-/// slack covers requests in transit.
-const EXTRA_CAPACITY_FRACTION: f64 = 0.6;
-
-/// Time for which a request counts as recent demand of its tenant, in microseconds. A node with recent
-/// demand keeps one token when it transfers tokens to others.
-const RECENT_DEMAND_US: u64 = 500_000;
-
-/// Bounds of Retry-After, in milliseconds.
-const MIN_RETRY_AFTER_MS: u64 = 50;
-const MAX_RETRY_AFTER_MS: u64 = 3_000;
+use fulmartrestle_core::{RateMilliPerS, Tenant, TimeUs, Tokens, VmId};
+use fulmartrestle_derive::{local, record, value};
+
+use crate::issuing_right::LEASE_MS;
+use crate::leased_rights::LeasedRights;
+use crate::token_bucket::{FleetSize, TokenBucket};
+use crate::token_shard::{TOKEN_SHARD_COUNT, TokenShard};
+use crate::{IssuerTable, IssuingRight};
+
+/// Share of the slack passed to [`TokenPool::set_fleet_size`] by which the capacities of all buckets together may
+/// exceed the burst. The rest covers requests in transit and views of the fleet's size that differ for a moment.
+const EXTRA_CAPACITY_SHARE: f64 = 0.6;
+
+/// Longest time for which requests are refused without asking the issuer again, in milliseconds. A tenant far beyond
+/// its rate costs one exchange per node in this time.
+const MAX_DENIAL_MS: u64 = 100;
+
+/// Rate limit of one tenant over the whole fleet.
+#[record]
+pub struct TenantLimit {
+    /// The tenant.
+    pub tenant: Tenant,
+    /// Rate of requests; 0 means no limit.
+    pub rate: RateMilliPerS,
+    /// Requests that may be admitted at once after a pause.
+    pub burst: Tokens,
+}
 
 /// Decision of the token pool on one request.
 #[value]
 pub enum TokenDecision {
     /// The request is admitted: its token is consumed, or its tenant has no rate limit.
     Granted,
-    /// This node has no token. Other nodes may have one.
-    Insufficient {
-        /// Time until this node will have earned a token itself, in milliseconds.
+    /// This node has no token. The issuer of the shard may have one.
+    AskIssuer {
+        /// Shard of the tenant.
+        shard: TokenShard,
+        /// Tokens to request beyond the one for this request.
+        ahead: u32,
+    },
+    /// The issuer had no token a moment ago.
+    Denied {
+        /// Time until the caller should return, in milliseconds.
         retry_after_ms: u64,
     },
 }
 
-#[derive(Debug)]
-struct TenantBucket {
-    rate_per_s: f64,
-    burst: f64,
-    tokens: f64,
-    refilled_at: TimeUs,
-    last_request_at: Option<TimeUs>,
+/// What an issuer needs from the other issuers of a shard to serve a request.
+#[local]
+#[derive(Copy)]
+pub struct TokenNeed {
+    /// Tokens that are missing for one request.
+    pub missing: f64,
+    /// Tokens beyond that for which the issuer has room.
+    pub room: f64,
 }
 
-/// One node's tokens by tenant.
+/// Tokens of all tenants on one node.
 #[derive(Debug, Default)]
 pub struct TokenPool {
-    buckets: HashMap<Tenant, TenantBucket>,
-    fleet_size: FleetSize,
-}
-
-/// Number of nodes among which the rates are split, and the extra capacity of all slices together.
-#[derive(Clone, Copy, Debug, Default)]
-struct FleetSize {
-    nodes: usize,
-    extra_tokens: f64,
+    rights: [LeasedRights; TOKEN_SHARD_COUNT],
+    buckets: HashMap<Tenant, TokenBucket>,
+    fleet: FleetSize,
 }
 
 impl TokenPool {
-    /// Applies the rates of a new configuration. New tenants start without tokens, or with this node's
-    /// slice of the burst when the whole fleet starts for the first time.
-    pub fn set_rates(&mut self, rates: &[TenantRate], first_start: bool, now: TimeUs) {
+    /// Applies the limits of a new configuration. New tenants start without tokens, and so do tenants whose shard
+    /// changes, because another node may issue their tokens now.
+    pub fn set_limits(&mut self, limits: &[TenantLimit], now: TimeUs) {
         self.refill_all(now);
         let mut old_buckets = std::mem::take(&mut self.buckets);
-        for rate in rates.iter().filter(|rate| rate.rate_per_s.0 > 0) {
-            let mut bucket = old_buckets.remove(&rate.tenant).unwrap_or(TenantBucket {
-                rate_per_s: 0.0,
-                burst: 0.0,
-                tokens: if first_start { f64::INFINITY } else { 0.0 },
-                refilled_at: now,
-                last_request_at: None,
-            });
-            bucket.rate_per_s = rate.rate_per_s.0 as f64;
-            bucket.burst = rate.burst.0 as f64;
-            bucket.tokens = bucket.tokens.min(bucket.capacity(self.fleet_size));
-            self.buckets.insert(rate.tenant.clone(), bucket);
+        for limit in limits.iter().filter(|limit| limit.rate.0 > 0) {
+            let shard = TokenShard::of(&limit.tenant, limit.burst);
+            let new_bucket = TokenBucket::new(limit, &self.rights[shard.index()]);
+            let old_bucket = old_buckets.remove(&limit.tenant).filter(|bucket| bucket.shard == shard);
+            let mut bucket = old_bucket.unwrap_or(new_bucket);
+            bucket.set_limit(limit);
+            self.buckets.insert(limit.tenant.clone(), bucket);
         }
     }
 
-    /// Sets the number of nodes among which the rates are split, zero while this node has no slice, and the
-    /// number of requests by which the whole fleet may exceed a tenant's rate and burst.
+    /// Sets the number of nodes among which the rates are divided, zero while this is not known, and the number of
+    /// requests by which the whole fleet may exceed a tenant's rate and burst.
     pub fn set_fleet_size(&mut self, nodes: usize, slack_tokens: f64, now: TimeUs) {
-        let fleet_size = FleetSize { nodes, extra_tokens: slack_tokens * EXTRA_CAPACITY_FRACTION };
-        if nodes != self.fleet_size.nodes || fleet_size.extra_tokens != self.fleet_size.extra_tokens {
+        let fleet = FleetSize { nodes, extra_tokens: slack_tokens * EXTRA_CAPACITY_SHARE };
+        if fleet != self.fleet {
             self.refill_all(now);
-            self.fleet_size = fleet_size;
-            self.buckets.values_mut().for_each(|bucket| bucket.tokens = bucket.tokens.min(bucket.capacity(fleet_size)));
+            self.fleet = fleet;
         }
     }
 
+    /// Updates which of its own rights this node uses itself.
+    pub fn set_own_rights(&mut self, right: &IssuingRight, own: VmId, now: TimeUs) {
+        for shard in TokenShard::all() {
+            self.rights[shard.index()].set_own(right.is_own_issuer(shard, own, now), now);
+        }
+    }
+
+    /// Records the lessees that another node has sent after it received this node's message of `echoed_at`, on this
+    /// node's clock. A lease counts from there, so that it ends on this node before it ends on the lessor.
+    pub fn record_leases(&mut self, lessor: VmId, lessees: &IssuerTable, own: VmId, echoed_at: TimeUs, now: TimeUs) {
+        for shard in TokenShard::all().filter(|shard| lessees[shard.index()] == Some(own)) {
+            self.rights[shard.index()].record_lease(lessor, echoed_at.plus_ms(LEASE_MS), now);
+        }
+    }
+
+    /// Removes the leases of a node whose process has ended.
+    pub fn remove_lessor(&mut self, lessor: VmId, now: TimeUs) {
+        self.rights.iter_mut().for_each(|rights| rights.remove(lessor, now));
+    }
+
     /// Consumes a token for a request. Tenants without a rate limit need none.
     pub fn take(&mut self, tenant: &Tenant, now: TimeUs) -> TokenDecision {
-        let fleet_size = self.fleet_size;
-        let Some(bucket) = self.buckets.get_mut(tenant) else { return TokenDecision::Granted };
-        bucket.refill(fleet_size, now);
-        bucket.last_request_at = Some(now);
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
+        let Some(bucket) = self.refilled(tenant, now) else { return TokenDecision::Granted };
+        bucket.record_demand(now);
+        if bucket.take_one() {
             return TokenDecision::Granted;
         }
-        TokenDecision::Insufficient { retry_after_ms: bucket.retry_after_ms(fleet_size) }
+        if now < bucket.denied_until {
+            return TokenDecision::Denied { retry_after_ms: self.next_return_ms(tenant, now) };
+        }
+        TokenDecision::AskIssuer { shard: bucket.shard, ahead: bucket.wanted_ahead() as u32 }
     }
 
-    /// Returns the token of a request that was refused and has not run.
-    pub fn return_token(&mut self, tenant: &Tenant, now: TimeUs) {
-        self.transfer_in(tenant, 1.0, now);
+    /// Consumes a token after the issuer was asked at `requested_at` and granted `granted` tokens. If that is not
+    /// enough, requests are refused for up to `denied_ms` without asking again.
+    pub fn take_granted(
+        &mut self,
+        tenant: &Tenant,
+        granted: f64,
+        denied_ms: u64,
+        requested_at: TimeUs,
+        now: TimeUs,
+    ) -> TokenDecision {
+        let Some(bucket) = self.refilled(tenant, now) else { return TokenDecision::Granted };
+        bucket.borrow(granted, requested_at);
+        if bucket.take_one() {
+            return TokenDecision::Granted;
+        }
+        bucket.denied_until = now.plus_ms(denied_ms.min(MAX_DENIAL_MS));
+        TokenDecision::Denied { retry_after_ms: denied_ms }
     }
 
-    /// Removes tokens for another node and returns how many: up to `wanted`, less one token when this
-    /// node has recent demand itself.
-    pub fn transfer_out(&mut self, tenant: &Tenant, wanted: f64, now: TimeUs) -> f64 {
-        let fleet_size = self.fleet_size;
-        let Some(bucket) = self.buckets.get_mut(tenant) else { return 0.0 };
-        bucket.refill(fleet_size, now);
-        let in_demand =
-            bucket.last_request_at.is_some_and(|requested_at| now.us_since(requested_at) < RECENT_DEMAND_US);
-        let spare = if in_demand { bucket.tokens - 1.0 } else { bucket.tokens };
-        let transferred = wanted.min(spare).max(0.0);
-        bucket.tokens -= transferred;
-        transferred
+    /// Returns the shard of a tenant with a rate limit.
+    pub fn shard(&self, tenant: &Tenant) -> Option<TokenShard> {
+        self.buckets.get(tenant).map(|bucket| bucket.shard)
     }
 
-    /// Adds tokens that another node has transferred, up to the capacity or two tokens, whichever is more.
-    pub fn transfer_in(&mut self, tenant: &Tenant, transferred: f64, now: TimeUs) {
-        let fleet_size = self.fleet_size;
-        let Some(bucket) = self.buckets.get_mut(tenant) else { return };
-        bucket.refill(fleet_size, now);
-        let room = bucket.capacity(fleet_size).max(2.0);
-        bucket.tokens = (bucket.tokens + transferred).min(bucket.tokens.max(room));
+    /// Issues a token to a node, and up to `ahead` further ones if there are many. Returns the number issued.
+    pub fn issue(&mut self, tenant: &Tenant, ahead: u32, now: TimeUs) -> f64 {
+        self.refilled(tenant, now).map_or(0.0, |bucket| bucket.issue(f64::from(ahead), now))
     }
 
-    fn refill_all(&mut self, now: TimeUs) {
-        let fleet_size = self.fleet_size;
-        self.buckets.values_mut().for_each(|bucket| bucket.refill(fleet_size, now));
+    /// Returns what is missing for one request, or `None` if nothing is, or if the other issuers had nothing a
+    /// moment ago.
+    pub fn need(&mut self, tenant: &Tenant, now: TimeUs) -> Option<TokenNeed> {
+        let fleet = self.fleet;
+        let bucket = self.refilled(tenant, now)?;
+        let (shard, denied) = (bucket.shard, now < bucket.denied_until);
+        let (missing, room) = self.buckets[tenant].missing(&self.rights[shard.index()], fleet, now);
+        (missing > 0.0 && !denied).then_some(TokenNeed { missing, room })
     }
-}
 
-impl TenantBucket {
-    /// Returns the number of tokens up to which this node earns more.
-    fn capacity(&self, fleet_size: FleetSize) -> f64 {
-        let nodes = fleet_size.nodes.max(1) as f64;
-        let slice = self.burst / nodes;
-        slice.max((slice + fleet_size.extra_tokens / nodes).min(1.0))
+    /// Removes tokens for another issuer. Returns the number removed.
+    pub fn yield_tokens(&mut self, tenant: &Tenant, need: TokenNeed, now: TimeUs) -> f64 {
+        self.refilled(tenant, now).map_or(0.0, |bucket| bucket.yield_tokens(need.missing, need.room))
     }
 
-    fn refill(&mut self, fleet_size: FleetSize, now: TimeUs) {
-        let elapsed_us = now.us_since(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        if fleet_size.nodes == 0 {
-            return;
+    /// Adds tokens that another issuer has removed from its stock after a request at `requested_at`.
+    pub fn receive_yielded(&mut self, tenant: &Tenant, tokens: f64, requested_at: TimeUs, now: TimeUs) {
+        let fleet = self.fleet;
+        let Some(bucket) = self.refilled(tenant, now) else { return };
+        let shard = bucket.shard;
+        let (_, room) = self.buckets[tenant].missing(&self.rights[shard.index()], fleet, now);
+        if let Some(bucket) = self.buckets.get_mut(tenant) {
+            bucket.receive_yielded(tokens, room, requested_at);
         }
-        let earned = self.rate_per_s / fleet_size.nodes as f64 * elapsed_us as f64 / US_PER_S;
-        let capacity = self.capacity(fleet_size);
-        if self.tokens < capacity {
-            self.tokens = (self.tokens + earned).min(capacity);
+    }
+
+    /// Records that no other issuer has tokens, so that they are not asked again for a moment.
+    pub fn record_denial(&mut self, tenant: &Tenant, now: TimeUs) {
+        if let Some(bucket) = self.buckets.get_mut(tenant) {
+            bucket.denied_until = now.plus_ms(MAX_DENIAL_MS);
+        }
+    }
+
+    /// Returns the token of a request that was refused and has not run.
+    pub fn return_token(&mut self, tenant: &Tenant, now: TimeUs) {
+        if let Some(bucket) = self.refilled(tenant, now) {
+            bucket.borrow(1.0, now);
         }
     }
 
-    fn retry_after_ms(&self, fleet_size: FleetSize) -> u64 {
-        let per_ms = self.rate_per_s / fleet_size.nodes.max(1) as f64 / 1e3;
-        let missing_ms = (1.0 - self.tokens).max(0.0) / per_ms.max(f64::MIN_POSITIVE);
-        (missing_ms as u64).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+    /// Returns the time until a caller that is refused now should return, in milliseconds.
+    pub fn next_return_ms(&mut self, tenant: &Tenant, now: TimeUs) -> u64 {
+        let fleet = self.fleet;
+        let Some(bucket) = self.buckets.get_mut(tenant) else { return 0 };
+        bucket.next_return_ms(&self.rights[bucket.shard.index()], fleet, now)
+    }
+
+    /// Returns a tenant's bucket after adding the tokens earned until `now`.
+    fn refilled(&mut self, tenant: &Tenant, now: TimeUs) -> Option<&mut TokenBucket> {
+        let bucket = self.buckets.get_mut(tenant)?;
+        let rights = &mut self.rights[bucket.shard.index()];
+        rights.advance(now);
+        bucket.refill(rights, self.fleet, now);
+        Some(bucket)
+    }
+
+    fn refill_all(&mut self, now: TimeUs) {
+        self.rights.iter_mut().for_each(|rights| rights.advance(now));
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(&self.rights[bucket.shard.index()], self.fleet, now);
+        }
     }
 }
