Readers follow a store that returns from an older copy

Cause: nothing read Store-Era. After a drill the configuration follower went on from its old offset, which the store gives out again, so that versions written below it were never read while the node confirmed its configuration as fresh. A 410 without a first offset left the follower in an endless error. Change: every response's era is kept, also of errors; a new one voids the position, and the latest records are read whole. A read in a new era confirms nothing until a version was written in it or 2.5 s have passed, nor while a live peer has a newer version. Nodes register again at once. The stand-in store names its era and returns from a copy by POST /restore. Pipelined requests: two tests on sockets, no change needed.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -72,3 +72,10 @@
     u64,
     "rate in thousandths per second"
 );
+number_newtype!(
+    /// Era of the platform's log. It rises by one each time the log comes back from an older copy of itself, so that
+    /// offsets of two eras cannot be compared.
+    LogEra,
+    u64,
+    "log era"
+);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use class::Class;
 pub use id::{
-    AvailabilityZone, CallId, Fingerprint, LogOffset, RateMilliPerS, RatePerS, Region, RouteId, Service, Tenant,
-    Tokens, Version,
+    AvailabilityZone, CallId, Fingerprint, LogEra, LogOffset, RateMilliPerS, RatePerS, Region, RouteId, Service,
+    Tenant, Tokens, Version,
 };
 pub use lock::lock;
 pub use parse_error::{MAX_TEXT_ID_BYTES, ParseError, check_text_id};
--- a/crates/demo/src/fleet/zone_log.rs
+++ b/crates/demo/src/fleet/zone_log.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fulmartrestle_core::{AvailabilityZone, LogOffset};
+use fulmartrestle_core::{AvailabilityZone, LogEra, LogOffset};
 use fulmartrestle_platform_log::{LatestRecords, LogError, MemoryLog, PlatformLog, ReadPage, StreamName, async_trait};
 
 use super::ZonePartitions;
@@ -56,4 +56,8 @@
         self.check_reachable()?;
         page
     }
+
+    fn era(&self) -> Option<LogEra> {
+        self.log.era()
+    }
 }
--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmartrestle_core::{LogOffset, TimeUs, lock};
+use fulmartrestle_core::{LogOffset, TimeUs, Version, lock};
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
 
+use crate::config_position::{ConfigPosition, KnownVersions};
 use crate::event_log::LogLine;
 use crate::platform::DecodedConfig;
 use crate::state::{ActiveConfig, MeshState};
@@ -19,7 +20,7 @@
 
 /// Follows the configuration until the task is aborted.
 pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName, config_key: String) {
-    let mut follower = ConfigFollower { state, store, stream, config_key, next_offset: None };
+    let mut follower = ConfigFollower { state, store, stream, config_key, position: ConfigPosition::default() };
     let mut connected = None;
     let mut backoff = StoreBackoff::default();
     loop {
@@ -102,8 +103,7 @@
     store: Arc<dyn PlatformLog>,
     stream: StreamName,
     config_key: String,
-    /// Offset of the next record; `None` until the latest record of each key has been read.
-    next_offset: Option<LogOffset>,
+    position: ConfigPosition,
 }
 
 impl ConfigFollower {
@@ -111,7 +111,7 @@
     /// only as of the moment the read started.
     async fn read_next(&mut self) -> Result<ReadOutcome, LogError> {
         let started = self.state.now();
-        let Some(from) = self.next_offset else {
+        let Some(from) = self.position.next_offset(self.store.era(), started) else {
             let page = self.store.read_latest(&self.stream).await?;
             self.apply_records(&page.records, page.end_offset, true, started);
             return Ok(ReadOutcome::Read);
@@ -123,9 +123,9 @@
             () = wait_until_stale(&self.state), if wait_ms > 0 => return Ok(ReadOutcome::Interrupted),
         };
         let page = match read {
-            Err(LogError::Trimmed { .. }) => {
-                // The records were trimmed, but the store keeps the latest record of each key.
-                self.next_offset = None;
+            Err(LogError::Trimmed { .. } | LogError::BadRequest(_)) => {
+                // The store does not hold the offset, but it keeps the latest record of each key.
+                self.position.restart();
                 return Ok(ReadOutcome::Read);
             }
             read => read?,
@@ -145,11 +145,22 @@
     /// confirmed, because that version may have revoked keys.
     fn apply_records(&mut self, records: &[KeyedRecord], next_offset: LogOffset, at_end: bool, started: TimeUs) {
         let mut all_valid = true;
+        let mut last_config = None;
         for record in records.iter().filter(|record| record.key == self.config_key) {
             all_valid &= apply_config(&self.state, &record.value, "store");
+            last_config = Some(record.offset);
         }
-        self.next_offset = Some(next_offset);
-        if all_valid && at_end {
+        let era = self.store.era();
+        if !self.position.advance(era, next_offset, last_config) {
+            self.state.log(LogLine::new("store_era_changed").optional_text("era", era));
+            return;
+        }
+        let now = self.state.now();
+        let versions = KnownVersions {
+            own: self.state.config().map_or(Version(0), |config| config.version()),
+            peers: lock(&self.state.peers).highest_version(now),
+        };
+        if all_valid && at_end && self.position.proves_newest(versions, now) {
             lock(&self.state.freshness).record_confirmation(started);
         }
     }
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -157,6 +157,12 @@
         live.filter_map(|peer| peer.node).collect()
     }
 
+    /// Returns the highest version of the configuration on nodes that are expected to respond.
+    pub fn highest_version(&self, now: TimeUs) -> Version {
+        let live = self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < LIVE_TIMEOUT_MS);
+        live.map(|peer| peer.version).max().unwrap_or_default()
+    }
+
     /// Returns the number of nodes that share the tenants' rates, this one included, or 0 while this node has no
     /// share yet.
     pub fn quota_sharers(&self, now: TimeUs) -> usize {
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -43,7 +43,9 @@
 /// Waits, and meanwhile removes the registrations of nodes that are gone.
 async fn pause(state: &MeshState, store: &dyn PlatformLog, stream: &StreamName, pause_ms: u64) {
     let end = state.now().plus_ms(pause_ms);
-    while state.now() < end {
+    let era = store.era();
+    // In a new era the registrations that were written last are gone.
+    while state.now() < end && store.era() == era {
         let left = state.clock.duration_until(end);
         tokio::time::sleep(left.min(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS))).await;
         if let Err(error) = remove_expired(state, store, stream).await {
--- a/crates/platform-log/src/log.rs
+++ b/crates/platform-log/src/log.rs
@@ -1,7 +1,7 @@
 //! The interface to the platform's log.
 
 use async_trait::async_trait;
-use fulmartrestle_core::LogOffset;
+use fulmartrestle_core::{LogEra, LogOffset};
 
 use crate::{LatestRecords, LogError, ReadPage, StreamName};
 
@@ -45,4 +45,9 @@
     ///
     /// Same as [`PlatformLog::read`].
     async fn read_latest(&self, stream: &StreamName) -> Result<LatestRecords, LogError>;
+
+    /// Returns the highest era that any response named so far, failed ones included, or `None` before the first one.
+    /// When it rises, the log has lost its latest records and assigns their offsets again: a reader must start from
+    /// the latest records.
+    fn era(&self) -> Option<LogEra>;
 }
--- a/crates/platform-log/src/memory.rs
+++ b/crates/platform-log/src/memory.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_trait::async_trait;
-use fulmartrestle_core::LogOffset;
+use fulmartrestle_core::{LogEra, LogOffset};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -24,6 +24,7 @@
     streams: BTreeMap<StreamName, Stream>,
     faults: LogFaults,
     stats: LogStats,
+    era: LogEra,
 }
 
 impl MemoryLog {
@@ -54,6 +55,17 @@
         }
     }
 
+    /// Replaces the log by a copy of itself that is `age_ms` milliseconds old, and starts a new era. Later records
+    /// are gone, and their offsets are assigned again.
+    pub fn restore_copy(&self, age_ms: u64) {
+        let mut state = self.lock();
+        let copied_ms = wall_ms().saturating_sub(age_ms);
+        state.streams.values_mut().for_each(|stream| stream.remove_newer(copied_ms));
+        state.era.0 += 1;
+        drop(state);
+        self.appended.notify_waiters();
+    }
+
     /// Returns the request counters.
     pub fn stats(&self) -> LogStats {
         self.lock().stats
@@ -164,6 +176,10 @@
         self.sleep_half_delay().await;
         result
     }
+
+    fn era(&self) -> Option<LogEra> {
+        Some(self.lock().era)
+    }
 }
 
 /// Returns the wall time in milliseconds since the Unix epoch.
--- a/crates/platform-log/src/stream.rs
+++ b/crates/platform-log/src/stream.rs
@@ -12,6 +12,10 @@
     first_offset: u64,
     entries: VecDeque<StoredEntry>,
     latest_by_key: BTreeMap<String, KeyedRecord>,
+    /// The latest record of each key among the records that are no longer held.
+    latest_removed: BTreeMap<String, KeyedRecord>,
+    /// Whether the stream was restored from a copy, so that readers may ask for records that are gone.
+    restored: bool,
 }
 
 /// A record with the time at which it was appended, in milliseconds since the Unix epoch.
@@ -33,7 +37,7 @@
         let entries = offsets.zip(records);
         for (offset, payload) in entries {
             let entry = LogEntry { offset: LogOffset(offset), payload };
-            self.update_latest(&entry);
+            update_latest(&mut self.latest_by_key, &entry);
             self.entries.push_back(StoredEntry { entry, appended_ms });
         }
         LogOffset(first_offset)
@@ -44,6 +48,9 @@
         if from.0 < self.first_offset {
             return Err(LogError::Trimmed { first: LogOffset(self.first_offset) });
         }
+        if from.0 > self.end_offset() && self.restored {
+            return Err(LogError::Trimmed { first: LogOffset(self.first_offset) });
+        }
         if from.0 > self.end_offset() {
             let reason = format!("offset {from} is past the end of the stream, {}", self.end_offset());
             return Err(LogError::BadRequest(reason));
@@ -68,29 +75,46 @@
         }
     }
 
-    /// Applies an appended record to the latest records; one without a value removes its key.
-    fn update_latest(&mut self, entry: &LogEntry) {
-        let Some(record) = KeyedRecord::decode(entry) else { return };
-        if record.value.is_empty() {
-            self.latest_by_key.remove(&record.key);
-        } else {
-            self.latest_by_key.insert(record.key.clone(), record);
-        }
-    }
-
     /// Removes the records before the offset `before`.
     pub(crate) fn trim_before(&mut self, before: LogOffset) {
-        while self.first_offset < before.0 && self.entries.pop_front().is_some() {
-            self.first_offset += 1;
-        }
+        while self.first_offset < before.0 && self.remove_first() {}
     }
 
     /// Removes the records that are older than `retention_ms` at `wall_ms`.
     pub(crate) fn remove_expired(&mut self, retention_ms: u64, wall_ms: u64) {
         let expired = |stored: &StoredEntry| stored.appended_ms.saturating_add(retention_ms) < wall_ms;
         while self.entries.front().is_some_and(expired) {
-            self.entries.pop_front();
-            self.first_offset += 1;
+            self.remove_first();
         }
     }
+
+    /// Removes the records that were appended after `copied_ms`, as if the stream was restored from a copy of that
+    /// time.
+    pub(crate) fn remove_newer(&mut self, copied_ms: u64) {
+        while self.entries.back().is_some_and(|stored| stored.appended_ms > copied_ms) {
+            self.entries.pop_back();
+        }
+        self.restored = true;
+        self.latest_by_key = self.latest_removed.clone();
+        for stored in &self.entries {
+            update_latest(&mut self.latest_by_key, &stored.entry);
+        }
+    }
+
+    fn remove_first(&mut self) -> bool {
+        let Some(stored) = self.entries.pop_front() else { return false };
+        update_latest(&mut self.latest_removed, &stored.entry);
+        self.first_offset += 1;
+        true
+    }
+}
+
+/// Applies an appended record to the latest records; one without a value removes its key.
+fn update_latest(latest: &mut BTreeMap<String, KeyedRecord>, entry: &LogEntry) {
+    let Some(record) = KeyedRecord::decode(entry) else { return };
+    if record.value.is_empty() {
+        latest.remove(&record.key);
+    } else {
+        latest.insert(record.key.clone(), record);
+    }
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -238,3 +238,86 @@
         assert_that!(text, starts_with("http/1.1 401"), "caller {number}");
     }
 }
+
+fn pipelined_request(request_id: &str) -> Vec<u8> {
+    format!(
+        "GET /view/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {request_id}\r\ndeadline: 3000\r\n\
+         authorization: Token key-1\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Reads until `count` responses have begun or the connection ends.
+async fn read_responses(caller: &mut TcpStream, count: usize) -> String {
+    let mut text = String::new();
+    let mut buffer = vec![0; 4_096];
+    while text.matches("HTTP/1.1 ").count() < count || !text.ends_with("whole") {
+        match tokio::time::timeout(Duration::from_secs(5), caller.read(&mut buffer)).await {
+            Ok(Ok(bytes_read)) if bytes_read > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..bytes_read])),
+            _ => break,
+        }
+    }
+    text
+}
+
+/// Returns the request IDs that the responses name, in their order.
+fn response_ids(responses: &str) -> Vec<String> {
+    let lines = responses.lines().map(str::to_lowercase);
+    lines.filter_map(|line| line.strip_prefix("request-id: ").map(str::to_owned)).collect()
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let fleet = start_fleet(&["front", "trips"]).await;
+    set_behaviour(&fleet, TargetBehaviour::RespondAfterMs(50));
+    let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node accepts the connection");
+    let ids: Vec<String> = (0..8).map(|number| format!("p-{number}")).collect();
+    let requests: Vec<u8> = ids.iter().flat_map(|id| pipelined_request(id)).collect();
+    caller.write_all(&requests).await.expect("the node reads");
+    let responses = read_responses(&mut caller, ids.len()).await;
+    assert_that!(response_ids(&responses), eq(&ids));
+    assert_that!(responses.matches("whole").count(), eq(ids.len()));
+}
+
+/// Closing a connection with unread bytes resets it. The reset must not overtake the response before it, and the
+/// requests behind that response must not run, because their caller sends them again.
+#[tokio::test]
+async fn requests_behind_a_closing_response_are_not_run() {
+    let fleet = start_fleet(&["trips"]).await;
+    set_behaviour(&fleet, TargetBehaviour::RespondAfterMs(5_000));
+    let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node accepts the connection");
+    caller.write_all(&pipelined_request("first")).await.expect("the node reads");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.vms[0].node.send_sigterm();
+    set_behaviour(&fleet, TargetBehaviour::Respond);
+    for number in 0..200 {
+        caller.write_all(&pipelined_request(&format!("behind-{number}"))).await.expect("the connection is open");
+    }
+    // The first request ends with its route's timeout, after which the node closes the connection.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let responses = read_responses(&mut caller, 1).await;
+    assert_that!(response_ids(&responses), elements_are![eq("first")]);
+    assert_that!(responses.to_lowercase(), contains_substring("connection: close"));
+    assert_that!(count_runs(&fleet, "behind-0"), eq(0));
+}
+
+/// A follower that kept its offset would never read what is written below it in the new era.
+#[tokio::test]
+async fn configuration_survives_a_store_that_returns_from_an_older_copy() {
+    let fleet = start_fleet(&["trips"]).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let published = Instant::now();
+    fleet.publish_config(&config(2, &["key-2"])).await;
+    fleet.wait_for_status(0, &request("GET", "/view/1", "r-1"), 401).await;
+    let age_ms = published.elapsed().as_millis() as u64 + 500;
+    fleet.restore_store_copy(age_ms).await;
+    // The store holds version 1 again, whose key is withdrawn.
+    for number in 0..20 {
+        let response = fleet.send(0, &request("GET", "/view/1", format!("old-{number}"))).await;
+        assert_that!(response.status, eq(401));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    fleet.publish_config(&config(3, &["key-3"])).await;
+    let current = CallerRequest { api_key: "key-3", ..request("GET", "/view/1", "r-3") };
+    fleet.wait_for_status(0, &current, 200).await;
+}
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -102,6 +102,14 @@
         self.store_client.append(&stream, vec![record]).await.expect("the store accepts the configuration");
     }
 
+    /// Replaces the store's records by a copy that is `age_ms` old.
+    pub async fn restore_store_copy(&self, age_ms: u64) {
+        let url = format!("http://{}/restore", self.store.address(""));
+        let request = Request::post(url, serde_json::json!({"age_ms": age_ms}).to_string());
+        let response = self.client.try_send(&request).await.expect("a response of the store");
+        assert_eq!(response.status, 200);
+    }
+
     async fn start_vm(&mut self, service: &str) {
         let index = self.vms.len();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
