Targets are drawn by expected time; few nodes read the store for all

(2) Each node kept a long poll of the store and read by itself whenever a confirmation was older than 3 s, which happened all the time: an empty long poll proves the log's end only as of its start, a second earlier. 0.85 calls a node and second. Change: (1) The expected time at a target is its hold time, longer the fuller it is; a node draws with a probability that falls with its third power, and leaves the zone when that takes two thirds or less. (2) Two nodes confirm with reads that don't wait and send their status at once; two wait for changes; the others read when they hear of a newer version or a confirmation is missing. Tests that failed first: a_slow_target_receives_few_calls_while_others_have_free_slots, callers_with_old_reports_do_not_fill_one_target; store_calls_grow_slowly_with_the_fleet (95 nodes: 3.9 calls a second, oldest confirmation 2.2 s, also when the four readers fail).

--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the operator's configuration on the store.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fulmartrestle_core::{LogOffset, TimeUs, Version, lock};
@@ -10,7 +11,7 @@
 use crate::event_log::LogLine;
 use crate::platform::DecodedConfig;
 use crate::state::{ActiveConfig, MeshState};
-use crate::store_polling::{StoreBackoff, direct_read_age_ms, long_poll_wait_ms};
+use crate::store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
 
 /// Maximum number of records requested in one read.
 const MAX_READ_RECORDS: usize = 64;
@@ -20,16 +21,18 @@
 
 /// Follows the configuration until the task is aborted.
 pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName, config_key: String) {
-    let mut follower = ConfigFollower { state, store, stream, config_key, position: ConfigPosition::default() };
+    let mut follower =
+        ConfigFollower { state, store, stream, config_key, position: ConfigPosition::default(), last_read_at: None };
     let mut connected = None;
     let mut backoff = StoreBackoff::default();
     loop {
-        let error = match follower.read_next().await {
-            Ok(ReadOutcome::Interrupted) => continue,
-            Ok(ReadOutcome::Read) => None,
+        let error = match follower.step().await {
+            Ok(StepOutcome::NotRead) => continue,
+            Ok(StepOutcome::Read) => None,
             Err(error) => Some(error),
         };
         let state = &follower.state;
+        state.reaches_store.store(error.is_none(), Ordering::Relaxed);
         if connected != Some(error.is_none()) {
             connected = Some(error.is_none());
             let event = if error.is_none() { "store_regained" } else { "store_lost" };
@@ -89,12 +92,12 @@
     }
 }
 
-/// Result of one read of the store.
-enum ReadOutcome {
+/// Result of one step.
+enum StepOutcome {
     /// The store responded.
     Read,
-    /// The long poll was abandoned, because the last confirmation became too old while it waited.
-    Interrupted,
+    /// Nothing was read: the node relies on others, or something changed while it waited.
+    NotRead,
 }
 
 /// Reads the records of the operator's stream in their order.
@@ -104,41 +107,75 @@
     stream: StreamName,
     config_key: String,
     position: ConfigPosition,
+    last_read_at: Option<TimeUs>,
 }
 
 impl ConfigFollower {
+    async fn step(&mut self) -> Result<StepOutcome, LogError> {
+        let now = self.state.now();
+        match StoreStep::next(self.view(now), self.state.settings().bounds.revoke_ms) {
+            StoreStep::Read { wait_ms } => {
+                let result = self.read_next(wait_ms, now).await;
+                self.last_read_at = Some(self.state.now());
+                result
+            }
+            StoreStep::Sleep { for_ms } => {
+                // A timeout is the usual end of the pause.
+                let _ = tokio::time::timeout(Duration::from_millis(for_ms), self.state.store_due.notified()).await;
+                Ok(StepOutcome::NotRead)
+            }
+        }
+    }
+
+    fn view(&mut self, now: TimeUs) -> StoreView {
+        let peers = lock(&self.state.peers);
+        let own_version = self.state.config().map_or(Version(0), |config| config.version());
+        StoreView {
+            role: StoreRole::of(self.state.node_id, &peers.live_store_readers(now)),
+            age_ms: self.state.config_age_ms(now),
+            since_read_ms: self.last_read_at.map(|read_at| now.ms_since(read_at)),
+            is_behind: peers.highest_version(now) > own_version
+                || self.position.next_offset(self.store.era(), now).is_none(),
+        }
+    }
+
     /// Reads new records. Only a read that reaches the end of the log proves that no newer version exists, and
     /// only as of the moment the read started.
-    async fn read_next(&mut self) -> Result<ReadOutcome, LogError> {
-        let started = self.state.now();
+    async fn read_next(&mut self, wait_ms: u64, started: TimeUs) -> Result<StepOutcome, LogError> {
         let Some(from) = self.position.next_offset(self.store.era(), started) else {
             let page = self.store.read_latest(&self.stream).await?;
             self.apply_records(&page.records, page.end_offset, true, started);
-            return Ok(ReadOutcome::Read);
+            return Ok(StepOutcome::Read);
         };
-        let wait_ms = self.poll_wait_ms(started);
         let long_poll = self.store.read_long_poll(&self.stream, from, MAX_READ_RECORDS, wait_ms);
         let read = tokio::select! {
             read = long_poll => read,
-            () = wait_until_stale(&self.state), if wait_ms > 0 => return Ok(ReadOutcome::Interrupted),
+            () = self.wait_until_due(), if wait_ms > 0 => return Ok(StepOutcome::NotRead),
         };
         let page = match read {
             Err(LogError::Trimmed { .. } | LogError::BadRequest(_)) => {
                 // The store does not hold the offset, but it keeps the latest record of each key.
                 self.position.restart();
-                return Ok(ReadOutcome::Read);
+                return Ok(StepOutcome::Read);
             }
             read => read?,
         };
         let records: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
         self.apply_records(&records, page.next_offset, page.next_offset >= page.end_offset, started);
-        Ok(ReadOutcome::Read)
+        Ok(StepOutcome::Read)
     }
 
-    fn poll_wait_ms(&self, now: TimeUs) -> u64 {
-        let live = lock(&self.state.peers).live_nodes(now);
-        let revoke_ms = self.state.settings().bounds.revoke_ms;
-        long_poll_wait_ms(self.state.node_id, &live, self.state.config_age_ms(now), revoke_ms)
+    /// Waits until the last confirmation is so old that this node must read without waiting, or until another node
+    /// has a newer version.
+    async fn wait_until_due(&self) {
+        let max_age_ms = direct_read_age_ms(self.state.settings().bounds.revoke_ms);
+        loop {
+            let age_ms = self.state.config_age_ms(self.state.now()).unwrap_or(max_age_ms);
+            let left = Duration::from_millis(max_age_ms.saturating_sub(age_ms));
+            if left.is_zero() || tokio::time::timeout(left, self.state.store_due.notified()).await.is_ok() {
+                return;
+            }
+        }
     }
 
     /// Applies records in their order. If a version does not parse, the active configuration does not count as
@@ -162,19 +199,12 @@
         };
         if all_valid && at_end && self.position.proves_newest(versions, now) {
             lock(&self.state.freshness).record_confirmation(started);
-        }
-    }
-}
-
-/// Waits until the last confirmation of the configuration is so old that this node must read the store itself.
-async fn wait_until_stale(state: &MeshState) {
-    loop {
-        let max_age_ms = direct_read_age_ms(state.settings().bounds.revoke_ms);
-        match state.config_age_ms(state.now()) {
-            Some(age_ms) if age_ms < max_age_ms => {
-                tokio::time::sleep(Duration::from_millis(max_age_ms - age_ms)).await;
+            // The others rely on recent confirmations.
+            if StoreRole::of(self.state.node_id, &lock(&self.state.peers).live_store_readers(now))
+                == StoreRole::Confirming
+            {
+                self.state.status_due.notify_one();
             }
-            _ => return,
         }
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -42,4 +42,4 @@
 pub use node::{MeshNode, MeshOptions};
 pub use settings::{DeploymentBounds, MeshSettings};
 pub use state::MeshState;
-pub use store_polling::{StoreBackoff, direct_read_age_ms, long_poll_wait_ms};
+pub use store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,6 +1,7 @@
 //! Starts, reloads and stops one node.
 
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 
@@ -237,6 +238,9 @@
         metrics,
         phase: watch::Sender::new(NodePhase::Serving),
         status_due: Notify::new(),
+        store_due: Notify::new(),
+        reaches_store: AtomicBool::new(false),
+        fetches_config: AtomicBool::new(false),
     }
 }
 
--- a/crates/mesh/src/node_messages.rs
+++ b/crates/mesh/src/node_messages.rs
@@ -28,6 +28,8 @@
     pub version: Version,
     /// Time since the sender's version was confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// Whether the sender's last call to the store succeeded.
+    pub reaches_store: bool,
     /// The sender's clock in microseconds, which the receiver returns in `echo_us`.
     pub stamp_us: u64,
     /// The latest stamp that the sender has received from the receiver.
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -48,6 +48,8 @@
     pub issuers: IssuerTable,
     /// Whether it stops.
     pub leaving: bool,
+    /// Whether its last call to the store succeeded.
+    pub reaches_store: bool,
     /// Whether it has received a status message of this run.
     pub has_heard_this_run: bool,
 }
@@ -101,6 +103,7 @@
             zone: Some(status.zone.clone()),
             issuers: status.issuers,
             leaving: status.leaving,
+            reaches_store: status.reaches_store,
             has_heard_this_run: hears_this_run || (entry.has_heard_this_run && !is_new),
         };
         StatusEffect { replaced, is_new, is_outdated: false }
@@ -151,10 +154,10 @@
         self.peers.iter().filter(|(_, peer)| is_live(peer)).map(|(address, _)| *address).collect()
     }
 
-    /// Returns the IDs of the nodes that are expected to respond.
-    pub fn live_nodes(&self, now: TimeUs) -> Vec<VmId> {
+    /// Returns the IDs of the nodes that are expected to respond and that reach the store.
+    pub fn live_store_readers(&self, now: TimeUs) -> Vec<VmId> {
         let live = self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < LIVE_TIMEOUT_MS);
-        live.filter_map(|peer| peer.node).collect()
+        live.filter(|peer| peer.reaches_store && !peer.leaving).filter_map(|peer| peer.node).collect()
     }
 
     /// Returns the highest version of the configuration on nodes that are expected to respond.
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -11,11 +11,11 @@
 use crate::store_polling::StoreBackoff;
 use fulmartrestle_core::lock;
 
-/// Pauses between two reads of the registrations, in milliseconds. They are short after the start, when other
-/// nodes start too. Later reads are rare, because newly registered nodes send status messages to the others
-/// themselves.
-const EARLY_REFRESH_PAUSES_MS: [u64; 2] = [1_000, 3_000];
-const REFRESH_PAUSE_MS: u64 = 20_000;
+/// Pauses between two reads of the registrations, in milliseconds. The first one is short, in case that the store
+/// returned from an older copy meanwhile. Later reads are rare, because newly registered nodes send status messages
+/// to the others themselves.
+const EARLY_REFRESH_PAUSES_MS: [u64; 1] = [5_000];
+const REFRESH_PAUSE_MS: u64 = 60_000;
 
 /// Interval between checks for nodes that are gone, in milliseconds.
 const EXPIRY_CHECK_INTERVAL_MS: u64 = 1_000;
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one node share.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
@@ -91,6 +92,12 @@
     pub phase: watch::Sender<NodePhase>,
     /// Wakes the sender of status messages before its interval has passed.
     pub status_due: Notify,
+    /// Wakes the reader of the configuration, because another node has a newer version.
+    pub store_due: Notify,
+    /// Whether the last call to the store succeeded.
+    pub reaches_store: AtomicBool,
+    /// Whether a configuration is being fetched from another node.
+    pub fetches_config: AtomicBool,
 }
 
 impl MeshState {
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +29,9 @@
 /// last longer on this node than on the receivers.
 const MAX_ROUND_MS: u64 = 50;
 
+/// Time for a new configuration to arrive from the store before it is fetched from another node, in milliseconds.
+const CONFIG_FETCH_DELAY_MS: u64 = 200;
+
 /// Largest status message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2_048;
 
@@ -132,6 +136,7 @@
         arrivals: lock(&state.arrivals).report(),
         version: state.config().map_or(Version(0), |config| config.version()),
         config_age_ms: state.config_age_ms(now),
+        reaches_store: state.reaches_store.load(Ordering::Relaxed),
         stamp_us: now.0,
         echo_us: lock(&state.peers).get(&address).map(|peer| peer.stamp_us).filter(|stamp| *stamp > 0),
         issuers,
@@ -178,7 +183,10 @@
         lock(&state.freshness).record_peer_confirmation(TimeUs(echo_us), age_ms, status.version, own_version);
     }
     if status.version > own_version {
-        tokio::spawn(fetch_config(Arc::clone(state), status.address));
+        state.store_due.notify_one();
+        if !state.fetches_config.swap(true, Ordering::Relaxed) {
+            tokio::spawn(fetch_config(Arc::clone(state), status.address, status.version));
+        }
     }
 }
 
@@ -196,15 +204,23 @@
     }
 }
 
-/// Fetches a newer configuration from another node, for nodes that cannot reach the store.
-async fn fetch_config(state: Arc<MeshState>, address: SocketAddr) {
+/// Fetches a newer configuration from another node, unless it arrives from the store soon.
+async fn fetch_config(state: Arc<MeshState>, address: SocketAddr, version: Version) {
+    tokio::time::sleep(Duration::from_millis(CONFIG_FETCH_DELAY_MS)).await;
+    if state.config().is_none_or(|config| config.version() < version) {
+        fetch_config_now(&state, address).await;
+    }
+    state.fetches_config.store(false, Ordering::Relaxed);
+}
+
+async fn fetch_config_now(state: &MeshState, address: SocketAddr) {
     let request = async {
         let connection = state.peer_connections.connection(address).await?;
         connection.request::<ConfigResponse>(CONFIG_PATH, Bytes::new(), MAX_CONFIG_BYTES).await
     };
     match tokio::time::timeout(Duration::from_millis(STATUS_INTERVAL_MS), request).await {
         Ok(Ok(response)) if !response.bytes.is_empty() => {
-            apply_config(&state, &response.bytes, "peer");
+            apply_config(state, &response.bytes, "peer");
         }
         Ok(Ok(_)) => {}
         Ok(Err(error)) => state.log(LogLine::new("config_not_fetched").text("peer", address).text("detail", error)),
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -1,13 +1,15 @@
 //! Load balancing over targets whose nodes report their load. See `docs/TARGET-CHOICE.md`.
 //!
-//! Load pattern: a few targets of different speed, called from every node at once. Reports are up to a
-//! second old, so that all callers would send to the same least loaded target. Instead, each caller picks
-//! the better of two random targets, and calls sent since the last report count as load.
+//! Load pattern: a few targets whose speeds differ by a factor of two or three, called from every node at once. A
+//! caller whose own zone has only a slow one would wait for it while fast ones elsewhere have free slots. Reports are
+//! up to a second old, so that all callers would send to the same best target. Instead, each caller draws a target at
+//! random, the faster and emptier ones with a higher probability, and calls sent since the last report count as load.
 
 use std::collections::HashMap;
 
 use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
 use fulmartrestle_derive::record;
+use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
 /// Default hold time until the first report, in microseconds.
@@ -16,10 +18,14 @@
 /// Factor of the service's hold time for a target that is still warming up and has not reported its own.
 const COLD_HOLD_FACTOR: f64 = 2.0;
 
-/// Share of the slots in use from which on targets in other zones are considered.
-const BUSY_LOAD: f64 = 0.75;
+/// Share by which a call takes longer at a target whose slots are all in use. Targets slow down when they are nearly
+/// full, and the last free slots are lost to callers with older reports.
+const FULL_SLOWDOWN: f64 = 4.0;
 
-/// Factor by which the expected wait in another zone must be shorter. Traffic between zones costs money.
+/// Power of the share of the slots in use with which the slowdown grows. Half-full targets are as fast as empty ones.
+const FULLNESS_POWER: i32 = 6;
+
+/// Factor by which the expected time in another zone must be shorter. Traffic between zones costs money.
 const ZONE_SPILL_FACTOR: f64 = 1.5;
 
 /// Time since the last report or response of a node after which its target is not chosen, in milliseconds:
@@ -34,8 +40,15 @@
 /// milliseconds. It stays usable: a gate that receives no calls can't measure its demand.
 const REFUSAL_PAUSE_MS: u64 = 40;
 
-/// Factor of the expected wait at a target that refused a call within the last [`REFUSAL_PAUSE_MS`].
-const REFUSAL_WAIT_FACTOR: f64 = 3.0;
+/// Factor of the expected time at a target that refused a call within the last [`REFUSAL_PAUSE_MS`].
+const REFUSAL_FACTOR: f64 = 3.0;
+
+/// Number of random targets among which one is drawn.
+const DRAW_SAMPLE: usize = 8;
+
+/// Power of the expected time to which the probability of a target is inversely proportional. With a lower one slow
+/// targets receive more calls; with a higher one all callers choose the same target until the next reports.
+const DRAW_POWER: i32 = 3;
 
 /// Status of a target as its node reports it.
 #[record]
@@ -128,17 +141,11 @@
         let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now);
         let (local, remote): (Vec<VmId>, Vec<VmId>) =
             nodes.iter().copied().filter(usable).partition(|node| self.targets[node].zone == *own_zone);
-        let best_local = self.better_of_two(&local, rng, now);
-        if let Some(node) = best_local
-            && self.occupancy(node) < BUSY_LOAD
-            && now >= self.targets[&node].refusal_pause_until
-        {
-            return Some(node);
-        }
-        let best_remote = self.better_of_two(&remote, rng, now);
-        match (best_local, best_remote) {
+        let drawn_local = self.draw(&local, rng, now);
+        let drawn_remote = self.draw(&remote, rng, now);
+        match (drawn_local, drawn_remote) {
             (Some(local), Some(remote))
-                if self.expected_wait_us(remote, now) * ZONE_SPILL_FACTOR < self.expected_wait_us(local, now) =>
+                if self.expected_time_us(remote, now) * ZONE_SPILL_FACTOR < self.expected_time_us(local, now) =>
             {
                 Some(remote)
             }
@@ -204,7 +211,9 @@
         f64::from(load) / f64::from(target.report.limit.max(1))
     }
 
-    fn expected_wait_us(&self, node: VmId, now: TimeUs) -> f64 {
+    /// Returns the expected time of a call at a target: its usual time there, longer the fuller the target is, and in
+    /// proportion to the queue once all slots are in use.
+    fn expected_time_us(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
         let service_us = self.service_hold_us.get(&target.report.service).copied().unwrap_or(DEFAULT_HOLD_US);
         let hold_us = match target.report.hold_us {
@@ -212,17 +221,22 @@
             0 => service_us,
             hold_us => f64::from(hold_us),
         };
-        let refusal_factor = if now < target.refusal_pause_until { REFUSAL_WAIT_FACTOR } else { 1.0 };
-        refusal_factor * hold_us * (self.occupancy(node) + f64::from(target.report.limit.max(1)).recip())
+        let occupancy = self.occupancy(node) + f64::from(target.report.limit.max(1)).recip();
+        let slowdown = 1.0 + FULL_SLOWDOWN * occupancy.min(1.0).powi(FULLNESS_POWER);
+        let refusal_factor = if now < target.refusal_pause_until { REFUSAL_FACTOR } else { 1.0 };
+        hold_us * slowdown * occupancy.max(1.0) * refusal_factor
     }
 
-    fn better_of_two(&self, nodes: &[VmId], rng: &mut impl Rng, now: TimeUs) -> Option<VmId> {
-        if nodes.len() < 2 {
-            return nodes.first().copied();
-        }
-        let first_index = rng.random_range(0..nodes.len());
-        let offset = rng.random_range(1..nodes.len());
-        let (first, second) = (nodes[first_index], nodes[(first_index + offset) % nodes.len()]);
-        Some(if self.expected_wait_us(second, now) < self.expected_wait_us(first, now) { second } else { first })
+    /// Draws one of several random nodes, with a probability that falls with the expected time.
+    fn draw(&self, nodes: &[VmId], rng: &mut impl Rng, now: TimeUs) -> Option<VmId> {
+        let weight = |node: &VmId| self.expected_time_us(*node, now).max(1.0).powi(-DRAW_POWER);
+        let sample: Vec<(VmId, f64)> = nodes.sample(rng, DRAW_SAMPLE).map(|node| (*node, weight(node))).collect();
+        let total: f64 = sample.iter().map(|(_, weight)| weight).sum();
+        let mut left = rng.random::<f64>() * total;
+        let drawn = sample.iter().find(|(_, weight)| {
+            left -= weight;
+            left < 0.0
+        });
+        drawn.or(sample.last()).map(|(node, _)| *node)
     }
 }
