After a restart each zone uses its rights as soon as its own nodes have heard of it

Change: the rights of zonal shards wait for the nodes of the own zone only, which registrations name; the next round of leases begins when a right becomes usable; a node whose target is gone withdraws its own registration when it stops. A call leaves its zone when that takes half the time (two thirds before: bytes between zones cost the second site 0.015). Ruled out: a lease of 2.2 s instead of 3.2 s: under random faults the smallest tenant got 2 of 20 tokens. Test that failed first: a_lost_node_delays_only_its_own_zone_after_all_nodes_were_restarted. The test that leases which outlive their end are noticed is now a scripted partition: with random faults the fleet granted too little to exceed anything.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -124,6 +124,13 @@
         lock(&self.state).target.last_announcement().map(|announcement| announcement.service.clone())
     }
 
+    /// Returns whether the target was withdrawn or has stopped announcing itself.
+    pub fn has_lost_target(&self) -> bool {
+        let now = self.clock.now();
+        let state = lock(&self.state);
+        state.target.last_announcement().is_some() && state.target.usable(now).is_none()
+    }
+
     /// Returns whether no call is running or waiting.
     pub fn is_idle(&self) -> bool {
         lock(&self.state).slots.is_idle()
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
-use fulmartrestle_platform_log::PlatformLog;
+use fulmartrestle_platform_log::{PlatformLog, StreamName};
 use fulmartrestle_policy::{CapacityAdmission, LoadBalancer, RetryBudgets};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
@@ -28,7 +28,7 @@
 use crate::peer_streams::PeerStreamHandler;
 use crate::peer_table::PeerTable;
 use crate::platform::{ConfigDecoder, StoreLayout, WireProtocol};
-use crate::registry::run_registry;
+use crate::registry::{run_registry, withdraw_registration};
 use crate::settings::MeshSettings;
 use crate::state::{ActiveConfig, MeshState, NodePhase};
 use crate::status_exchange::{receive_status, send_status};
@@ -97,6 +97,8 @@
     settings_path: Option<PathBuf>,
     stopping: watch::Sender<bool>,
     tasks: JoinSet<()>,
+    store: Arc<dyn PlatformLog>,
+    nodes_stream: StreamName,
 }
 
 impl MeshNode {
@@ -125,7 +127,7 @@
         let StoreLayout { operator_stream, config_key, nodes_stream } = options.layout;
         let store = options.store;
         tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), operator_stream, config_key));
-        tasks.spawn(run_registry(Arc::clone(&state), store, nodes_stream));
+        tasks.spawn(run_registry(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
         tasks.spawn(run_maintenance(Arc::clone(&state), options.settings_path.clone()));
         let settings = state.settings();
         let line = LogLine::new("started")
@@ -136,7 +138,7 @@
             .flag("first_start", settings.first_start);
         state.log(line);
         let settings_path = options.settings_path;
-        Ok(Self { state, settings_path, stopping, tasks })
+        Ok(Self { state, settings_path, stopping, tasks, store, nodes_stream })
     }
 
     /// Returns the state that the node's tasks share.
@@ -177,6 +179,10 @@
         let _ = self.stopping.send(true);
         let end_at = started.plus_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
         let closed = tokio::time::timeout(state.clock.duration_until(end_at), self.wait_until_closed()).await;
+        // A VM that is taken away loses its target first; one that is only restarted keeps it.
+        if state.gate.has_lost_target() {
+            withdraw_registration(state, self.store.as_ref(), &self.nodes_stream).await;
+        }
         let line = LogLine::new("stopped")
             .flag("target_idle", idle.is_ok())
             .flag("callers_closed", closed.is_ok())
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -42,7 +42,7 @@
     pub stamp_us: u64,
     /// Its version of the configuration.
     pub version: Version,
-    /// Its zone; `None` until its first status message.
+    /// Its zone, if it is known.
     pub zone: Option<AvailabilityZone>,
     /// The nodes to which it leases its right to issue tokens.
     pub issuers: IssuerTable,
@@ -54,6 +54,15 @@
     pub has_heard_this_run: bool,
 }
 
+/// Registration of a node on the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Registration {
+    /// Peer address of the node.
+    pub address: SocketAddr,
+    /// Its zone, if the registration names one.
+    pub zone: Option<AvailabilityZone>,
+}
+
 /// Effect of a status message on the table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StatusEffect {
@@ -74,9 +83,10 @@
 
 impl PeerTable {
     /// Adds nodes that are registered on the store. Known nodes stay as they are.
-    pub fn register(&mut self, addresses: &[SocketAddr], now: TimeUs) {
-        for address in addresses {
-            self.peers.entry(*address).or_insert_with(|| Peer { last_seen: now, ..Peer::default() });
+    pub fn register(&mut self, registrations: &[Registration], now: TimeUs) {
+        for Registration { address, zone } in registrations {
+            let new_peer = || Peer { last_seen: now, zone: zone.clone(), ..Peer::default() };
+            self.peers.entry(*address).or_insert_with(new_peer);
         }
     }
 
@@ -127,10 +137,11 @@
         issuers
     }
 
-    /// Returns whether every known node has received a status message of this run, so that none of them counts on
-    /// what an earlier run on this VM has sent.
-    pub fn all_have_heard_this_run(&self) -> bool {
-        !self.peers.is_empty() && self.peers.values().all(|peer| peer.has_heard_this_run)
+    /// Returns whether every known node, or every one that may be in `zone`, has received a status message of this
+    /// run, so that none of them counts on what an earlier run on this VM has sent.
+    pub fn all_have_heard_this_run(&self, zone: Option<&AvailabilityZone>) -> bool {
+        let is_in_zone = |peer: &&Peer| zone.is_none() || peer.zone.is_none() || peer.zone.as_ref() == zone;
+        !self.peers.is_empty() && self.peers.values().filter(is_in_zone).all(|peer| peer.has_heard_this_run)
     }
 
     /// Returns the entry of the node at `address`.
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -1,12 +1,12 @@
 //! Discovers the other nodes through the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
 
 use crate::event_log::LogLine;
+use crate::peer_table::Registration;
 use crate::state::MeshState;
 use crate::store_polling::StoreBackoff;
 use fulmartrestle_core::lock;
@@ -60,20 +60,20 @@
     let settings = state.settings();
     let own_address = settings.peer_address;
     let page = store.read_latest(stream).await?;
-    let mut addresses: Vec<SocketAddr> = page.records.iter().filter_map(|record| record.key.parse().ok()).collect();
-    let registered = addresses.contains(&own_address);
+    let mut registrations = decode_registrations(&page.records);
+    let registered = registrations.iter().any(|registration| registration.address == own_address);
     if !registered {
         let record = KeyedRecord::encode(&own_address.to_string(), settings.availability_zone.as_str().as_bytes());
         store.append(stream, vec![record]).await?;
         // If two nodes register at the same time, the one with the later record sees the other.
         let page = store.read_latest(stream).await?;
-        addresses = page.records.iter().filter_map(|record| record.key.parse().ok()).collect();
+        registrations = decode_registrations(&page.records);
     }
-    addresses.retain(|address| *address != own_address);
+    registrations.retain(|registration| registration.address != own_address);
     let now = state.now();
     {
         let mut peers = lock(&state.peers);
-        peers.register(&addresses, now);
+        peers.register(&registrations, now);
         // Nodes that do not know this one yet divide the tenants' rates without it. They learn of it within the
         // time after which a node without confirmation rejects requests with keys, so this node waits for that
         // long before it uses its share.
@@ -84,6 +84,25 @@
     Ok(())
 }
 
+/// Decodes the registrations. A record that names no address is skipped.
+fn decode_registrations(records: &[KeyedRecord]) -> Vec<Registration> {
+    let decode = |record: &KeyedRecord| {
+        let address = record.key.parse().ok()?;
+        let zone = std::str::from_utf8(&record.value).ok().and_then(|zone| zone.parse().ok());
+        Some(Registration { address, zone })
+    };
+    records.iter().filter_map(decode).collect()
+}
+
+/// Removes this node's own registration, because its VM is taken away.
+pub async fn withdraw_registration(state: &MeshState, store: &dyn PlatformLog, stream: &StreamName) {
+    let address = state.settings().peer_address;
+    match store.append(stream, vec![KeyedRecord::encode(&address.to_string(), &[])]).await {
+        Ok(_) => state.log(LogLine::new("registration_dropped").text("peer", address)),
+        Err(error) => state.log(LogLine::new("registry_failed").text("detail", error)),
+    }
+}
+
 /// Removes the registrations of nodes that are gone. Only the live node with the lowest address writes to the
 /// store.
 async fn remove_expired(state: &MeshState, store: &dyn PlatformLog, stream: &StreamName) -> Result<(), LogError> {
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -68,7 +68,9 @@
                 state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
             }
         }
-        let interval = Duration::from_millis(STATUS_INTERVAL_MS);
+        let usable_from = lock(&state.issuing_right).next_usable_from(now);
+        let next_round = usable_from.unwrap_or(TimeUs(u64::MAX)).min(now.plus_ms(STATUS_INTERVAL_MS));
+        let interval = state.clock.duration_until(next_round);
         if tokio::time::timeout(interval, state.status_due.notified()).await.is_ok() {
             tokio::time::sleep(Duration::from_millis(MIN_STATUS_PAUSE_MS)).await;
         }
@@ -111,13 +113,19 @@
     if *state.phase.borrow() == NodePhase::Serving || candidates.is_empty() {
         candidates.push(IssuerCandidate { node: state.node_id, in_own_zone: true });
     }
-    let has_quota_start = lock(&state.peers).quota_sharers(now) > 0;
-    let all_heard = lock(&state.peers).all_have_heard_this_run();
+    let (has_quota_start, all_heard, zone_heard) = {
+        let peers = lock(&state.peers);
+        let has_quota_start = peers.quota_sharers(now) > 0;
+        (has_quota_start, peers.all_have_heard_this_run(None), peers.all_have_heard_this_run(Some(&zone)))
+    };
     let mut right = lock(&state.issuing_right);
-    if has_quota_start && (all_heard || state.settings().first_start) {
-        right.set_usable_from(now);
-    } else if has_quota_start {
-        right.set_usable_from(IssuingRight::earlier_leases_end(state.started_at));
+    if has_quota_start {
+        let first_start = state.settings().first_start;
+        if zone_heard {
+            right.set_usable_from(now, true);
+        }
+        let all_end = if all_heard || first_start { now } else { IssuingRight::earlier_leases_end(state.started_at) };
+        right.set_usable_from(all_end, false);
     }
     let issuers = right.renew(state.node_id, &candidates, now);
     lock(&state.tokens).set_own_rights(&right, state.node_id, now);
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -26,7 +26,7 @@
 const FULLNESS_POWER: i32 = 6;
 
 /// Factor by which the expected time in another zone must be shorter. Traffic between zones costs money.
-const ZONE_SPILL_FACTOR: f64 = 1.5;
+const ZONE_SPILL_FACTOR: f64 = 2.0;
 
 /// Time since the last report or response of a node after which its target is not chosen, in milliseconds:
 /// two lost status messages and some delay.
--- a/crates/quota/tests/support/pool_fleet.rs
+++ b/crates/quota/tests/support/pool_fleet.rs
@@ -313,12 +313,17 @@
         let mut candidates: Vec<IssuerCandidate> =
             fresh.map(|(peer, view)| IssuerCandidate { node: view.node, in_own_zone: zones[*peer] == zone }).collect();
         candidates.push(IssuerCandidate { node: node.id, in_own_zone: true });
-        let all_heard = node.peers.len() + 1 == total && node.peers.values().all(|peer| peer.has_heard_this_run);
+        let hears = |peer: &usize| node.peers.get(peer).is_some_and(|peer| peer.has_heard_this_run);
+        let others: Vec<usize> = (0..total).filter(|other| *other != index).collect();
+        let all_heard = others.iter().all(hears);
+        let zone_heard = others.iter().filter(|other| zones[**other] == zone).all(hears);
         if node.first_start || all_heard || self.settings.breakage == Breakage::RestartWithoutWaiting {
-            node.right.set_usable_from(now);
-        } else {
-            node.right.set_usable_from(IssuingRight::earlier_leases_end(node.started_at));
+            node.right.set_usable_from(now, false);
+        }
+        if zone_heard {
+            node.right.set_usable_from(now, true);
         }
+        node.right.set_usable_from(IssuingRight::earlier_leases_end(node.started_at), false);
         let issuers = node.right.renew(node.id, &candidates, now);
         node.pool.set_own_rights(&node.right, node.id, now);
         let id = node.id;
--- a/crates/quota/tests/token_pool.rs
+++ b/crates/quota/tests/token_pool.rs
@@ -94,33 +94,19 @@
     }
 }
 
-/// Shows that the bound is not met by chance: the safeguards that it rests on are needed.
-#[gtest]
-fn bound_is_exceeded_without_each_safeguard() {
-    for breakage in [Breakage::LeasesOutliveTheirEnd, Breakage::YieldedTokensKept] {
-        let worst_excess = (0..8)
-            .map(|seed| {
-                let settings = FleetSettings { breakage, ..settings(13, 3, 60_000, 60, seed) };
-                run_under_faults(settings, 40_000).worst_excess()
-            })
-            .fold(f64::MIN, f64::max);
-        expect_that!(worst_excess, gt(ALLOWED_EXCESS), "{breakage:?}");
-    }
-}
-
-/// Returns the worst excess when half of the nodes are partitioned and restarted at once, while the issuers that they
-/// are partitioned from still hold leases of their earlier runs.
-fn excess_after_partitioned_restarts(breakage: Breakage) -> f64 {
+/// Returns the worst excess when half of the nodes are partitioned from all others for a while, after `restart` if
+/// they are also restarted. Issuers hold leases of these nodes when the partition begins.
+fn excess_after_partition(breakage: Breakage, restart: bool) -> f64 {
     let mut fleet = PoolFleet::start(FleetSettings { breakage, ..settings(14, 1, 60_000, 60, 2) });
     for _ in 0..WARM_UP_MS {
         fleet.step();
     }
     let count = fleet.node_count();
     fleet.cut_nodes = (0..count).filter(|node| !fleet.is_issuer(*node)).take(count / 2).collect();
-    for node in fleet.cut_nodes.clone() {
-        fleet.restart(node, 1);
+    if restart {
+        fleet.cut_nodes.clone().into_iter().for_each(|node| fleet.restart(node, 1));
     }
-    for _ in 0..6_000 {
+    for _ in 0..10_000 {
         fleet.step();
         for node in 0..count {
             fleet.request(node);
@@ -129,10 +115,28 @@
     fleet.worst_excess()
 }
 
+#[gtest]
+fn issuer_stops_using_a_lease_before_its_lessor_uses_the_right_again() {
+    assert_that!(excess_after_partition(Breakage::None, false), le(ALLOWED_EXCESS));
+    assert_that!(excess_after_partition(Breakage::LeasesOutliveTheirEnd, false), gt(ALLOWED_EXCESS));
+}
+
+/// Shows that yielding tokens under random faults keeps the bound because the issuer removes them from its stock.
+#[gtest]
+fn issuer_that_keeps_yielded_tokens_is_noticed() {
+    let worst_excess = (0..8)
+        .map(|seed| {
+            let breakage = Breakage::YieldedTokensKept;
+            run_under_faults(FleetSettings { breakage, ..settings(13, 3, 60_000, 60, seed) }, 40_000).worst_excess()
+        })
+        .fold(f64::MIN, f64::max);
+    assert_that!(worst_excess, gt(ALLOWED_EXCESS));
+}
+
 #[gtest]
 fn restarted_node_waits_until_leases_of_its_earlier_run_have_ended() {
-    assert_that!(excess_after_partitioned_restarts(Breakage::None), le(ALLOWED_EXCESS));
-    assert_that!(excess_after_partitioned_restarts(Breakage::RestartWithoutWaiting), gt(ALLOWED_EXCESS));
+    assert_that!(excess_after_partition(Breakage::None, true), le(ALLOWED_EXCESS));
+    assert_that!(excess_after_partition(Breakage::RestartWithoutWaiting, true), gt(ALLOWED_EXCESS));
 }
 
 /// Returns how many requests beyond the new limit are granted within five seconds after it was lowered.
@@ -244,6 +248,28 @@
     }
 }
 
+/// After a restart of the whole fleet, a node that is gone for good must not keep the tokens of other zones back.
+#[gtest]
+fn a_lost_node_delays_only_its_own_zone_after_all_nodes_were_restarted() {
+    let mut fleet = PoolFleet::start(settings(40, 5, 60_000, 60, 6));
+    let zone_nodes = fleet.nodes_in_zone(2);
+    for ms in 0..14_000_u64 {
+        if ms == 10_000 {
+            (0..40).for_each(|node| fleet.restart(node, 500));
+            let lost = fleet.nodes_in_zone(4)[0];
+            fleet.restart(lost, 60_000);
+        }
+        fleet.step();
+        // Two thirds of the zone's part of the rate, from one second after the restart on.
+        if ms >= 11_500 && fleet.rng.random::<f64>() < 0.008 {
+            let node = zone_nodes[fleet.rng.random_range(0..zone_nodes.len())];
+            fleet.request(node);
+        }
+    }
+    assert_that!(fleet.within_rate, gt(10));
+    assert_that!(fleet.refused_share(), le(0.05));
+}
+
 #[gtest]
 fn a_partitioned_zone_uses_its_part_at_once() {
     let mut fleet = PoolFleet::start(settings(40, 5, 50_000, 50, 5));
@@ -271,7 +297,7 @@
 fn single_node_pool(rate_milli_per_s: u64, burst: u64) -> TokenPool {
     let own = VmId(1);
     let mut right = IssuingRight::default();
-    right.set_usable_from(TimeUs(0));
+    right.set_usable_from(TimeUs(0), false);
     right.renew(own, &[IssuerCandidate { node: own, in_own_zone: true }], TimeUs(0));
     let mut pool = TokenPool::default();
     pool.set_fleet_size(1, SLACK_TOKENS, TimeUs(0));
