Status messages leave out names that the receiver knows

Half of a message were names: zone, service, instance, address, routes, four issuers. Change: names go along until the receiver has confirmed a stamp since they changed; routes are positions in the sender's version of the configuration, and reports of another version are skipped; leases are a set of shards for this receiver. The sender's address is that of the datagram.

--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::Version;
+use fulmartrestle_core::{RouteId, Version};
 use fulmartrestle_derive::record;
 use fulmartrestle_quota::TenantLimit;
 
@@ -39,6 +39,7 @@
     tenants: Vec<TenantConfig>,
     by_key: HashMap<ApiKey, usize>,
     unreadable_tenants: usize,
+    positions: HashMap<RouteId, u32>,
 }
 
 impl MeshConfig {
@@ -55,7 +56,8 @@
                 by_key.entry(key.clone()).or_insert(index);
             }
         }
-        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0 }
+        let positions = (0..).zip(&routes).map(|(position, route)| (route.id.clone(), position)).collect();
+        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0, positions }
     }
 
     /// Sets how many tenants could not be read. Their keys are unknown, but valid.
@@ -108,6 +110,16 @@
         self.tenants.iter().map(limit).collect()
     }
 
+    /// Returns the position of a route, which is the same on all nodes with this version.
+    pub fn route_position(&self, route: &RouteId) -> Option<u32> {
+        self.positions.get(route).copied()
+    }
+
+    /// Returns the name of the route at a position.
+    pub fn route_at(&self, position: u32) -> Option<&RouteId> {
+        self.routes.get(position as usize).map(|route| &route.id)
+    }
+
     /// Returns the number of configured routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod state;
 mod status_exchange;
+mod status_message;
 mod store_polling;
 mod target_connection_pool;
 mod tokens;
@@ -40,6 +41,10 @@
 pub use local_target::{Announcement, AnnouncementResult, LocalTarget};
 pub use metrics::Metrics;
 pub use node::{MeshNode, MeshOptions};
+pub use peer_table::{PeerTable, Registration, StatusEffect};
 pub use settings::{DeploymentBounds, MeshSettings};
 pub use state::MeshState;
+pub use status_message::{
+    IndexedArrivals, IndexedDemand, NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_demand,
+};
 pub use store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use fulmartrestle_core::{AvailabilityZone, TimeUs, Version, VmId};
-use fulmartrestle_quota::{IssuerCandidate, IssuerTable, TokenShard};
+use fulmartrestle_quota::{IssuerCandidate, ShardSet, TokenShard};
 
-use crate::node_messages::NodeStatus;
+use crate::status_message::{NodeIdentity, NodeStatus, StatusMessage};
 
 /// Time without a status message after which a node no longer counts for the division of the tenants' rates, in
 /// milliseconds. It is far longer than the time for which a partitioned node continues to accept requests with keys.
@@ -44,14 +44,16 @@
     pub version: Version,
     /// Its zone, if it is known.
     pub zone: Option<AvailabilityZone>,
-    /// The nodes to which it leases its right to issue tokens.
-    pub issuers: IssuerTable,
+    /// Its names; `None` until its first status message.
+    pub identity: Option<NodeIdentity>,
+    /// The latest stamp of this run that it has confirmed.
+    pub confirmed_stamp: TimeUs,
+    /// Shards for which it issues tokens.
+    pub issued: ShardSet,
     /// Whether it stops.
     pub leaving: bool,
     /// Whether its last call to the store succeeded.
     pub reaches_store: bool,
-    /// Whether it has received a status message of this run.
-    pub has_heard_this_run: bool,
 }
 
 /// Registration of a node on the store.
@@ -95,26 +97,37 @@
         self.quota_start.get_or_insert(start);
     }
 
+    /// Completes a status message with the sender's names. Returns `None` if it leaves them out and they are not
+    /// known, which ends when the sender hears of this run.
+    pub fn complete_status(&self, message: StatusMessage, address: SocketAddr) -> Option<NodeStatus> {
+        let known = self.peers.get(&address).filter(|peer| peer.node == Some(message.node));
+        let identity = message.identity.clone().or_else(|| known.and_then(|peer| peer.identity.clone()))?;
+        Some(NodeStatus { message, address, identity })
+    }
+
     /// Records a status message. `started_at` is the start of this node's run.
     pub fn record_status(&mut self, status: &NodeStatus, started_at: TimeUs, now: TimeUs) -> StatusEffect {
+        let message = &status.message;
         let entry = self.peers.entry(status.address).or_default();
-        let replaced = entry.node.filter(|known| *known != status.node);
-        let stamp_age_us = entry.stamp_us.saturating_sub(status.stamp_us);
+        let replaced = entry.node.filter(|known| *known != message.node);
+        let stamp_age_us = entry.stamp_us.saturating_sub(message.stamp_us);
         if replaced.is_some() && stamp_age_us > 0 && stamp_age_us < MAX_LATE_STAMP_US {
             return StatusEffect { is_outdated: true, ..StatusEffect::default() };
         }
-        let is_new = entry.node != Some(status.node);
-        let hears_this_run = status.echo_us.is_some_and(|echo_us| TimeUs(echo_us) >= started_at);
+        let is_new = entry.node != Some(message.node);
+        let echoed_stamp = message.echo_us.map(TimeUs).filter(|stamp| *stamp >= started_at).unwrap_or_default();
+        let confirmed_stamp = if is_new { echoed_stamp } else { entry.confirmed_stamp.max(echoed_stamp) };
         *entry = Peer {
-            node: Some(status.node),
+            node: Some(message.node),
             last_seen: now,
-            stamp_us: status.stamp_us,
-            version: status.version,
-            zone: Some(status.zone.clone()),
-            issuers: status.issuers,
-            leaving: status.leaving,
-            reaches_store: status.reaches_store,
-            has_heard_this_run: hears_this_run || (entry.has_heard_this_run && !is_new),
+            stamp_us: message.stamp_us,
+            version: message.version,
+            zone: Some(status.identity.zone.clone()),
+            identity: Some(status.identity.clone()),
+            confirmed_stamp,
+            issued: message.issued,
+            leaving: message.leaving,
+            reaches_store: message.reaches_store,
         };
         StatusEffect { replaced, is_new, is_outdated: false }
     }
@@ -128,20 +141,18 @@
         self.peers.values().filter(is_fresh).filter_map(to_candidate).collect()
     }
 
-    /// Returns the issuers of a shard that are named by a live node.
+    /// Returns the live nodes that issue tokens of a shard.
     pub fn issuers(&self, shard: TokenShard, now: TimeUs) -> Vec<VmId> {
         let live = self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < LIVE_TIMEOUT_MS);
-        let mut issuers: Vec<VmId> = live.filter_map(|peer| peer.issuers[shard.index()]).collect();
-        issuers.sort_unstable();
-        issuers.dedup();
-        issuers
+        live.filter(|peer| peer.issued.contains(shard)).filter_map(|peer| peer.node).collect()
     }
 
     /// Returns whether every known node, or every one that may be in `zone`, has received a status message of this
     /// run, so that none of them counts on what an earlier run on this VM has sent.
     pub fn all_have_heard_this_run(&self, zone: Option<&AvailabilityZone>) -> bool {
         let is_in_zone = |peer: &&Peer| zone.is_none() || peer.zone.is_none() || peer.zone.as_ref() == zone;
-        !self.peers.is_empty() && self.peers.values().filter(is_in_zone).all(|peer| peer.has_heard_this_run)
+        !self.peers.is_empty()
+            && self.peers.values().filter(is_in_zone).all(|peer| peer.confirmed_stamp > TimeUs::default())
     }
 
     /// Returns the entry of the node at `address`.
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -7,17 +7,18 @@
 
 use bytes::Bytes;
 use fulmartrestle_core::{TimeUs, Version, VmId, lock};
-use fulmartrestle_policy::{BasisPoints, RetryBudgetSettings};
-use fulmartrestle_quota::{IssuerCandidate, IssuerTable, IssuingRight};
+use fulmartrestle_policy::{BasisPoints, DemandReport, RetryBudgetSettings};
+use fulmartrestle_quota::{IssuerCandidate, IssuerTable, IssuingRight, ShardSet};
 use fulmartrestle_transport::{decode_exact, encode};
 use tokio::net::UdpSocket;
 
 use crate::config_follower::apply_config;
 use crate::event_log::LogLine;
-use crate::node_messages::{ConfigResponse, NodeStatus};
+use crate::node_messages::ConfigResponse;
 use crate::peer_streams::CONFIG_PATH;
 use crate::peer_table::StatusEffect;
 use crate::state::{MeshState, NodePhase};
+use crate::status_message::{NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_demand};
 
 /// Interval of status messages, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 1_000;
@@ -52,14 +53,16 @@
 
 /// Sends this node's status until the task is aborted.
 pub async fn send_status(state: Arc<MeshState>, socket: Arc<UdpSocket>) {
+    let mut last_identity = None;
     loop {
         let now = state.now();
         record_own_status(&state, now);
         apply_fleet_shares(&state, now);
         let issuers = renew_leases(&state, now);
+        let round = StatusRound::new(&state, issuers, last_identity.take(), now);
         let peers: Vec<_> = lock(&state.peers).addresses();
         for address in peers {
-            let Some(message) = encode_status(&state, address, issuers) else { continue };
+            let Some(message) = round.encode_for(&state, address) else { continue };
             // A process that was suspended meanwhile would confirm a lease that has ended.
             if state.now().ms_since(now) >= MAX_ROUND_MS {
                 break;
@@ -68,6 +71,7 @@
                 state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
             }
         }
+        last_identity = Some((round.identity, round.identity_changed_at));
         let usable_from = lock(&state.issuing_right).next_usable_from(now);
         let next_round = usable_from.unwrap_or(TimeUs(u64::MAX)).min(now.plus_ms(STATUS_INTERVAL_MS));
         let interval = state.clock.duration_until(next_round);
@@ -89,8 +93,13 @@
                 continue;
             }
         };
-        match decode_exact::<NodeStatus>(&buffer[..length]) {
-            Ok(status) => apply_status(&state, status),
+        match decode_exact::<StatusMessage>(&buffer[..length]) {
+            Ok(message) => {
+                let status = lock(&state.peers).complete_status(message, sender);
+                if let Some(status) = status {
+                    apply_status(&state, &status);
+                }
+            }
             Err(error) => state.log(LogLine::new("status_unreadable").text("peer", sender).text("detail", error)),
         }
     }
@@ -132,74 +141,115 @@
     issuers
 }
 
-fn encode_status(state: &MeshState, address: SocketAddr, issuers: IssuerTable) -> Option<Vec<u8>> {
-    let now = state.now();
-    let settings = state.settings();
-    let status = NodeStatus {
-        node: state.node_id,
-        address: settings.peer_address,
-        zone: settings.availability_zone.clone(),
-        target: state.gate.report(),
-        demand: state.gate.demand(),
-        arrivals: lock(&state.arrivals).report(),
-        version: state.config().map_or(Version(0), |config| config.version()),
-        config_age_ms: state.config_age_ms(now),
-        reaches_store: state.reaches_store.load(Ordering::Relaxed),
-        stamp_us: now.0,
-        echo_us: lock(&state.peers).get(&address).map(|peer| peer.stamp_us).filter(|stamp| *stamp > 0),
-        issuers,
-        leaving: *state.phase.borrow() != NodePhase::Serving,
-    };
-    match encode(&status) {
-        Ok(message) => Some(message),
-        Err(error) => {
-            state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
-            None
+/// Parts of a status message that are the same for all receivers of one round.
+struct StatusRound {
+    identity: NodeIdentity,
+    identity_changed_at: TimeUs,
+    issuers: IssuerTable,
+    message: StatusMessage,
+}
+
+impl StatusRound {
+    /// Describes the state of this node. `last` is the identity of the last round and when it changed.
+    fn new(state: &MeshState, issuers: IssuerTable, last: Option<(NodeIdentity, TimeUs)>, now: TimeUs) -> Self {
+        let report = state.gate.report();
+        let identity = NodeIdentity::new(state.settings().availability_zone.clone(), &report);
+        let identity_changed_at = last.filter(|(last, _)| *last == identity).map_or(now, |(_, changed_at)| changed_at);
+        let config = state.config();
+        let demand = state.gate.demand();
+        let index = |demand: &DemandReport| config.as_ref().map(|config| index_demand(demand, config));
+        let arrivals = lock(&state.arrivals).report();
+        let message = StatusMessage {
+            node: state.node_id,
+            identity: None,
+            target: report.map(TargetLoad::from),
+            capacity_milli: demand.as_ref().map(|demand| demand.capacity_milli),
+            demand: demand.as_ref().and_then(index).unwrap_or_default(),
+            arrivals: config.as_ref().map(|config| index_arrivals(&arrivals, config)).unwrap_or_default(),
+            version: config.as_ref().map_or(Version(0), |config| config.version()),
+            config_age_ms: None,
+            reaches_store: state.reaches_store.load(Ordering::Relaxed),
+            stamp_us: 0,
+            echo_us: None,
+            leased: ShardSet::default(),
+            issued: lock(&state.tokens).issued_shards(),
+            leaving: *state.phase.borrow() != NodePhase::Serving,
+        };
+        Self { identity, identity_changed_at, issuers, message }
+    }
+
+    /// Encodes the message to one node.
+    fn encode_for(&self, state: &MeshState, address: SocketAddr) -> Option<Vec<u8>> {
+        let now = state.now();
+        let mut message = self.message.clone();
+        message.config_age_ms = state.config_age_ms(now);
+        message.stamp_us = now.0;
+        {
+            let peers = lock(&state.peers);
+            let peer = peers.get(&address)?;
+            message.echo_us = Some(peer.stamp_us).filter(|stamp| *stamp > 0);
+            message.leased = peer.node.map(|node| ShardSet::issued_by(&self.issuers, node)).unwrap_or_default();
+            let knows_identity = peer.confirmed_stamp >= self.identity_changed_at;
+            message.identity = Some(self.identity.clone()).filter(|_| !knows_identity);
+        }
+        match encode(&message) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
+                None
+            }
         }
     }
 }
 
-fn apply_status(state: &Arc<MeshState>, status: NodeStatus) {
+fn apply_status(state: &Arc<MeshState>, status: &NodeStatus) {
     let now = state.now();
-    let own_version = state.config().map_or(Version(0), |config| config.version());
-    let effect = lock(&state.peers).record_status(&status, state.started_at, now);
+    let message = &status.message;
+    let effect = lock(&state.peers).record_status(status, state.started_at, now);
     if effect.is_outdated {
         return;
     }
     let StatusEffect { replaced, is_new, .. } = effect;
-    apply_leases(state, &status, replaced, now);
+    apply_leases(state, message, replaced, now);
+    let target = status.target_report();
+    let accepts_calls = target.as_ref().is_some_and(|target| target.ready);
     {
         let mut load_balancer = lock(&state.load_balancer);
         if let Some(replaced) = replaced {
             load_balancer.remove(replaced);
         }
-        load_balancer.record_report(status.node, &status.zone, status.target.clone(), now);
+        load_balancer.record_report(message.node, &status.identity.zone, target, now);
     }
+    let config = state.config();
+    let own_version = config.as_ref().map_or(Version(0), |config| config.version());
     {
         let mut capacity_admission = lock(&state.capacity_admission);
         if let Some(replaced) = replaced {
             capacity_admission.remove(replaced);
         }
-        let accepts_calls = status.target.as_ref().is_some_and(|target| target.ready);
-        capacity_admission.record_report(status.node, status.demand.filter(|_| accepts_calls), status.arrivals, now);
+        // Positions of routes mean something else in another version; the last report stays for a moment.
+        if let Some(config) = config.filter(|config| config.version() == message.version) {
+            let demand = status.demand(&config).filter(|_| accepts_calls);
+            capacity_admission.record_report(message.node, demand, status.arrivals(&config), now);
+        }
     }
     if is_new {
-        state.log(LogLine::new("peer_heard").text("peer", status.address).text("node", status.node));
+        state.log(LogLine::new("peer_heard").text("peer", status.address).text("node", message.node));
         state.status_due.notify_one();
     }
-    if let (Some(echo_us), Some(age_ms)) = (status.echo_us, status.config_age_ms) {
-        lock(&state.freshness).record_peer_confirmation(TimeUs(echo_us), age_ms, status.version, own_version);
+    if let (Some(echo_us), Some(age_ms)) = (message.echo_us, message.config_age_ms) {
+        lock(&state.freshness).record_peer_confirmation(TimeUs(echo_us), age_ms, message.version, own_version);
     }
-    if status.version > own_version {
+    if message.version > own_version {
         state.store_due.notify_one();
         if !state.fetches_config.swap(true, Ordering::Relaxed) {
-            tokio::spawn(fetch_config(Arc::clone(state), status.address, status.version));
+            tokio::spawn(fetch_config(Arc::clone(state), status.address, message.version));
         }
     }
 }
 
 /// Records the leases of a node, and ends those to and from its earlier run.
-fn apply_leases(state: &MeshState, status: &NodeStatus, replaced: Option<VmId>, now: TimeUs) {
+fn apply_leases(state: &MeshState, message: &StatusMessage, replaced: Option<VmId>, now: TimeUs) {
     if let Some(replaced) = replaced {
         lock(&state.issuing_right).end_leases_to(replaced);
     }
@@ -207,8 +257,8 @@
     if let Some(replaced) = replaced {
         tokens.remove_lessor(replaced, now);
     }
-    if let Some(echo_us) = status.echo_us {
-        tokens.record_leases(status.node, &status.issuers, state.node_id, TimeUs(echo_us), now);
+    if let Some(echo_us) = message.echo_us {
+        tokens.record_leases(message.node, message.leased, TimeUs(echo_us), now);
     }
 }
 
--- a/crates/quota/src/token_pool.rs
+++ b/crates/quota/src/token_pool.rs
@@ -15,7 +15,7 @@
 use crate::leased_rights::LeasedRights;
 use crate::token_bucket::{FleetSize, TokenBucket};
 use crate::token_shard::{TOKEN_SHARD_COUNT, TokenShard};
-use crate::{IssuerTable, IssuingRight};
+use crate::{IssuingRight, ShardSet};
 
 /// Share of the slack passed to [`TokenPool::set_fleet_size`] by which the capacities of all buckets together may
 /// exceed the burst. The rest covers requests in transit and views of the fleet's size that differ for a moment.
@@ -106,14 +106,20 @@
         }
     }
 
-    /// Records the lessees that another node has sent after it received this node's message of `echoed_at`, on this
-    /// node's clock. A lease counts from there, so that it ends on this node before it ends on the lessor.
-    pub fn record_leases(&mut self, lessor: VmId, lessees: &IssuerTable, own: VmId, echoed_at: TimeUs, now: TimeUs) {
-        for shard in TokenShard::all().filter(|shard| lessees[shard.index()] == Some(own)) {
+    /// Records the shards that another node has leased to this one after it received this node's message of
+    /// `echoed_at`, on this node's clock. A lease counts from there, so that it ends on this node before it ends on
+    /// the lessor.
+    pub fn record_leases(&mut self, lessor: VmId, leased: ShardSet, echoed_at: TimeUs, now: TimeUs) {
+        for shard in TokenShard::all().filter(|shard| leased.contains(*shard)) {
             self.rights[shard.index()].record_lease(lessor, echoed_at.plus_ms(LEASE_MS), now);
         }
     }
 
+    /// Returns the shards for which this node issues tokens.
+    pub fn issued_shards(&self) -> ShardSet {
+        TokenShard::all().filter(|shard| self.rights[shard.index()].count() > 0).collect()
+    }
+
     /// Removes the leases of a node whose process has ended.
     pub fn remove_lessor(&mut self, lessor: VmId, now: TimeUs) {
         self.rights.iter_mut().for_each(|rights| rights.remove(lessor, now));
--- a/crates/quota/tests/support/pool_fleet.rs
+++ b/crates/quota/tests/support/pool_fleet.rs
@@ -5,7 +5,7 @@
 
 use fulmartrestle_core::{RateMilliPerS, Tenant, TimeUs, Tokens, VmId};
 use fulmartrestle_quota::{
-    IssuerCandidate, IssuerTable, IssuingRight, TenantLimit, TokenDecision, TokenPool, TokenShard,
+    IssuerCandidate, IssuerTable, IssuingRight, ShardSet, TenantLimit, TokenDecision, TokenPool, TokenShard,
 };
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
@@ -359,7 +359,7 @@
         node.peers.insert(status.from, view);
         if let Some(echo) = status.echo {
             let echo = if breakage == Breakage::LeasesOutliveTheirEnd { now.plus_ms(20_000) } else { echo };
-            node.pool.record_leases(status.node, &status.issuers, node.id, echo, now);
+            node.pool.record_leases(status.node, ShardSet::issued_by(&status.issuers, node.id), echo, now);
         }
     }
 
