A route that hardly uses the bottleneck is admitted though it is alone in its rank

Change: a route with under 5 in 100 of a service's capacity is not limited by it, as long as such routes together stay under 10 in 100; costs are measured only while a fifth of a route's requests is admitted. Test that failed first: route_alone_in_its_rank_is_admitted_if_it_hardly_uses_the_bottleneck (0.02 before).

--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -24,6 +24,15 @@
 /// does not use the service at all.
 const MINOR_DEMAND_SHARE: f64 = 0.15;
 
+/// Share of a service's capacity below which a route is always admitted, and share below which all such routes
+/// together must stay. A route that is alone in its rank has all of that rank's demand, however small it is.
+const NEGLIGIBLE_CAPACITY_SHARE: f64 = 0.05;
+const MAX_NEGLIGIBLE_CAPACITY_SHARE: f64 = 0.1;
+
+/// Admitted share of a route's requests below which its costs are not measured. Calls that are attributed to the wrong
+/// route do not become fewer when its requests are shed, and would count many times.
+const MIN_MEASURED_SHARE: f64 = 0.2;
+
 /// Bounds of the correction of costs. Rates at ingress lead the arrivals at the services by up to a second,
 /// so that costs seem lower than they are during a surge.
 const MIN_COST_CORRECTION: f64 = 0.7;
@@ -59,6 +68,14 @@
     admitted_per_s: HashMap<RouteId, f64>,
 }
 
+impl IngressRates {
+    /// Returns whether so many requests of a route are admitted that their costs can be measured.
+    fn is_measurable(&self, route: &RouteId, admitted_per_s: f64) -> bool {
+        let offered = self.offered_per_s.iter().filter(|((other, _), _)| other == route);
+        admitted_per_s >= offered.map(|(_, per_s)| per_s).sum::<f64>() * MIN_MEASURED_SHARE
+    }
+}
+
 /// Capacity, and demand of the admitted requests by route, summed over the targets of one service, in slots.
 #[derive(Debug, Default)]
 struct ServiceDemand {
@@ -148,7 +165,9 @@
 
     fn record_costs(&mut self, services: &HashMap<Service, ServiceDemand>, ingress: &IngressRates, elapsed_s: f64) {
         for (service, reported) in services {
-            for (route, admitted_per_s) in &ingress.admitted_per_s {
+            let measurable =
+                ingress.admitted_per_s.iter().filter(|(route, per_s)| ingress.is_measurable(route, **per_s));
+            for (route, admitted_per_s) in measurable {
                 let slots = reported.demand_slots.get(route).copied().unwrap_or_default();
                 self.costs.record_demand(service, route, slots, *admitted_per_s, elapsed_s);
             }
@@ -157,17 +176,22 @@
 }
 
 /// Allocates a capacity to the most urgent routes first. Routes of one rank get the same share, except
-/// those that hardly use the service.
+/// those that hardly use the service, which are admitted as a whole.
 fn allocate_capacity(capacity_slots: f64, demand: &HashMap<(RouteId, Rank), f64>) -> Vec<((RouteId, Rank), f64)> {
     let mut ranks: Vec<Rank> = demand.keys().map(|(_, rank)| *rank).collect();
     ranks.sort_unstable();
     ranks.dedup();
+    let negligible: f64 = demand.values().filter(|demand| **demand < capacity_slots * NEGLIGIBLE_CAPACITY_SHARE).sum();
+    let admits_negligible = negligible <= capacity_slots * MAX_NEGLIGIBLE_CAPACITY_SHARE;
     let mut remaining = capacity_slots;
     let mut shares = Vec::new();
     for rank in ranks {
         let demand_of_rank = demand.iter().filter(|((_, other), _)| *other == rank);
         let total: f64 = demand_of_rank.clone().map(|(_, demand)| demand).sum();
-        let is_minor = |route_demand: f64| route_demand < total * MINOR_DEMAND_SHARE;
+        let is_minor = |route_demand: f64| {
+            route_demand < total * MINOR_DEMAND_SHARE
+                || (admits_negligible && route_demand < capacity_slots * NEGLIGIBLE_CAPACITY_SHARE)
+        };
         let minor: f64 = demand_of_rank.clone().map(|(_, demand)| *demand).filter(|demand| is_minor(*demand)).sum();
         let (major, remaining_for_major) = (total - minor, (remaining - minor).max(0.0));
         let share =
--- a/crates/policy/tests/capacity_admission.rs
+++ b/crates/policy/tests/capacity_admission.rs
@@ -138,6 +138,40 @@
     expect_that!(admission.admitted_share(&route("browse"), Rank(6), NOW), near(9.0 / 95.0, 1e-3));
 }
 
+/// One of three targets is left. A more urgent route takes all of it, and a route that does not use the service, alone
+/// in its rank, has a few calls of others attributed to it. Uploads were refused for half a minute that way.
+#[gtest]
+fn route_alone_in_its_rank_is_admitted_if_it_hardly_uses_the_bottleneck() {
+    const UPLOADS_PER_S: f64 = 12.0;
+    const MISATTRIBUTED_SLOTS: f64 = 0.25;
+    let mut admission = CapacityAdmission::default();
+    let routes = [("pledge", 2, 32.0, 14.0), ("upload", 4, UPLOADS_PER_S, 0.0), ("lookup", 6, 90.0, 20.0)];
+    let mut shares = [1.0; 3];
+    for step in 0..600 {
+        let now = NOW.plus_ms(step * 100);
+        // After ten seconds, two of three targets are gone.
+        let capacity_milli = if step < 100 { 60_000 } else { 13_000 };
+        let mut demand = Vec::new();
+        let mut arrivals = Vec::new();
+        for ((name, rank, offered_per_s, slots), share) in routes.into_iter().zip(shares) {
+            let used = if name == "upload" { MISATTRIBUTED_SLOTS } else { slots * share };
+            demand.push(RouteDemand { route: route(name), slots_milli: (used * 1e3) as u32 });
+            arrivals.push(RouteArrivals {
+                route: route(name),
+                rank: Rank(rank),
+                offered_milli: (offered_per_s * 1e3) as u32,
+                admitted_milli: (offered_per_s * share * 1e3) as u32,
+            });
+        }
+        let report = DemandReport { service: service("deep"), capacity_milli, routes: demand };
+        admission.record_report(VmId(1), Some(report), arrivals, now);
+        shares = routes.map(|(name, rank, _, _)| admission.admitted_share(&route(name), Rank(rank), now));
+    }
+    assert_that!(shares[0], all!(gt(0.8), lt(1.0)));
+    assert_that!(shares[1], eq(1.0));
+    assert_that!(shares[2], lt(0.05));
+}
+
 #[gtest]
 fn outdated_reports_are_ignored() {
     let target = Target { service: "deep", capacity: 10, demand: vec![demand("browse", 6, 100)] };
