--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -30,6 +30,9 @@
 /// last longer on this node than on the receivers.
 const MAX_ROUND_MS: u64 = 50;
 
+/// Rounds started for one message. A node so slow that this does not suffice leaves the message out.
+const MAX_ROUND_RESTARTS: u32 = 3;
+
 /// Time for a new configuration to arrive from the store before it is fetched from another node, in milliseconds.
 const CONFIG_FETCH_DELAY_MS: u64 = 200;
 
@@ -53,32 +56,36 @@
 
 /// Sends this node's status until the task is aborted.
 pub async fn send_status(state: Arc<MeshState>, socket: Arc<UdpSocket>) {
-    let mut last_identity = None;
+    let mut round = StatusRound::start(&state, None);
     loop {
-        let now = state.now();
-        record_own_status(&state, now);
-        apply_fleet_shares(&state, now);
-        let issuers = renew_leases(&state, now);
-        let round = StatusRound::new(&state, issuers, last_identity.take(), now);
         let peers: Vec<_> = lock(&state.peers).addresses();
         for address in peers {
-            let Some(message) = round.encode_for(&state, address) else { continue };
-            // A process that was suspended meanwhile would confirm a lease that has ended.
-            if state.now().ms_since(now) >= MAX_ROUND_MS {
-                break;
-            }
+            let Some(message) = encode_fresh(&state, &mut round, address) else { continue };
             if let Err(error) = socket.send_to(&message, address).await {
                 state.log(LogLine::new("status_not_sent").text("peer", address).text("detail", error));
             }
         }
-        last_identity = Some((round.identity, round.identity_changed_at));
-        let usable_from = lock(&state.issuing_right).next_usable_from(now);
-        let next_round = usable_from.unwrap_or(TimeUs(u64::MAX)).min(now.plus_ms(STATUS_INTERVAL_MS));
+        let usable_from = lock(&state.issuing_right).next_usable_from(round.started_at);
+        let next_round = usable_from.unwrap_or(TimeUs(u64::MAX)).min(round.started_at.plus_ms(STATUS_INTERVAL_MS));
         let interval = state.clock.duration_until(next_round);
         if tokio::time::timeout(interval, state.status_due.notified()).await.is_ok() {
             tokio::time::sleep(Duration::from_millis(MIN_STATUS_PAUSE_MS)).await;
         }
+        round = StatusRound::start(&state, Some(round));
+    }
+}
+
+/// Encodes the message to one node. Starts a new round if this one has lasted too long, for example because the
+/// process was suspended: its leases must end on the receiver before they end here.
+fn encode_fresh(state: &MeshState, round: &mut StatusRound, address: SocketAddr) -> Option<Vec<u8>> {
+    for _ in 0..MAX_ROUND_RESTARTS {
+        let message = round.encode_for(state, address);
+        if state.now().ms_since(round.started_at) < MAX_ROUND_MS {
+            return message;
+        }
+        *round = StatusRound::start(state, Some(round.clone()));
     }
+    None
 }
 
 /// Receives the status of other nodes until the task is aborted.
@@ -142,7 +149,9 @@
 }
 
 /// Parts of a status message that are the same for all receivers of one round.
+#[derive(Clone)]
 struct StatusRound {
+    started_at: TimeUs,
     identity: NodeIdentity,
     identity_changed_at: TimeUs,
     issuers: IssuerTable,
@@ -150,11 +159,16 @@
 }
 
 impl StatusRound {
-    /// Describes the state of this node. `last` is the identity of the last round and when it changed.
-    fn new(state: &MeshState, issuers: IssuerTable, last: Option<(NodeIdentity, TimeUs)>, now: TimeUs) -> Self {
+    /// Renews the leases of this node, and describes its state.
+    fn start(state: &MeshState, last: Option<Self>) -> Self {
+        let started_at = state.now();
+        record_own_status(state, started_at);
+        apply_fleet_shares(state, started_at);
+        let issuers = renew_leases(state, started_at);
         let report = state.gate.report();
         let identity = NodeIdentity::new(state.settings().availability_zone.clone(), &report);
-        let identity_changed_at = last.filter(|(last, _)| *last == identity).map_or(now, |(_, changed_at)| changed_at);
+        let last = last.filter(|last| last.identity == identity);
+        let identity_changed_at = last.map_or(started_at, |last| last.identity_changed_at);
         let config = state.config();
         let demand = state.gate.demand();
         let index = |demand: &DemandReport| config.as_ref().map(|config| index_demand(demand, config));
@@ -175,7 +189,7 @@
             issued: lock(&state.tokens).issued_shards(),
             leaving: *state.phase.borrow() != NodePhase::Serving,
         };
-        Self { identity, identity_changed_at, issuers, message }
+        Self { started_at, identity, identity_changed_at, issuers, message }
     }
 
     /// Encodes the message to one node.
