--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -67,6 +67,10 @@
 /// How long before the end of the grace period the process exits, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 500;
 
+/// Time to withdraw the own registration from the store, in milliseconds. It is half of [`EXIT_MARGIN_MS`], so that a
+/// store that does not respond does not keep the process past its grace period.
+const WITHDRAWAL_TIMEOUT_MS: u64 = 250;
+
 /// How long before the end of the grace period the connections start to close, in milliseconds.
 const CLOSE_MARGIN_MS: u64 = 1_300;
 
@@ -181,7 +185,10 @@
         let closed = tokio::time::timeout(state.clock.duration_until(end_at), self.wait_until_closed()).await;
         // A VM that is taken away loses its target first; one that is only restarted keeps it.
         if state.gate.has_lost_target() {
-            withdraw_registration(state, self.store.as_ref(), &self.nodes_stream).await;
+            let withdrawal = withdraw_registration(state, self.store.as_ref(), &self.nodes_stream);
+            if tokio::time::timeout(Duration::from_millis(WITHDRAWAL_TIMEOUT_MS), withdrawal).await.is_err() {
+                state.log(LogLine::new("registry_failed").text("detail", "timed out withdrawing the registration"));
+            }
         }
         let line = LogLine::new("stopped")
             .flag("target_idle", idle.is_ok())
