Tests of uploads on sockets

Cause: the kind upload was served without a test of its own. Change: uploads arrive whole and are never repeated, also when the answer is lost or never comes (502, 504, one run each); one that ends early runs nowhere, buffered or streamed. No change of the code was needed.

--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -19,7 +19,8 @@
             "slo_ms": 500, "priority": 1, "service": service, "attempts": 2, "public": false})
     };
     json!({"version": format!("{version:08x}"),
-        "routes": [route("view", "/view/", "safe", "trips"), route("book", "/book/", "unsafe", "trips")],
+        "routes": [route("view", "/view/", "safe", "trips"), route("book", "/book/", "unsafe", "trips"),
+            route("photo", "/photo/", "upload", "trips")],
         "services": [{"name": "trips", "health_path": "/healthz", "max_conns": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
@@ -321,3 +322,60 @@
     let current = CallerRequest { api_key: "key-3", ..request("GET", "/view/1", "r-3") };
     fleet.wait_for_status(0, &current, 200).await;
 }
+
+/// Size of an upload: more than a node buffers to send a request again.
+const UPLOAD_BYTES: usize = 90_000;
+
+/// Sends the head of an upload and the first `sent_bytes` of its body.
+async fn send_upload(fleet: &SidecarFleet, request_id: &str, sent_bytes: usize) -> TcpStream {
+    let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node accepts the connection");
+    let head = format!(
+        "POST /photo/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {request_id}\r\ndeadline: 3000\r\n\
+         authorization: Token key-1\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n"
+    );
+    let mut request = head.into_bytes();
+    request.resize(request.len() + sent_bytes, b'x');
+    caller.write_all(&request).await.expect("the node reads the request");
+    caller
+}
+
+#[tokio::test]
+async fn uploads_arrive_whole_and_are_never_repeated() {
+    struct Case {
+        name: &'static str,
+        behaviour: TargetBehaviour,
+        status: &'static str,
+    }
+    let cases = [
+        Case { name: "served", behaviour: TargetBehaviour::Respond, status: "HTTP/1.1 200" },
+        Case { name: "response lost", behaviour: TargetBehaviour::DropResponse, status: "HTTP/1.1 502" },
+        // A target that never responds: whether the upload ran is not known.
+        Case { name: "mute", behaviour: TargetBehaviour::RespondAfterMs(30_000), status: "HTTP/1.1 504" },
+    ];
+    let fleet = start_fleet(&["front", "trips", "trips"]).await;
+    for case in cases {
+        set_behaviour(&fleet, case.behaviour);
+        let mut caller = send_upload(&fleet, case.name, UPLOAD_BYTES).await;
+        let mut buffer = vec![0; 4_096];
+        let bytes_read = caller.read(&mut buffer).await.expect("a response");
+        assert_that!(String::from_utf8_lossy(&buffer[..bytes_read]), starts_with(case.status), "{}", case.name);
+        assert_that!(count_runs(&fleet, case.name), eq(1), "{}", case.name);
+    }
+    let sizes = fleet.vms.iter().flat_map(|vm| vm.target.runs.lock().expect("not poisoned").clone());
+    assert_that!(sizes.map(|run| run.body_bytes).collect::<Vec<_>>(), each(eq(&UPLOAD_BYTES)));
+}
+
+/// A caller on a weak link leaves in the middle of its upload. No target may take the part for the whole.
+#[tokio::test]
+async fn upload_that_ends_early_is_not_run() {
+    let fleet = start_fleet(&["front", "trips"]).await;
+    for (request_id, sent_bytes) in [("none", 0), ("buffered", 30_000), ("streamed", 80_000)] {
+        let caller = send_upload(&fleet, request_id, sent_bytes).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(caller);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_that!(count_runs(&fleet, request_id), eq(0), "{request_id}");
+    }
+    // The node serves on.
+    assert_that!(fleet.send(0, &request("GET", "/view/1", "later")).await.status, eq(200));
+}
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -51,6 +51,7 @@
 pub struct RecordedRun {
     pub request_id: String,
     pub headers: http::HeaderMap,
+    pub body_bytes: usize,
 }
 
 /// A target that runs inside the test process.
@@ -238,7 +239,10 @@
     target: Arc<Target>,
 ) -> Result<hyper::Response<Full<Bytes>>, std::io::Error> {
     let (parts, body) = request.into_parts();
-    let _ = body.collect().await;
+    let body_bytes = match body.collect().await {
+        Ok(body) => body.to_bytes().len(),
+        Err(_) => return Err(std::io::Error::other("the request body was aborted")),
+    };
     let header_text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let request_id = header_text("request-id").to_owned();
     let behaviour = *target.behaviour.lock().expect("not poisoned");
@@ -246,11 +250,11 @@
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
         return Ok(refusal.body(Full::default()).expect("a valid response"));
     }
-    target
-        .runs
-        .lock()
-        .expect("not poisoned")
-        .push(RecordedRun { request_id: request_id.clone(), headers: parts.headers });
+    target.runs.lock().expect("not poisoned").push(RecordedRun {
+        request_id: request_id.clone(),
+        headers: parts.headers,
+        body_bytes,
+    });
     match behaviour {
         TargetBehaviour::RespondAfterMs(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
         TargetBehaviour::DropResponse => return Err(std::io::Error::other("response dropped on purpose")),
