Lost and repeated calls are logged with the fingerprint of their request

Tries of one caller have new ids, so that no log line showed that the request under which one target ended is the request under which the next one ended. The hash that the node of the product's own interface uses moves from crates/node to crates/policy, and the platform's path now carries it from the entry to the gate: target_lost, repeated and the other lines about targets name it. No decision reads it yet.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -90,6 +90,7 @@
         state.metrics.increment("repeated", reason.as_str());
         let line = LogLine::new("repeated")
             .optional_text("request", request.request_id.as_deref())
+            .text("fingerprint", request.fingerprint)
             .text("route", &request.route)
             .text("after", reason.as_str())
             .number("attempt", progress.tried_nodes.len() as u64);
--- a/crates/mesh/src/call_messages.rs
+++ b/crates/mesh/src/call_messages.rs
@@ -1,6 +1,6 @@
 //! Messages that two nodes exchange for one request.
 
-use fulmartrestle_core::{Reason, Refusal, RouteId, Service, Tenant};
+use fulmartrestle_core::{Fingerprint, Reason, Refusal, RouteId, Service, Tenant};
 use fulmartrestle_derive::record;
 use fulmartrestle_policy::{Origin, Rank, TargetReport};
 use fulmartrestle_transport::HeaderPair;
@@ -10,6 +10,8 @@
 pub struct CallRequestHead {
     /// The caller's ID of the request.
     pub request_id: Option<String>,
+    /// Identifies further tries of the same request, whose IDs differ.
+    pub fingerprint: Fingerprint,
     /// The route that the request matched.
     pub route: RouteId,
     /// The service that must run the request.
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
-use fulmartrestle_policy::{Origin, Rank};
+use fulmartrestle_policy::{Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
     BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, ReplayBody, headers_from_pairs, headers_to_pairs,
     incoming_body,
@@ -96,22 +96,27 @@
         };
         let deadline = response_deadline(arrived, metadata.deadline_ms, route.timeout_ms);
         let body = self.read_body(incoming_body(body), &config).await?;
+        let method = parts.method.as_str().to_owned();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let tenant = tenant.map(|tenant| tenant.tenant.clone());
+        let fingerprint = request_fingerprint(&method, &format!("{host}{path}"), tenant.as_ref(), body.leading_bytes());
         let position = state.random_unit();
         let no_service = Refusal::not_run(Reason::NoTarget, Some(NO_CONFIG_RETRY_AFTER_MS));
         let service = route.select_backend(position).ok_or(no_service)?.clone();
         let admitted = AdmittedRequest {
             request_id: metadata.request_id.clone(),
+            fingerprint,
             route: route.id.clone(),
             service,
             rank,
             origin,
-            tenant: tenant.map(|tenant| tenant.tenant.clone()),
+            tenant,
             caller: state.gate.target_service().unwrap_or_else(|| state.settings().service.clone()),
             repeatable: route.repeatable,
             attempts: route.attempts,
             deadline,
-            method: parts.method.as_str().to_owned(),
-            path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+            method,
+            path,
             headers: self.forwarded_headers(&parts.headers),
         };
         send_request(state, &admitted, body).await
--- a/crates/mesh/src/caller_handler/admitted_request.rs
+++ b/crates/mesh/src/caller_handler/admitted_request.rs
@@ -1,6 +1,6 @@
 //! A request that passed admission and may be sent to a target.
 
-use fulmartrestle_core::{RouteId, Service, Tenant, TimeUs};
+use fulmartrestle_core::{Fingerprint, RouteId, Service, Tenant, TimeUs};
 use fulmartrestle_policy::{Origin, Rank};
 use fulmartrestle_transport::HeaderPair;
 
@@ -11,6 +11,8 @@
 pub struct AdmittedRequest {
     /// The caller's ID of the request.
     pub request_id: Option<String>,
+    /// Identifies further tries of the same request, whose IDs differ.
+    pub fingerprint: Fingerprint,
     /// The route that the request matched.
     pub route: RouteId,
     /// The service that was selected among the route's backends.
@@ -42,6 +44,7 @@
     pub fn head(&self, instance: String, is_retry: bool, now: TimeUs) -> CallRequestHead {
         CallRequestHead {
             request_id: self.request_id.clone(),
+            fingerprint: self.fingerprint,
             route: self.route.clone(),
             service: self.service.clone(),
             instance,
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -141,6 +141,7 @@
     pub(super) fn log_target_event(&self, head: &CallRequestHead, event: &'static str, detail: &str) {
         let line = LogLine::new(event)
             .optional_text("request", head.request_id.as_deref())
+            .text("fingerprint", head.fingerprint)
             .text("service", &head.service)
             .text("instance", &head.instance)
             .text("detail", detail);
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -5,12 +5,11 @@
 use fulmartrestle_config::FleetConfig;
 use fulmartrestle_config::fleet::{KeyHash, RouteRow};
 use fulmartrestle_core::{Reason, Refusal, Tenant};
-use fulmartrestle_policy::{BasisPoints, RetryAllowance};
+use fulmartrestle_policy::{BasisPoints, RetryAllowance, request_fingerprint};
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 
 use super::at_most_once::{RequestIdentity, run_at_most_once};
-use super::fingerprint::fingerprint;
 use super::request::{ReceivedRequest, read_body};
 use crate::burn::{PendingBurnSample, record_refusal, with_burn_recorder};
 use crate::call::{CallSpec, TargetResponse, check_admission, dispatch};
@@ -89,7 +88,7 @@
         return Err(Refusal::not_run(Reason::BadRequest, None));
     }
     let body = read_body(body, state.settings.limits.max_body_bytes as u64).await?;
-    let fingerprint = fingerprint(&method, &path, caller.tenant.as_ref(), body.leading_bytes());
+    let fingerprint = request_fingerprint(&method, &path, caller.tenant.as_ref(), body.leading_bytes());
     let effective_timeout_ms = timeout_ms.map_or(route.timeout_ms, |timeout_ms| timeout_ms.min(route.timeout_ms));
     let context = RequestContext {
         request_id,
--- a/crates/node/src/entry/child_call.rs
+++ b/crates/node/src/entry/child_call.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use fulmartrestle_core::{CallId, Reason, Refusal};
-use fulmartrestle_policy::{RetryAllowance, RetryReservation};
+use fulmartrestle_policy::{RetryAllowance, RetryReservation, request_fingerprint};
 
 use super::caller::{find_route, service_chain};
-use super::fingerprint::fingerprint;
 use super::request::{ReceivedRequest, read_body};
 use crate::call::{CallSpec, RunningCall, TargetResponse, dispatch};
 use crate::state::NodeState;
@@ -29,7 +28,7 @@
     let route = find_route(&config, &request.path)?;
     let not_running = Refusal::not_run(Reason::Unauthorized, None);
     let body = read_body(request.body, state.settings.limits.max_body_bytes as u64).await?;
-    let request_fingerprint = fingerprint(&request.method, &request.path, None, body.leading_bytes());
+    let request_fingerprint = request_fingerprint(&request.method, &request.path, None, body.leading_bytes());
     let spec = state.gate.with_running_call(parent, |running| CallSpec {
         context: running.context.clone(),
         service: route.service.clone(),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,7 +3,6 @@
 mod at_most_once;
 mod caller;
 mod child_call;
-mod fingerprint;
 mod request;
 mod response;
 mod service;
