Failing test: a request that crashes targets is sent to target after target

A fleet of real sidecars whose targets crash on one path and are back after 400 ms, the request sent again through each node in turn.

--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -3,7 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,6 +16,8 @@
 use hyper_util::rt::TokioIo;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 use super::{Client, Process, Request, Response, wait_until};
 
@@ -33,6 +35,12 @@
 /// Interval between heartbeats of a target.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
+/// Time from the crash of a target to its next start.
+const CRASH_DOWN_MS: u64 = 400;
+
+/// Start of the first run of each target.
+const FIRST_START_UNIX_MS: i64 = 1_700_000_000_000;
+
 /// How a target handles the requests that it receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetBehaviour {
@@ -44,6 +52,8 @@
     DropResponse,
     /// Responds with 503 and a header which states that the request was not run.
     Refuse,
+    /// Crashes on requests whose path contains this text, and responds after 20 ms to all others.
+    CrashOn(&'static str),
 }
 
 /// A request that a target has run.
@@ -61,6 +71,10 @@
     pub runs: Mutex<Vec<RecordedRun>>,
     /// Whether the heartbeats report that the target is draining.
     pub draining: Mutex<bool>,
+    /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
+    pub crashes: AtomicUsize,
+    crashing: Notify,
+    is_down: Mutex<bool>,
 }
 
 /// One VM: a sidecar process and a target.
@@ -69,6 +83,7 @@
     pub target: Arc<Target>,
     pub caller_address: SocketAddr,
     ready_address: SocketAddr,
+    settings_file: String,
 }
 
 /// A running fleet. Dropping it kills all its processes.
@@ -137,10 +152,23 @@
             behaviour: Mutex::new(TargetBehaviour::Respond),
             runs: Mutex::default(),
             draining: Mutex::new(false),
+            crashes: AtomicUsize::new(0),
+            crashing: Notify::new(),
+            is_down: Mutex::new(false),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), Arc::clone(&target)));
-        self.vms.push(SidecarVm { node, target, caller_address: addresses[0], ready_address: addresses[1] });
+        let settings_file = file.display().to_string();
+        let [caller_address, ready_address, ..] = addresses[..] else { panic!("five addresses") };
+        self.vms.push(SidecarVm { node, target, caller_address, ready_address, settings_file });
+    }
+
+    /// Kills the node of a VM and starts it again, while its target goes on.
+    pub async fn restart_node(&mut self, vm: usize) {
+        let vm = &mut self.vms[vm];
+        vm.node.kill();
+        vm.node = Process::start(SIDECAR_PROGRAM, &[&vm.settings_file]);
+        self.wait_until_ready().await;
     }
 
     /// Waits until every node reports that it is ready.
@@ -210,9 +238,13 @@
     let client = Client::new();
     let url = format!("http://{control_address}/fulmartrestle/Instances.Heartbeat/{}", target.instance_id);
     for seq in 1_u64.. {
+        while *target.is_down.lock().expect("not poisoned") {
+            tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
+        }
+        let started_unix_ms = FIRST_START_UNIX_MS + target.crashes.load(Ordering::Relaxed) as i64;
         let state = if *target.draining.lock().expect("not poisoned") { "draining" } else { "ready" };
         let body = serde_json::json!({
-            "addr": "127.0.0.1:1", "born": 1_700_000_000_000_i64,
+            "addr": "127.0.0.1:1", "born": started_unix_ms,
             "info": {"service": service, "version": "v1", "zone": "milano", "slots": 10},
             "status": {"state": state, "seq": seq, "cold_left_ms": 0}
         });
@@ -222,15 +254,35 @@
     }
 }
 
+/// Serves a target, and starts it again after each crash.
 async fn serve_target(listener: TcpListener, target: Arc<Target>) {
-    while let Ok((tcp, _)) = listener.accept().await {
-        let target = Arc::clone(&target);
-        tokio::spawn(async move {
+    let address = listener.local_addr().expect("an address");
+    let mut listener = listener;
+    loop {
+        serve_run(listener, &target).await;
+        tokio::time::sleep(Duration::from_millis(CRASH_DOWN_MS)).await;
+        listener = TcpListener::bind(address).await.expect("the address is still free");
+        *target.is_down.lock().expect("not poisoned") = false;
+    }
+}
+
+/// Serves one run of a target until it crashes, which closes its listener and all its connections.
+async fn serve_run(listener: TcpListener, target: &Arc<Target>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let tcp = tokio::select! {
+            accepted = listener.accept() => accepted.expect("the listener works").0,
+            () = target.crashing.notified() => break,
+        };
+        let target = Arc::clone(target);
+        connections.spawn(async move {
             let service = service_fn(move |request| handle_request(request, Arc::clone(&target)));
             // Dropped responses end the connection with an error.
             let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(tcp), service).await;
         });
     }
+    drop(listener);
+    connections.shutdown().await;
 }
 
 /// Handles one request according to the target's behaviour, and records it if it runs.
@@ -256,6 +308,13 @@
         body_bytes,
     });
     match behaviour {
+        TargetBehaviour::CrashOn(text) if parts.uri.path().contains(text) => {
+            *target.is_down.lock().expect("not poisoned") = true;
+            target.crashes.fetch_add(1, Ordering::Relaxed);
+            target.crashing.notify_one();
+            std::future::pending().await
+        }
+        TargetBehaviour::CrashOn(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         TargetBehaviour::RespondAfterMs(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
         TargetBehaviour::DropResponse => return Err(std::io::Error::other("response dropped on purpose")),
         TargetBehaviour::Respond | TargetBehaviour::Refuse => {}
