A request that crashes targets is blocked on the platform's path

Cause: policy::CrashTable was used by crates/node only. On the platform's path nobody counted: each try has a new id, the gate took a lost connection for a lost answer, and the entry repeated it at the next target within the budget. Class: a protection that exists in one of two implementations of the same path, with no test that asks both for it.

Ruled out: marks that don't reach the next sender (there were none), and the entry's repetitions alone (requests that run at most once reach one target a try, and still one target ended for each try).

Change: the gate asks whether the target still listens after a lost connection; if not, the request is marked, unless this run of the target has answered an equal one. Marks go to all nodes with the status message until they are confirmed, and a node that starts fetches them. Entry and gate refuse a blocked request, and the entry gives up after two crashes.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId, lock};
+use fulmartrestle_policy::CrashVerdict;
 use fulmartrestle_transport::{ByteBody, PeerError, ReplayBody};
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead};
@@ -27,11 +28,14 @@
 /// one.
 const TARGET_WAIT_MS: u64 = 100;
 
+/// Crashes after which a request is not sent to another target, as in `fulmartrestle_policy::CrashTable`.
+const MAX_CRASHES: u32 = 2;
+
 /// Result of one attempt.
 enum AttemptOutcome {
     Answered(TargetResponse),
     NotRun { refusal: Refusal, reached_target: bool },
-    Unknown(Reason),
+    Unknown { reason: Reason, crashed: bool },
 }
 
 /// State of a request across its attempts.
@@ -40,6 +44,10 @@
     tried_nodes: Vec<VmId>,
     reached_targets: u32,
     refusal: Option<Refusal>,
+    /// Whether a target may have run the request.
+    may_have_run: bool,
+    /// Crashes that this request is known to have been part of, those of earlier tries included.
+    crashes: u32,
 }
 
 /// Sends a request to targets until one responds, retries are not allowed any more, or the deadline has passed.
@@ -53,6 +61,13 @@
     mut body: ReplayBody,
 ) -> Result<TargetResponse, Refusal> {
     let mut progress = RequestProgress::default();
+    match lock(&state.crashes).check(request.fingerprint, state.now()) {
+        CrashVerdict::Clear => {}
+        CrashVerdict::Marked => progress.crashes = 1,
+        CrashVerdict::Blocked { until } => {
+            return Err(Refusal::not_run(Reason::Blocked, Some(until.ms_since(state.now()))));
+        }
+    }
     loop {
         let now = state.now();
         if now >= request.deadline || progress.tried_nodes.len() >= MAX_NODES_PER_REQUEST {
@@ -68,6 +83,9 @@
                 return Ok(response);
             }
             AttemptOutcome::NotRun { refusal, reached_target } => {
+                if refusal.reason == Reason::Blocked {
+                    return Err(progress.blocked(refusal));
+                }
                 progress.refusal = Some(refusal);
                 if !reached_target {
                     continue;
@@ -78,8 +96,13 @@
                 }
                 refusal.reason
             }
-            AttemptOutcome::Unknown(reason) => {
+            AttemptOutcome::Unknown { reason, crashed } => {
                 progress.reached_targets += 1;
+                progress.may_have_run = true;
+                progress.crashes += u32::from(crashed);
+                if progress.crashes >= MAX_CRASHES {
+                    return Err(Refusal::unknown(Reason::Blocked));
+                }
                 let in_time = state.now() < request.deadline;
                 if !in_time || !request.repeatable || !may_retry(state, request, &progress, false) {
                     return Err(Refusal::unknown(reason));
@@ -99,6 +122,11 @@
 }
 
 impl RequestProgress {
+    /// Returns the refusal for a request that a gate blocked: without a promise if an earlier attempt may have run.
+    fn blocked(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run { Refusal::unknown(Reason::Blocked) } else { refusal }
+    }
+
     /// Returns the refusal for a request that no target has run.
     fn not_run(&self) -> Refusal {
         self.refusal.unwrap_or(Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)))
@@ -145,7 +173,9 @@
     tried_nodes: &[VmId],
     body: ByteBody,
 ) -> AttemptOutcome {
-    let Some(&node) = tried_nodes.last() else { return AttemptOutcome::Unknown(Reason::NoTarget) };
+    let Some(&node) = tried_nodes.last() else {
+        return AttemptOutcome::Unknown { reason: Reason::NoTarget, crashed: false };
+    };
     let is_retry = tried_nodes.len() > 1;
     let started = state.now();
     let instance = {
@@ -159,7 +189,7 @@
     let now = state.now();
     state.metrics.observe_us("attempt", request.service.as_str(), now.us_since(started));
     match result {
-        Err(_) => AttemptOutcome::Unknown(Reason::Deadline),
+        Err(_) => AttemptOutcome::Unknown { reason: Reason::Deadline, crashed: false },
         Ok(Err(error)) => {
             lock(&state.load_balancer).record_failure(node, now);
             let line = LogLine::new("peer_failed")
@@ -173,7 +203,7 @@
                     let refusal = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
                     AttemptOutcome::NotRun { refusal, reached_target: false }
                 }
-                false => AttemptOutcome::Unknown(Reason::TargetFailed),
+                false => AttemptOutcome::Unknown { reason: Reason::TargetFailed, crashed: false },
             }
         }
         Ok(Ok((response_head, body))) => record_response(state, node, response_head, body),
@@ -193,7 +223,7 @@
             load_balancer.record_refusal(node, now);
             AttemptOutcome::NotRun { refusal, reached_target }
         }
-        CallOutcome::Unknown { reason } => AttemptOutcome::Unknown(reason),
+        CallOutcome::Unknown { reason, crashed } => AttemptOutcome::Unknown { reason, crashed },
     }
 }
 
--- a/crates/mesh/src/call_messages.rs
+++ b/crates/mesh/src/call_messages.rs
@@ -62,6 +62,8 @@
     Unknown {
         /// The failure that left the outcome unknown.
         reason: Reason,
+        /// Whether the target ended while it ran the request.
+        crashed: bool,
     },
 }
 
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -1,6 +1,7 @@
 //! The admission gate in front of the local target: its slots, its queue and its connections.
 
 mod admission;
+mod crashes;
 mod responses;
 mod slot_guard;
 
@@ -8,10 +9,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, lock};
-use fulmartrestle_policy::{DemandReport, Origin};
+use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
+use fulmartrestle_policy::{CrashTable, DemandReport, Origin};
 use fulmartrestle_transport::{ByteBody, ReplayBody, headers_from_pairs};
 use http::{Method, Request, Uri};
+use tokio::sync::Notify;
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
 use crate::clock::BootClock;
@@ -32,32 +34,53 @@
 /// Interval between checks whether a closed gate is idle, in milliseconds.
 const IDLE_POLL_MS: u64 = 20;
 
+/// What a gate shares with the other parts of its node.
+pub struct GateOptions {
+    /// The node's source of time.
+    pub clock: BootClock,
+    /// ID of this run of the node.
+    pub node_id: VmId,
+    /// Address of the local target.
+    pub address: SocketAddr,
+    /// Headers and status codes of the platform.
+    pub wire_protocol: Arc<dyn WireProtocol>,
+    /// Destination of the structured log lines.
+    pub event_log: EventLog,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Requests that crashed targets.
+    pub crashes: Arc<Mutex<CrashTable>>,
+    /// Wakes the sender of status messages.
+    pub status_due: Arc<Notify>,
+}
+
 /// The admission gate of one node.
 pub struct Gate {
     clock: BootClock,
+    node_id: VmId,
     address: SocketAddr,
     wire_protocol: Arc<dyn WireProtocol>,
     event_log: EventLog,
     metrics: Arc<Metrics>,
+    crashes: Arc<Mutex<CrashTable>>,
+    status_due: Arc<Notify>,
     state: Mutex<GateState>,
     pool: TargetConnectionPool,
 }
 
 impl Gate {
     /// Returns a gate that refuses all calls until a target announces itself.
-    pub fn new(
-        clock: BootClock,
-        address: SocketAddr,
-        wire_protocol: Arc<dyn WireProtocol>,
-        event_log: EventLog,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub fn new(options: GateOptions) -> Self {
+        let GateOptions { clock, node_id, address, wire_protocol, event_log, metrics, crashes, status_due } = options;
         Self {
             clock,
+            node_id,
             address,
             wire_protocol,
             event_log,
             metrics,
+            crashes,
+            status_due,
             state: Mutex::default(),
             pool: TargetConnectionPool::default(),
         }
@@ -77,6 +100,7 @@
         match result {
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
+                state.answered_requests.clear();
                 self.event_log.write(line.text("as", "new run"), now);
             }
             AnnouncementResult::Outdated => self.event_log.write(line.text("as", "outdated"), now),
@@ -169,15 +193,20 @@
         lock(&self.state).parents.insert(deadline, admitted.slot.call(), head.route.clone(), origin, started);
         let sending = self.pool.send(self.address, request, head.repeatable, started);
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
-            Err(_) => self.report_unknown(&head, Reason::Deadline),
+            Err(_) => self.report_unknown(&head, Reason::Deadline, false),
             Ok(Err(TargetError::NotSent(detail))) => self.target_unreachable(&head, &detail),
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
-                self.report_unknown(&head, Reason::TargetFailed)
+                let crashed = self.has_target_crashed().await;
+                if crashed {
+                    self.record_crash(&head, admitted.slot.call());
+                }
+                self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
                 let reply = self.handle_response(&head, admitted.slot, connection, response, deadline).await;
-                if matches!(reply.0.outcome, CallOutcome::Answered { .. }) {
+                if let CallOutcome::Answered { status, .. } = reply.0.outcome {
+                    self.record_answer(head.fingerprint, status);
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
                 }
                 reply
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
-use fulmartrestle_policy::{Admission, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetReport};
+use fulmartrestle_policy::{
+    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetReport,
+};
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
 
@@ -29,6 +31,10 @@
     pub slots: SlotQueue,
     pub parents: RunningParents,
     pub demand: DemandMeter,
+    /// Requests that the current run of the target has answered.
+    pub answered_requests: AnsweredRequests,
+    /// When the last crash of the target was confirmed.
+    pub last_crash: Option<TimeUs>,
     /// Whether other nodes are asked to send their calls elsewhere.
     pub draining: bool,
     /// Whether all further calls are refused.
@@ -57,6 +63,8 @@
             slots: SlotQueue::new(INITIAL_SLOTS),
             parents: RunningParents::default(),
             demand: DemandMeter::default(),
+            answered_requests: AnsweredRequests::default(),
+            last_crash: None,
             draining: false,
             closed: false,
             waiters: AdmissionWaiters::default(),
@@ -120,12 +128,13 @@
         state.notify_waiters(now);
     }
 
-    /// Waits for a slot. The target is looked up again afterwards, because it may have stopped in the meantime.
+    /// Waits for a slot. Target and crash marks are checked again afterwards, because they may have changed.
     pub(super) async fn admit(
         self: &Arc<Self>,
         head: &CallRequestHead,
         deadline: TimeUs,
     ) -> Result<AdmittedCall, Refusal> {
+        self.check_crash_marks(head.fingerprint)?;
         let SlotReservation { slot, admission_result } = self.request_slot(head, deadline)?;
         if let Some(admission_result) = admission_result {
             let refusal_time = TimeUs(deadline.0.saturating_sub(REFUSAL_MARGIN_US));
@@ -133,6 +142,7 @@
             let closed = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
             let waited = tokio::time::timeout(self.clock.duration_until(refusal_time), admission_result).await;
             waited.map_err(|_| timed_out)?.unwrap_or(Err(closed))?;
+            self.check_crash_marks(head.fingerprint)?;
         }
         let instance = lock(&self.state).instance_for(&head.service, self.clock.now())?;
         Ok(AdmittedCall { slot, instance })
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -42,13 +42,13 @@
             (ResponseClass::Invalid, _) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_unusable", parts.status.as_str());
-                return self.report_unknown(head, Reason::BadAnswer);
+                return self.report_unknown(head, Reason::BadAnswer, false);
             }
-            (_, Err(_)) => return self.report_unknown(head, Reason::Deadline),
+            (_, Err(_)) => return self.report_unknown(head, Reason::Deadline, false),
             (_, Ok(Err(error))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_broken", &error.to_string());
-                return self.report_unknown(head, Reason::BadAnswer);
+                return self.report_unknown(head, Reason::BadAnswer, false);
             }
             (_, Ok(Ok(body))) => body,
         };
@@ -128,14 +128,19 @@
         (CallResponseHead { outcome, report }, empty_body())
     }
 
-    pub(super) fn report_unknown(&self, head: &CallRequestHead, reason: Reason) -> (CallResponseHead, ByteBody) {
+    pub(super) fn report_unknown(
+        &self,
+        head: &CallRequestHead,
+        reason: Reason,
+        crashed: bool,
+    ) -> (CallResponseHead, ByteBody) {
         self.metrics.increment("gate_unknown", reason.as_str());
         let line = LogLine::new("gate_unknown")
             .optional_text("request", head.request_id.as_deref())
             .text("route", &head.route)
             .text("reason", reason.as_str());
         self.event_log.write(line, self.clock.now());
-        (CallResponseHead { outcome: CallOutcome::Unknown { reason }, report: self.report() }, empty_body())
+        (CallResponseHead { outcome: CallOutcome::Unknown { reason, crashed }, report: self.report() }, empty_body())
     }
 
     pub(super) fn log_target_event(&self, head: &CallRequestHead, event: &'static str, detail: &str) {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -7,7 +7,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
-use fulmartrestle_policy::{CapacityAdmission, LoadBalancer, RetryBudgets};
+use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
     ListenerLimits, PeerConnectionPool, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
@@ -22,8 +22,9 @@
 use crate::clock::BootClock;
 use crate::config_follower::follow_config;
 use crate::config_freshness::ConfigFreshness;
+use crate::crash_marks::fetch_crash_marks;
 use crate::event_log::{EventLog, LogLine};
-use crate::gate::Gate;
+use crate::gate::{Gate, GateOptions};
 use crate::metrics::Metrics;
 use crate::peer_streams::PeerStreamHandler;
 use crate::peer_table::PeerTable;
@@ -132,6 +133,7 @@
         let store = options.store;
         tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), operator_stream, config_key));
         tasks.spawn(run_registry(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
+        tasks.spawn(fetch_crash_marks(Arc::clone(&state)));
         tasks.spawn(run_maintenance(Arc::clone(&state), options.settings_path.clone()));
         let settings = state.settings();
         let line = LogLine::new("started")
@@ -219,15 +221,21 @@
     let clock = BootClock;
     let caller_connections = CallerConnectionLimit::new(settings.max_descriptors, settings.memory_mb);
     let metrics: Arc<Metrics> = Arc::default();
-    let gate = Gate::new(
+    let node_id = VmId(rng.random());
+    let crashes: Arc<Mutex<CrashTable>> = Arc::default();
+    let status_due: Arc<Notify> = Arc::default();
+    let gate = Gate::new(GateOptions {
         clock,
-        settings.target_address,
-        Arc::clone(&options.wire_protocol),
-        options.event_log.clone(),
-        Arc::clone(&metrics),
-    );
+        node_id,
+        address: settings.target_address,
+        wire_protocol: Arc::clone(&options.wire_protocol),
+        event_log: options.event_log.clone(),
+        metrics: Arc::clone(&metrics),
+        crashes: Arc::clone(&crashes),
+        status_due: Arc::clone(&status_due),
+    });
     MeshState {
-        node_id: VmId(rng.random()),
+        node_id,
         started_at: clock.now(),
         settings: RwLock::new(Arc::new(settings)),
         clock,
@@ -242,6 +250,9 @@
         capacity_admission: Mutex::new(CapacityAdmission::default()),
         resend_budgets: Mutex::new(RetryBudgets::default()),
         rerun_budgets: Mutex::new(RetryBudgets::default()),
+        crashes,
+        crash_mark_log: Mutex::default(),
+        knows_crash_marks: AtomicBool::new(false),
         tokens: Mutex::new(TokenPool::default()),
         issuing_right: Mutex::new(IssuingRight::default()),
         peers: Mutex::new(PeerTable::default()),
@@ -250,7 +261,7 @@
         event_log: options.event_log.clone(),
         metrics,
         phase: watch::Sender::new(NodePhase::Serving),
-        status_due: Notify::new(),
+        status_due,
         store_due: Notify::new(),
         reaches_store: AtomicBool::new(false),
         fetches_config: AtomicBool::new(false),
--- a/crates/mesh/src/peer_streams.rs
+++ b/crates/mesh/src/peer_streams.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 
 use crate::call_messages::CallRequestHead;
+use crate::crash_marks::crash_marks_response;
 use crate::node_messages::{ConfigResponse, TokenRequest};
 use crate::state::MeshState;
 use crate::tokens::answer_token_request;
@@ -29,6 +30,9 @@
 /// Path of streams that request the configuration.
 pub const CONFIG_PATH: &str = "/config";
 
+/// Path of streams that request all crash marks.
+pub const CRASH_MARKS_PATH: &str = "/crash-marks";
+
 /// Largest token request, in bytes: a tenant's name, with room to spare.
 const MAX_TOKEN_REQUEST_BYTES: usize = 4_096;
 
@@ -73,6 +77,7 @@
                 let bytes = self.state.config_bytes();
                 send_response(respond, &ConfigResponse { bytes: bytes.as_ref().clone() }).await
             }
+            CRASH_MARKS_PATH => send_response(respond, &crash_marks_response(&self.state)).await,
             _ => {
                 let mut response = Response::new(());
                 *response.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -54,6 +54,10 @@
     pub leaving: bool,
     /// Whether its last call to the store succeeded.
     pub reaches_store: bool,
+    /// Number up to which the crashes of its target have been received from this run.
+    pub crashes_received: u32,
+    /// Number up to which it has confirmed the crashes of this node's target.
+    pub crashes_confirmed: u32,
 }
 
 /// Registration of a node on the store.
@@ -116,6 +120,8 @@
         }
         let is_new = entry.node != Some(message.node);
         let echoed_stamp = message.echo_us.map(TimeUs).filter(|stamp| *stamp >= started_at).unwrap_or_default();
+        let has_heard_this_run = echoed_stamp > TimeUs::default();
+        let crashes_received = if is_new { 0 } else { entry.crashes_received };
         let confirmed_stamp = if is_new { echoed_stamp } else { entry.confirmed_stamp.max(echoed_stamp) };
         *entry = Peer {
             node: Some(message.node),
@@ -128,6 +134,8 @@
             issued: message.issued,
             leaving: message.leaving,
             reaches_store: message.reaches_store,
+            crashes_received: crashes_received.max(message.crashes.end()),
+            crashes_confirmed: if has_heard_this_run { message.crashes_received } else { 0 },
         };
         StatusEffect { replaced, is_new, is_outdated: false }
     }
@@ -176,6 +184,13 @@
         self.peers.iter().filter(|(_, peer)| is_live(peer)).map(|(address, _)| *address).collect()
     }
 
+    /// Returns the addresses of the nodes that are expected to respond, those in `zone` first.
+    pub fn live_addresses_nearest_first(&self, zone: &AvailabilityZone, now: TimeUs) -> Vec<SocketAddr> {
+        let mut addresses = self.live_addresses(now);
+        addresses.sort_by_key(|address| self.peers[address].zone.as_ref() != Some(zone));
+        addresses
+    }
+
     /// Returns the IDs of the nodes that are expected to respond and that reach the store.
     pub fn live_store_readers(&self, now: TimeUs) -> Vec<VmId> {
         let live = self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < LIVE_TIMEOUT_MS);
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
-use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, LoadBalancer, RetryBudgets};
+use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
@@ -15,6 +15,7 @@
 use crate::caller_connection_limit::CallerConnectionLimit;
 use crate::clock::BootClock;
 use crate::config_freshness::ConfigFreshness;
+use crate::crash_marks::CrashMarkLog;
 use crate::event_log::{EventLog, LogLine};
 use crate::gate::Gate;
 use crate::metrics::Metrics;
@@ -74,6 +75,12 @@
     pub resend_budgets: Mutex<RetryBudgets>,
     /// Budgets for retries of requests that a target may have run.
     pub rerun_budgets: Mutex<RetryBudgets>,
+    /// Requests that crashed targets.
+    pub crashes: Arc<Mutex<CrashTable>>,
+    /// Crashes of the local target, to be sent to the other nodes.
+    pub crash_mark_log: Mutex<CrashMarkLog>,
+    /// Whether this node has received the crash marks of the nodes that started before it.
+    pub knows_crash_marks: AtomicBool,
     /// Tokens of the tenants' rates on this node.
     pub tokens: Mutex<TokenPool>,
     /// This node's right to issue tokens, which it leases to other nodes.
@@ -91,7 +98,7 @@
     /// The current lifecycle phase.
     pub phase: watch::Sender<NodePhase>,
     /// Wakes the sender of status messages before its interval has passed.
-    pub status_due: Notify,
+    pub status_due: Arc<Notify>,
     /// Wakes the reader of the configuration, because another node has a newer version.
     pub store_due: Notify,
     /// Whether the last call to the store succeeded.
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 
 use crate::config_follower::apply_config;
+use crate::crash_marks::{CrashNotices, merge_crash_marks};
 use crate::event_log::LogLine;
 use crate::node_messages::ConfigResponse;
 use crate::peer_streams::CONFIG_PATH;
@@ -169,6 +170,8 @@
         let identity = NodeIdentity::new(state.settings().availability_zone.clone(), &report);
         let last = last.filter(|last| last.identity == identity);
         let identity_changed_at = last.map_or(started_at, |last| last.identity_changed_at);
+        let crash_marks = lock(&state.crashes).take_marks(started_at);
+        lock(&state.crash_mark_log).append(state.node_id, crash_marks, started_at);
         let config = state.config();
         let demand = state.gate.demand();
         let index = |demand: &DemandReport| config.as_ref().map(|config| index_demand(demand, config));
@@ -188,6 +191,8 @@
             leased: ShardSet::default(),
             issued: lock(&state.tokens).issued_shards(),
             leaving: *state.phase.borrow() != NodePhase::Serving,
+            crashes: CrashNotices::default(),
+            crashes_received: 0,
         };
         Self { started_at, identity, identity_changed_at, issuers, message }
     }
@@ -203,6 +208,8 @@
             let peer = peers.get(&address)?;
             message.echo_us = Some(peer.stamp_us).filter(|stamp| *stamp > 0);
             message.leased = peer.node.map(|node| ShardSet::issued_by(&self.issuers, node)).unwrap_or_default();
+            message.crashes = lock(&state.crash_mark_log).notices_from(peer.crashes_confirmed, now);
+            message.crashes_received = peer.crashes_received;
             let knows_identity = peer.confirmed_stamp >= self.identity_changed_at;
             message.identity = Some(self.identity.clone()).filter(|_| !knows_identity);
         }
@@ -223,6 +230,7 @@
     if effect.is_outdated {
         return;
     }
+    merge_crash_marks(state, message.crashes.marks(message.node), now);
     let StatusEffect { replaced, is_new, .. } = effect;
     apply_leases(state, message, replaced, now);
     let target = status.target_report();
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -13,6 +13,7 @@
 
 use crate::MeshConfig;
 use crate::call_messages::GateReport;
+use crate::crash_marks::CrashNotices;
 
 /// The names of a node, which seldom change.
 #[record]
@@ -96,6 +97,10 @@
     pub issued: ShardSet,
     /// Whether the sender stops, so that nothing should be leased to it.
     pub leaving: bool,
+    /// Crashes of the sender's target that the receiver has not confirmed.
+    pub crashes: CrashNotices,
+    /// Number up to which the sender has received the crashes of the receiver's target.
+    pub crashes_received: u32,
 }
 
 /// A status message with the names that it leaves out.
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -49,6 +49,8 @@
         leased: Default::default(),
         issued: Default::default(),
         leaving: false,
+        crashes: Default::default(),
+        crashes_received: 0,
     }
 }
 
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -1,5 +1,6 @@
 //! Detection and blocking of requests that crash targets. See `docs/CRASH-REQUESTS.md`.
 
+mod answered_requests;
 mod fingerprint;
 mod messages;
 mod settings;
@@ -8,6 +9,7 @@
 
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 
+pub use answered_requests::AnsweredRequests;
 pub use fingerprint::request_fingerprint;
 pub use messages::{CrashMark, CrashVerdict};
 pub use settings::CrashSettings;
--- a/crates/policy/src/crash/messages.rs
+++ b/crates/policy/src/crash/messages.rs
@@ -30,3 +30,10 @@
         until: TimeUs,
     },
 }
+
+impl CrashVerdict {
+    /// Returns whether the request may not run.
+    pub fn is_blocked(self) -> bool {
+        matches!(self, Self::Blocked { .. })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use arrivals::{ArrivalMeter, RouteArrivals};
 pub use capacity_admission::CapacityAdmission;
-pub use crash::{CrashMark, CrashSettings, CrashTable, CrashVerdict, request_fingerprint};
+pub use crash::{AnsweredRequests, CrashMark, CrashSettings, CrashTable, CrashVerdict, request_fingerprint};
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
--- a/tests/crash_requests.rs
+++ b/tests/crash_requests.rs
@@ -98,3 +98,43 @@
     send_repeatedly(&fleet, "GET", "/view/crash", 12).await;
     assert_that!(count_crashes(&fleet), eq(crashes_before));
 }
+
+/// A request that many callers send is in flight whenever a target crashes, and must not be taken for the cause.
+#[tokio::test]
+async fn frequent_request_is_blocked_after_crashes_beside_it() {
+    let fleet = start_fleet(&["front", "trips", "trips", "trips"]).await;
+    let frequent = |number| try_of("GET", "/index/frequent", number);
+    for number in 0..60 {
+        fleet.wait_for_status(number % fleet.vms.len(), &frequent(number), 200).await;
+    }
+    for number in 0..6 {
+        let crashing = try_of("GET", "/view/crash", number);
+        let beside = futures_util::future::join_all((0..24).map(|index| {
+            let fleet = &fleet;
+            async move { fleet.try_send(index % fleet.vms.len(), &frequent(index)).await }
+        }));
+        let _ = tokio::join!(beside, fleet.send(0, &crashing));
+        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+    assert_that!(count_crashes(&fleet), all!(ge(2), le(MAX_CRASHES)));
+    for vm in 0..fleet.vms.len() {
+        fleet.wait_for_status(vm, &frequent(vm), 200).await;
+    }
+}
+
+/// A target that closes a connection without a response but goes on has not crashed.
+#[tokio::test]
+async fn request_is_blocked_after_its_responses_were_lost() {
+    let fleet = start_fleet(&["front", "trips", "trips"]).await;
+    let set_behaviour = |behaviour| {
+        for vm in &fleet.vms {
+            *vm.target.behaviour.lock().expect("not poisoned") = behaviour;
+        }
+    };
+    set_behaviour(TargetBehaviour::DropResponse);
+    for number in 0..6 {
+        assert_that!(fleet.send(0, &try_of("POST", "/book/once", number)).await.status, eq(502));
+    }
+    set_behaviour(TargetBehaviour::Respond);
+    assert_that!(fleet.send(0, &try_of("POST", "/book/once", 6)).await.status, eq(200));
+}
