No promise of "not run" after an attempt whose outcome is unknown

Callers saw: 503 (has not run, never will) for a repeatable request whose first response was lost and whose second target, or its gate, refused. Blocked requests made the combination frequent, it was there before.

Cause: the refusal that ends the loop of attempts was the last gate's own, whatever an earlier attempt had met. docs/RETRIES.md promises otherwise, and policy::decide_retry of the other path keeps it.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -44,8 +44,8 @@
     tried_nodes: Vec<VmId>,
     reached_targets: u32,
     refusal: Option<Refusal>,
-    /// Whether a target may have run the request.
-    may_have_run: bool,
+    /// Why the outcome of an attempt is not known; `None` while no target may have run the request.
+    unknown: Option<Reason>,
     /// Crashes that this request is known to have been part of, those of earlier tries included.
     crashes: u32,
 }
@@ -71,9 +71,9 @@
     loop {
         let now = state.now();
         if now >= request.deadline || progress.tried_nodes.len() >= MAX_NODES_PER_REQUEST {
-            return Err(progress.not_run());
+            return Err(progress.give_up());
         }
-        let Some(node) = select_target(state, request, &progress).await else { return Err(progress.not_run()) };
+        let Some(node) = select_target(state, request, &progress).await else { return Err(progress.give_up()) };
         let Some(body) = body.next_attempt() else { return Err(Refusal::unknown(Reason::TargetFailed)) };
         progress.tried_nodes.push(node);
         let outcome = run_attempt(state, request, &progress.tried_nodes, body).await;
@@ -84,7 +84,7 @@
             }
             AttemptOutcome::NotRun { refusal, reached_target } => {
                 if refusal.reason == Reason::Blocked {
-                    return Err(progress.blocked(refusal));
+                    return Err(progress.final_refusal(refusal));
                 }
                 progress.refusal = Some(refusal);
                 if !reached_target {
@@ -92,13 +92,13 @@
                 }
                 progress.reached_targets += 1;
                 if !may_retry(state, request, &progress, true) {
-                    return Err(progress.not_run());
+                    return Err(progress.give_up());
                 }
                 refusal.reason
             }
             AttemptOutcome::Unknown { reason, crashed } => {
                 progress.reached_targets += 1;
-                progress.may_have_run = true;
+                progress.unknown = Some(reason);
                 progress.crashes += u32::from(crashed);
                 if progress.crashes >= MAX_CRASHES {
                     return Err(Refusal::unknown(Reason::Blocked));
@@ -122,14 +122,15 @@
 }
 
 impl RequestProgress {
-    /// Returns the refusal for a request that a gate blocked: without a promise if an earlier attempt may have run.
-    fn blocked(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run { Refusal::unknown(Reason::Blocked) } else { refusal }
+    /// Returns the refusal for a request that is not sent again, after the last one of a gate.
+    fn give_up(&self) -> Refusal {
+        let no_target = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
+        self.final_refusal(self.refusal.unwrap_or(no_target))
     }
 
-    /// Returns the refusal for a request that no target has run.
-    fn not_run(&self) -> Refusal {
-        self.refusal.unwrap_or(Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)))
+    /// Returns `refusal`, or one that promises nothing if an earlier attempt may have run.
+    fn final_refusal(&self, refusal: Refusal) -> Refusal {
+        self.unknown.map_or(refusal, Refusal::unknown)
     }
 }
 
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -135,6 +135,21 @@
     }
 }
 
+/// "Not run" is a promise. It must not be made for a request whose first response was lost, whatever the next target
+/// says.
+#[tokio::test]
+async fn request_is_answered_not_run_after_its_response_was_lost() {
+    let fleet = start_fleet(&["front", "trips", "trips"]).await;
+    *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::DropResponse;
+    *fleet.vms[2].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::Refuse;
+    for number in 0..12 {
+        let request_id = format!("r-{number}");
+        let response = fleet.send(0, &request("GET", "/view/1", &request_id)).await;
+        let expected = if count_runs(&fleet, &request_id) > 0 { 502 } else { 503 };
+        assert_that!(response.status, eq(expected), "{request_id}");
+    }
+}
+
 #[tokio::test]
 async fn withdrawn_and_unknown_keys_are_refused() {
     let fleet = start_fleet(&["trips"]).await;
