A blocked request is not evicted as the oldest one after its mark was removed or its block had ended

The table kept a fingerprint's old place in the order of eviction when its record was removed by an answer or had ended, so that a new record of it was evicted early (and the place counted twice against the bound): the request ran again and crashed further targets.

Evidence: the new test failed before (9 records instead of 10, the blocked one gone), 6 of 6 tests of the file pass now.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -59,7 +59,7 @@
     /// happened to run when something else crashed the target.
     pub fn record_response(&mut self, fingerprint: Fingerprint) {
         if self.records.get(&fingerprint).is_some_and(|record| record.second.is_none()) {
-            self.records.remove(&fingerprint);
+            self.remove(fingerprint);
         }
     }
 
@@ -123,15 +123,21 @@
     }
 
     fn insert(&mut self, fingerprint: Fingerprint, record: CrashRecord) {
-        if self.records.insert(fingerprint, record).is_none() {
-            self.insertion_order.push_back(fingerprint);
-        }
+        self.remove(fingerprint);
+        self.records.insert(fingerprint, record);
+        self.insertion_order.push_back(fingerprint);
         while self.insertion_order.len() > self.settings.max_records {
             let Some(oldest) = self.insertion_order.pop_front() else { return };
             self.records.remove(&oldest);
         }
     }
 
+    fn remove(&mut self, fingerprint: Fingerprint) {
+        if self.records.remove(&fingerprint).is_some() {
+            self.insertion_order.retain(|other| *other != fingerprint);
+        }
+    }
+
     fn queue_mark(&mut self, fingerprint: Fingerprint, crash: Crash) {
         if self.unsent_marks.len() >= self.settings.max_records {
             self.unsent_marks.pop_front();
--- a/crates/policy/tests/crash_requests.rs
+++ b/crates/policy/tests/crash_requests.rs
@@ -109,6 +109,30 @@
     expect_that!(verdict, matches_pattern!(CrashVerdict::Blocked { .. }));
 }
 
+/// A request that was cleared or whose block had ended counted as the oldest one when it crashed targets again.
+#[gtest]
+fn blocked_request_is_evicted_before_older_ones() {
+    let mut table = CrashTable::new(CrashSettings::default().max_records(10));
+    let mut now = TimeUs::from_s(1);
+    let crash = |table: &mut CrashTable, request, attempt, now| {
+        table.record_connection_loss(Fingerprint(request), VmId(1), CallId(attempt), now);
+    };
+    crash(&mut table, REQUEST.0, 1, now);
+    table.record_response(REQUEST);
+    for attempt in 2..6 {
+        // The second pair follows after the end of the first block.
+        now = if attempt == 4 { now.plus_ms(300_001) } else { now };
+        crash(&mut table, REQUEST.0, attempt, now);
+    }
+    for request in 100..109 {
+        crash(&mut table, request, 1, now);
+    }
+    assert_that!(table.len(), eq(10));
+    assert_that!(table.check(REQUEST, now), matches_pattern!(CrashVerdict::Blocked { .. }));
+    crash(&mut table, 109, 1, now);
+    assert_that!(table.check(REQUEST, now), eq(CrashVerdict::Clear));
+}
+
 #[gtest]
 fn memory_is_bounded() {
     let mut table = CrashTable::new(CrashSettings::default().max_records(10));
