Notices of targets in their responses are decoded and logged

Server-Limit and Server-Leaving are read in platform/ into TargetNotices, once a response, and a change is logged as target_notice with the rate before and after. Responses to other requests, unusable ones and those of an earlier run of the target don't count. No decision reads the notices yet: until now no line held a limit, so that logs could not tell a limit that nobody reads from one that is not kept.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crashes;
+mod notices;
 mod responses;
 mod slot_guard;
 
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
-use fulmartrestle_policy::{CrashTable, DemandReport, Origin};
+use fulmartrestle_policy::{CrashTable, DemandReport, Origin, TargetNotices};
 use fulmartrestle_transport::{ByteBody, ReplayBody, headers_from_pairs};
 use http::{Method, Request, Uri};
 use tokio::sync::Notify;
@@ -101,6 +102,7 @@
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
                 state.answered_requests.clear();
+                state.notices = TargetNotices::default();
                 self.event_log.write(line.text("as", "new run"), now);
             }
             AnnouncementResult::Outdated => self.event_log.write(line.text("as", "outdated"), now),
@@ -204,7 +206,7 @@
                 self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
-                let reply = self.handle_response(&head, admitted.slot, connection, response, deadline).await;
+                let reply = self.handle_response(&head, admitted, connection, response, deadline).await;
                 if let CallOutcome::Answered { status, .. } = reply.0.outcome {
                     self.record_answer(head.fingerprint, status);
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,7 +4,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetReport,
+    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetNotices,
+    TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -12,7 +13,7 @@
 use super::slot_guard::SlotGuard;
 use super::{Gate, NO_TARGET_RETRY_AFTER_MS, TARGET_REFUSED_RETRY_AFTER_MS};
 use crate::call_messages::{CallRequestHead, GateReport};
-use crate::local_target::LocalTarget;
+use crate::local_target::{Announcement, LocalTarget};
 
 /// Share of the target's slots that is used. Targets slow down when they are nearly full, and a new connection or
 /// a health check occupies a slot for a moment.
@@ -35,6 +36,8 @@
     pub answered_requests: AnsweredRequests,
     /// When the last crash of the target was confirmed.
     pub last_crash: Option<TimeUs>,
+    /// What the current run of the target said about itself in its last response.
+    pub notices: TargetNotices,
     /// Whether other nodes are asked to send their calls elsewhere.
     pub draining: bool,
     /// Whether all further calls are refused.
@@ -47,6 +50,8 @@
 pub struct AdmittedCall {
     pub slot: SlotGuard,
     pub instance: String,
+    /// Start of the run, in milliseconds since the Unix epoch.
+    pub started_unix_ms: i64,
 }
 
 /// The slot of a call, or its place in the queue.
@@ -65,6 +70,7 @@
             demand: DemandMeter::default(),
             answered_requests: AnsweredRequests::default(),
             last_crash: None,
+            notices: TargetNotices::default(),
             draining: false,
             closed: false,
             waiters: AdmissionWaiters::default(),
@@ -109,11 +115,11 @@
         })
     }
 
-    /// Returns the target instance that accepts calls for `service`.
-    fn instance_for(&self, service: &Service, now: TimeUs) -> Result<String, Refusal> {
+    /// Returns the announcement of the target that accepts calls for `service`.
+    fn target_for(&self, service: &Service, now: TimeUs) -> Result<&Announcement, Refusal> {
         let target = self.target.usable(now).filter(|target| target.service == *service);
         let no_target = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
-        target.map(|target| target.instance.clone()).ok_or(no_target)
+        target.ok_or(no_target)
     }
 }
 
@@ -144,8 +150,9 @@
             waited.map_err(|_| timed_out)?.unwrap_or(Err(closed))?;
             self.check_crash_marks(head.fingerprint)?;
         }
-        let instance = lock(&self.state).instance_for(&head.service, self.clock.now())?;
-        Ok(AdmittedCall { slot, instance })
+        let state = lock(&self.state);
+        let target = state.target_for(&head.service, self.clock.now())?;
+        Ok(AdmittedCall { slot, instance: target.instance.clone(), started_unix_ms: target.started_unix_ms })
     }
 
     fn request_slot(self: &Arc<Self>, head: &CallRequestHead, deadline: TimeUs) -> Result<SlotReservation, Refusal> {
@@ -154,7 +161,7 @@
         if state.closed {
             return Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS)));
         }
-        state.instance_for(&head.service, now)?;
+        state.target_for(&head.service, now)?;
         if let (Some(origin), false) = (&head.origin, head.is_retry) {
             state.demand.record_arrival(&head.route, origin);
         }
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::admission::AdmittedCall;
 use super::slot_guard::{SlotGuard, StreamingSlotGuard};
 use super::{Gate, NO_TARGET_RETRY_AFTER_MS, TARGET_REFUSED_RETRY_AFTER_MS};
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead};
@@ -24,7 +25,7 @@
     pub(super) async fn handle_response(
         &self,
         head: &CallRequestHead,
-        slot: SlotGuard,
+        admitted: AdmittedCall,
         connection: TargetConnection,
         response: Response<Incoming>,
         deadline: TimeUs,
@@ -36,6 +37,9 @@
             true => ResponseClass::Invalid,
             false => self.wire_protocol.classify_response(request_id, head.repeatable, parts.status, &parts.headers),
         };
+        if class != ResponseClass::Invalid {
+            self.record_notices(head, &admitted, &parts.headers);
+        }
         let body = incoming_body(body);
         let read = tokio::time::timeout(self.clock.duration_until(deadline), ReplayBody::read(body, u64::MAX));
         let body = match (class, read.await) {
@@ -53,7 +57,9 @@
             (_, Ok(Ok(body))) => body,
         };
         match class {
-            ResponseClass::Valid => self.forward_response(slot, connection, parts.status, &parts.headers, body),
+            ResponseClass::Valid => {
+                self.forward_response(admitted.slot, connection, parts.status, &parts.headers, body)
+            }
             ResponseClass::NotRun | ResponseClass::WrongInstance | ResponseClass::Invalid => {
                 self.release_connection(connection, &parts.headers);
                 self.metrics.increment("target_refused", head.service.as_str());
--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -2,6 +2,7 @@
 
 use fulmartrestle_core::{Refusal, Service, Tenant};
 use fulmartrestle_platform_log::StreamName;
+use fulmartrestle_policy::TargetNotices;
 use fulmartrestle_transport::ByteBody;
 use http::{HeaderMap, HeaderName, Response, StatusCode};
 use quick_error::quick_error;
@@ -88,6 +89,13 @@
         headers: &HeaderMap,
     ) -> ResponseClass;
 
+    /// Parses what the response of a target says about the target itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text with the name and the value of a header that cannot be read.
+    fn parse_target_notices(&self, headers: &HeaderMap) -> Result<TargetNotices, String>;
+
     /// Returns the response that reports a refusal to a caller.
     fn refusal_response(&self, refusal: &Refusal, request_id: Option<&str>) -> Response<ByteBody>;
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod route_costs;
 mod slot_queue;
 mod target;
+mod target_notices;
 
 pub use admission_gate::{
     Admission, AdmissionGate, AdmissionGateSettings, Completion, OfferedCall, QueueEvent, TargetHints,
@@ -43,3 +44,4 @@
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
+pub use target_notices::TargetNotices;
