Failing test: a target gets more requests than the limit that it names

Real sidecars and targets that add server-limit to their answers, asked by twelve callers through all nodes.

--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fulmartrestle_platform::StoreClient;
@@ -62,6 +62,7 @@
     pub request_id: String,
     pub headers: http::HeaderMap,
     pub body_bytes: usize,
+    pub started: Instant,
 }
 
 /// A target that runs inside the test process.
@@ -71,6 +72,8 @@
     pub runs: Mutex<Vec<RecordedRun>>,
     /// Whether the heartbeats report that the target is draining.
     pub draining: Mutex<bool>,
+    /// Headers that the target adds to its responses.
+    pub notices: Mutex<Vec<(&'static str, String)>>,
     /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
     pub crashes: AtomicUsize,
     crashing: Notify,
@@ -152,6 +155,7 @@
             behaviour: Mutex::new(TargetBehaviour::Respond),
             runs: Mutex::default(),
             draining: Mutex::new(false),
+            notices: Mutex::default(),
             crashes: AtomicUsize::new(0),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
@@ -306,6 +310,7 @@
         request_id: request_id.clone(),
         headers: parts.headers,
         body_bytes,
+        started: Instant::now(),
     });
     match behaviour {
         TargetBehaviour::CrashOn(text) if parts.uri.path().contains(text) => {
@@ -319,7 +324,10 @@
         TargetBehaviour::DropResponse => return Err(std::io::Error::other("response dropped on purpose")),
         TargetBehaviour::Respond | TargetBehaviour::Refuse => {}
     }
-    let response = hyper::Response::builder().header("request-id", request_id).header("response-stamp", "stamp");
+    let mut response = hyper::Response::builder().header("request-id", request_id).header("response-stamp", "stamp");
+    for (name, value) in target.notices.lock().expect("not poisoned").iter() {
+        response = response.header(*name, value);
+    }
     Ok::<_, Infallible>(response.body(Full::new(Bytes::from_static(b"whole"))).expect("a valid response"))
         .map_err(|never| match never {})
 }
--- /dev/null
+++ b/tests/target_notices.rs
@@ -0,0 +1,131 @@
+//! Targets that say in their responses how many requests they take.
+
+mod support;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{CallerRequest, SidecarFleet, TargetBehaviour, wait_until};
+
+/// Length of the windows in which requests are counted, in seconds.
+const WINDOW_S: u64 = 4;
+
+/// Time from which on a limit binds, in milliseconds.
+const BINDS_AFTER_MS: u64 = 3_000;
+
+const CALLERS: usize = 12;
+const CALLER_PAUSE_MS: u64 = 100;
+
+/// Time for which a target works on a request, in milliseconds.
+const WORK_MS: u64 = 50;
+
+fn config() -> Value {
+    let route = json!({"name": "index", "host": "trips.example", "prefix": "/index/", "kind": "safe",
+        "timeout_ms": 1_000, "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true});
+    json!({"version": "00000001", "routes": [route],
+        "services": [{"name": "trips", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+        "tenants": []})
+}
+
+fn request(request_id: String) -> CallerRequest {
+    CallerRequest { method: "GET", path: "/index/1", request_id, api_key: "", deadline_ms: 2_000 }
+}
+
+async fn start_fleet(services: &[&str]) -> SidecarFleet {
+    let fleet = SidecarFleet::start(services, &config()).await;
+    for vm in 0..services.len() {
+        fleet.wait_for_status(vm, &request(format!("first-{vm}")), 200).await;
+    }
+    for vm in &fleet.vms {
+        *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(WORK_MS);
+    }
+    fleet
+}
+
+/// Sends requests through all nodes for a time. Returns how many were answered with 200, and how many were sent.
+async fn send_for(fleet: &SidecarFleet, duration_ms: u64) -> (usize, usize) {
+    let until = Instant::now() + Duration::from_millis(duration_ms);
+    let (served, sent) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let callers = (0..CALLERS).map(|caller| {
+        let (served, sent) = (&served, &sent);
+        async move {
+            while Instant::now() < until {
+                let number = sent.fetch_add(1, Ordering::Relaxed);
+                let response = fleet.try_send(caller % fleet.vms.len(), &request(format!("r-{number}"))).await;
+                served.fetch_add(usize::from(response.is_ok_and(|response| response.status == 200)), Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(CALLER_PAUSE_MS)).await;
+            }
+        }
+    });
+    futures_util::future::join_all(callers).await;
+    (served.into_inner(), sent.into_inner())
+}
+
+fn count_runs(fleet: &SidecarFleet) -> usize {
+    fleet.vms.iter().map(|vm| vm.target.runs.lock().expect("not poisoned").len()).sum()
+}
+
+/// Returns the most runs of the target of `vm` in a window that begins after `from`.
+fn most_runs_in_window(fleet: &SidecarFleet, vm: usize, from: Instant) -> usize {
+    let runs = fleet.vms[vm].target.runs.lock().expect("not poisoned");
+    let started: Vec<Instant> = runs.iter().map(|run| run.started).filter(|started| *started >= from).collect();
+    let in_window = |first: &Instant| {
+        let window = *first..*first + Duration::from_secs(WINDOW_S);
+        started.iter().filter(|started| window.contains(started)).count()
+    };
+    started.iter().map(in_window).max().unwrap_or_default()
+}
+
+/// Returns how many requests a target may get in a window: one and a half times what it has named, and five.
+fn allowed_in_window(limit_per_s: u64) -> usize {
+    (limit_per_s * WINDOW_S * 3 / 2 + 5) as usize
+}
+
+fn set_notices(fleet: &SidecarFleet, vm: usize, headers: Vec<(&'static str, String)>) {
+    *fleet.vms[vm].target.notices.lock().expect("not poisoned") = headers;
+}
+
+#[tokio::test]
+async fn target_gets_more_requests_than_the_limit_that_it_names() {
+    const LIMIT_PER_S: u64 = 10;
+    let fleet = start_fleet(&["front", "trips", "trips", "trips"]).await;
+    set_notices(&fleet, 1, vec![("server-limit", LIMIT_PER_S.to_string())]);
+    let named = Instant::now();
+    let (served, sent) = send_for(&fleet, BINDS_AFTER_MS + 1_000 * WINDOW_S + 1_000).await;
+    let binding = named + Duration::from_millis(BINDS_AFTER_MS);
+    assert_that!(most_runs_in_window(&fleet, 1, binding), le(allowed_in_window(LIMIT_PER_S)));
+    // The others have room for all that the first one does not take, and the first one is used as far as it allows.
+    assert_that!(served * 100, ge(sent * 95), "{served} of {sent} requests served");
+    assert_that!(most_runs_in_window(&fleet, 1, binding), ge((LIMIT_PER_S * WINDOW_S / 2) as usize));
+    // Without the header the limit no longer holds.
+    set_notices(&fleet, 1, vec![]);
+    let lifted = Instant::now();
+    send_for(&fleet, 1_000 * WINDOW_S).await;
+    assert_that!(most_runs_in_window(&fleet, 1, lifted), gt(allowed_in_window(LIMIT_PER_S)));
+}
+
+/// The target's node starts anew and knows no limit, but the nodes that send to it do. The target is too slow to name its
+/// limit again in time.
+#[tokio::test]
+async fn target_gets_more_requests_than_its_limit_after_its_node_restarted() {
+    const LIMIT_PER_S: u64 = 2;
+    let mut fleet = start_fleet(&["front", "trips"]).await;
+    set_notices(&fleet, 1, vec![("server-limit", LIMIT_PER_S.to_string())]);
+    let named = Instant::now();
+    send_for(&fleet, BINDS_AFTER_MS + 500).await;
+    *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(1_500);
+    fleet.restart_node(1).await;
+    wait_until("the restarted node runs requests", || async {
+        let runs_before = count_runs(&fleet);
+        let _ = fleet.try_send(0, &request("after".to_owned())).await;
+        (count_runs(&fleet) > runs_before).then_some(())
+    })
+    .await;
+    send_for(&fleet, 1_000 * WINDOW_S).await;
+    let binding = named + Duration::from_millis(BINDS_AFTER_MS);
+    assert_that!(most_runs_in_window(&fleet, 1, binding), le(allowed_in_window(LIMIT_PER_S)));
+}
