A target gets no more requests than the limit that it names

Cause: no node read the limit, so that speed and load alone decided how many requests a target got. Class: a target's word about itself that arrives with its answers, for which no decision had an input. Ruled out: a limit that each node keeps for itself (the rate did not change at all when it was named), and nodes that start later (none did before 14 s).

Change: the node beside the target, through which all its requests pass, paces them with a token bucket in front of the slots. Senders add the wait to the expected time, admission counts the slots that the rate fills, and a node that has started again takes the limit over from its senders until the target answers.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId, lock};
-use fulmartrestle_policy::CrashVerdict;
+use fulmartrestle_policy::{CrashVerdict, LoadBalancer, TargetNotices, TargetReport};
 use fulmartrestle_transport::{ByteBody, PeerError, ReplayBody};
 
-use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead};
+use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, NoticedRun};
 use crate::caller_handler::{AdmittedRequest, TargetResponse};
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
@@ -179,12 +179,15 @@
     };
     let is_retry = tried_nodes.len() > 1;
     let started = state.now();
-    let instance = {
+    let (instance, noticed) = {
         let mut load_balancer = lock(&state.load_balancer);
         load_balancer.record_sent_call(node);
-        load_balancer.target_report(node).map(|target| target.instance.clone()).unwrap_or_default()
+        match load_balancer.target_report(node) {
+            Some(target) => (target.instance.clone(), noticed_run(&load_balancer, node, target)),
+            None => (String::new(), None),
+        }
     };
-    let head = |now| request.head(instance.clone(), is_retry, now);
+    let head = |now| request.head(instance.clone(), noticed.clone(), is_retry, now);
     let exchange = send_to_node(state, node, head, body);
     let result = tokio::time::timeout(state.clock.duration_until(request.deadline), exchange).await;
     let now = state.now();
@@ -211,6 +214,12 @@
     }
 }
 
+/// Returns what is known of the run of a node's target, if it has said anything.
+fn noticed_run(load_balancer: &LoadBalancer, node: VmId, target: &TargetReport) -> Option<NoticedRun> {
+    let notices = load_balancer.notices(node).filter(|notices| *notices != TargetNotices::default())?;
+    Some(NoticedRun { started_unix_ms: target.started_unix_ms, notices })
+}
+
 fn record_response(state: &MeshState, node: VmId, response_head: CallResponseHead, body: ByteBody) -> AttemptOutcome {
     let now = state.now();
     let mut load_balancer = lock(&state.load_balancer);
--- a/crates/mesh/src/call_messages.rs
+++ b/crates/mesh/src/call_messages.rs
@@ -2,7 +2,7 @@
 
 use fulmartrestle_core::{Fingerprint, Reason, Refusal, RouteId, Service, Tenant};
 use fulmartrestle_derive::record;
-use fulmartrestle_policy::{Origin, Rank, TargetReport};
+use fulmartrestle_policy::{Origin, Rank, TargetNotices, TargetReport};
 use fulmartrestle_transport::HeaderPair;
 
 /// Head of a request that a node sends to the gate of a target. It never contains the caller's API key.
@@ -18,6 +18,8 @@
     pub service: Service,
     /// The target instance that was selected; empty if any may run the request.
     pub instance: String,
+    /// What the sender knows of the run of that instance.
+    pub noticed: Option<NoticedRun>,
     /// Priority in the gate's queue.
     pub rank: Rank,
     /// The external request that this one belongs to, if known.
@@ -41,6 +43,15 @@
     pub headers: Vec<HeaderPair>,
 }
 
+/// What a node knows of a run of a target that it sends a call to.
+#[record]
+pub struct NoticedRun {
+    /// Start of the run, in milliseconds since the Unix epoch.
+    pub started_unix_ms: i64,
+    /// What the run has said about itself.
+    pub notices: TargetNotices,
+}
+
 /// How a call ended at a gate.
 #[record]
 pub enum CallOutcome {
--- a/crates/mesh/src/caller_handler/admitted_request.rs
+++ b/crates/mesh/src/caller_handler/admitted_request.rs
@@ -4,7 +4,7 @@
 use fulmartrestle_policy::{Origin, Rank};
 use fulmartrestle_transport::HeaderPair;
 
-use crate::call_messages::CallRequestHead;
+use crate::call_messages::{CallRequestHead, NoticedRun};
 
 /// The properties of a request that stay the same across its attempts.
 #[derive(Clone, Debug)]
@@ -40,14 +40,16 @@
 }
 
 impl AdmittedRequest {
-    /// Returns the head of one attempt, with the time left until the deadline.
-    pub fn head(&self, instance: String, is_retry: bool, now: TimeUs) -> CallRequestHead {
+    /// Returns the head of one attempt, with the time left until the deadline. `noticed` is what is known of the run of
+    /// `instance`.
+    pub fn head(&self, instance: String, noticed: Option<NoticedRun>, is_retry: bool, now: TimeUs) -> CallRequestHead {
         CallRequestHead {
             request_id: self.request_id.clone(),
             fingerprint: self.fingerprint,
             route: self.route.clone(),
             service: self.service.clone(),
             instance,
+            noticed,
             rank: self.rank,
             origin: self.origin.clone(),
             is_retry,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
-use fulmartrestle_policy::{CrashTable, DemandReport, Origin, TargetNotices};
+use fulmartrestle_policy::{CrashTable, DemandReport, Origin};
 use fulmartrestle_transport::{ByteBody, ReplayBody, headers_from_pairs};
 use http::{Method, Request, Uri};
 use tokio::sync::Notify;
@@ -102,7 +102,7 @@
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
                 state.answered_requests.clear();
-                state.notices = TargetNotices::default();
+                state.set_notices(None, now);
                 self.event_log.write(line.text("as", "new run"), now);
             }
             AnnouncementResult::Outdated => self.event_log.write(line.text("as", "outdated"), now),
@@ -226,7 +226,7 @@
     pub fn demand(&self) -> Option<DemandReport> {
         let state = lock(&self.state);
         let service = &state.target.last_announcement()?.service;
-        Some(state.demand.report(service, state.slots.load().limit))
+        Some(state.demand.report(service, state.slots.load().usable))
     }
 
     /// Closes the window in which demand is measured, if it has elapsed. Returns the load if it did.
@@ -235,7 +235,7 @@
         let closed = {
             let mut state = lock(&self.state);
             let load = state.slots.load();
-            state.demand.close_elapsed_window(load.limit, load.running, load.waiting, now)
+            state.demand.close_elapsed_window(load.usable, load.running, load.waiting, now)
         };
         if closed { self.demand().map(|demand| demand.load()) } else { None }
     }
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -36,8 +36,8 @@
     pub answered_requests: AnsweredRequests,
     /// When the last crash of the target was confirmed.
     pub last_crash: Option<TimeUs>,
-    /// What the current run of the target said about itself in its last response.
-    pub notices: TargetNotices,
+    /// What the current run of the target said about itself in its last response; `None` before the first one.
+    pub notices: Option<TargetNotices>,
     /// Whether other nodes are asked to send their calls elsewhere.
     pub draining: bool,
     /// Whether all further calls are refused.
@@ -70,7 +70,7 @@
             demand: DemandMeter::default(),
             answered_requests: AnsweredRequests::default(),
             last_crash: None,
-            notices: TargetNotices::default(),
+            notices: None,
             draining: false,
             closed: false,
             waiters: AdmissionWaiters::default(),
@@ -106,6 +106,8 @@
         Some(TargetReport {
             service: announcement.service.clone(),
             instance: announcement.instance.clone(),
+            started_unix_ms: announcement.started_unix_ms,
+            notices: self.notices,
             ready: !self.draining && self.target.usable(now).is_some(),
             limit: load.limit,
             running: load.running,
@@ -115,6 +117,24 @@
         })
     }
 
+    /// Replaces what the current run of the target has said about itself.
+    pub fn set_notices(&mut self, notices: Option<TargetNotices>, now: TimeUs) {
+        self.notices = notices;
+        self.slots.set_max_rate(notices.and_then(|notices| notices.max_rate), now);
+        self.notify_waiters(now);
+    }
+
+    /// Takes over what the sender of a call knows about the run of the target, if this node has not heard a response of
+    /// it.
+    fn adopt_notices(&mut self, head: &CallRequestHead, now: TimeUs) {
+        let known = self.notices.is_some();
+        let Some(noticed) = head.noticed.as_ref().filter(|_| !known) else { return };
+        let target = self.target.last_announcement().filter(|target| target.instance == head.instance);
+        if target.is_some_and(|target| target.started_unix_ms == noticed.started_unix_ms) {
+            self.set_notices(Some(noticed.notices), now);
+        }
+    }
+
     /// Returns the announcement of the target that accepts calls for `service`.
     fn target_for(&self, service: &Service, now: TimeUs) -> Result<&Announcement, Refusal> {
         let target = self.target.usable(now).filter(|target| target.service == *service);
@@ -143,11 +163,7 @@
         self.check_crash_marks(head.fingerprint)?;
         let SlotReservation { slot, admission_result } = self.request_slot(head, deadline)?;
         if let Some(admission_result) = admission_result {
-            let refusal_time = TimeUs(deadline.0.saturating_sub(REFUSAL_MARGIN_US));
-            let timed_out = Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS));
-            let closed = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
-            let waited = tokio::time::timeout(self.clock.duration_until(refusal_time), admission_result).await;
-            waited.map_err(|_| timed_out)?.unwrap_or(Err(closed))?;
+            self.wait_for_slot(admission_result, deadline).await?;
             self.check_crash_marks(head.fingerprint)?;
         }
         let state = lock(&self.state);
@@ -155,6 +171,29 @@
         Ok(AdmittedCall { slot, instance: target.instance.clone(), started_unix_ms: target.started_unix_ms })
     }
 
+    async fn wait_for_slot(
+        &self,
+        mut admission_result: oneshot::Receiver<AdmissionResult>,
+        deadline: TimeUs,
+    ) -> Result<(), Refusal> {
+        let refusal_time = TimeUs(deadline.0.saturating_sub(REFUSAL_MARGIN_US));
+        loop {
+            let next_start = lock(&self.state).slots.next_start_at().unwrap_or(refusal_time);
+            let wake_time = next_start.min(refusal_time);
+            let waited = tokio::time::timeout(self.clock.duration_until(wake_time), &mut admission_result).await;
+            if let Ok(result) = waited {
+                return result.unwrap_or(Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS))));
+            }
+            let now = self.clock.now();
+            if now >= refusal_time {
+                return Err(Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS)));
+            }
+            let mut state = lock(&self.state);
+            state.slots.start_waiting(now);
+            state.notify_waiters(now);
+        }
+    }
+
     fn request_slot(self: &Arc<Self>, head: &CallRequestHead, deadline: TimeUs) -> Result<SlotReservation, Refusal> {
         let now = self.clock.now();
         let mut state = lock(&self.state);
@@ -162,6 +201,7 @@
             return Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS)));
         }
         state.target_for(&head.service, now)?;
+        state.adopt_notices(head, now);
         if let (Some(origin), false) = (&head.origin, head.is_retry) {
             state.demand.record_arrival(&head.route, origin);
         }
--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -20,16 +20,21 @@
         let is_current = state.target.last_announcement().is_some_and(|target| {
             target.instance == admitted.instance && target.started_unix_ms == admitted.started_unix_ms
         });
-        if !is_current || state.notices == notices {
+        if !is_current || state.notices == Some(notices) {
+            return;
+        }
+        let before = state.notices.unwrap_or_default();
+        state.set_notices(Some(notices), now);
+        if notices == before {
             return;
         }
         let line = LogLine::new("target_notice")
             .optional_text("request", head.request_id.as_deref())
             .text("instance", &admitted.instance)
             .optional_text("max_rate_milli", notices.max_rate)
-            .optional_text("max_rate_milli_before", state.notices.max_rate)
+            .optional_text("max_rate_milli_before", before.max_rate)
             .flag("leaving", notices.leaving);
-        state.notices = notices;
         self.event_log.write(line, now);
+        self.status_due.notify_one();
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -32,7 +32,7 @@
 mod target_connection_pool;
 mod tokens;
 
-pub use call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
+pub use call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport, NoticedRun};
 pub use caller_connection_limit::CallerConnectionLimit;
 pub use clock::BootClock;
 pub use config::{ApiKey, Backend, CallerLimits, MeshConfig, Route, TenantConfig};
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -8,7 +8,7 @@
 
 use fulmartrestle_core::{AvailabilityZone, Service, Version, VmId};
 use fulmartrestle_derive::record;
-use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetReport};
+use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetNotices, TargetReport};
 use fulmartrestle_quota::ShardSet;
 
 use crate::MeshConfig;
@@ -23,8 +23,10 @@
     pub zone: AvailabilityZone,
     /// Service of its target; `None` without a target.
     pub service: Option<Service>,
-    /// The run of its target; empty without a target.
+    /// The instance of its target; empty without a target.
     pub instance: String,
+    /// Start of its target's run, in milliseconds since the Unix epoch; 0 without a target.
+    pub started_unix_ms: i64,
 }
 
 /// Load of a target.
@@ -42,6 +44,8 @@
     pub waiting: u32,
     /// Mean time for which a call holds its slot, in microseconds.
     pub hold_us: u32,
+    /// What the target has said about itself.
+    pub notices: Option<TargetNotices>,
 }
 
 /// Demand of one route, by the route's position in the configuration.
@@ -122,6 +126,7 @@
             zone,
             service: target.map(|target| target.service.clone()),
             instance: target.map(|target| target.instance.clone()).unwrap_or_default(),
+            started_unix_ms: target.map_or(0, |target| target.started_unix_ms),
         }
     }
 }
@@ -135,6 +140,7 @@
             running: report.running,
             waiting: report.waiting,
             hold_us: report.hold_us,
+            notices: report.notices,
         }
     }
 }
@@ -146,6 +152,8 @@
         Some(TargetReport {
             service: self.identity.service.clone()?,
             instance: self.identity.instance.clone(),
+            started_unix_ms: self.identity.started_unix_ms,
+            notices: load.notices,
             ready: load.ready,
             limit: load.limit,
             running: load.running,
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -26,12 +26,21 @@
         zone: zone.parse().expect("a valid name"),
         service: "trips".parse().ok(),
         instance: "i-7f3a91c2".to_owned(),
+        started_unix_ms: 1_700_000_000_000,
     }
 }
 
 /// Returns a message of a node with four routes that carry requests.
 fn message(node: u64, stamp: TimeUs, echo: Option<TimeUs>) -> StatusMessage {
-    let load = TargetLoad { ready: true, cold: false, limit: 16, running: 12, waiting: 3, hold_us: 480_000 };
+    let load = TargetLoad {
+        ready: true,
+        cold: false,
+        limit: 16,
+        running: 12,
+        waiting: 3,
+        hold_us: 480_000,
+        notices: Some(Default::default()),
+    };
     let demand = |route: u32| IndexedDemand { route, slots_milli: 6_400 };
     let arrivals = |route: u32| IndexedArrivals { route, rank: Rank(518), offered_milli: 5_600, admitted_milli: 4_900 };
     StatusMessage {
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -12,6 +12,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
+use crate::TargetNotices;
+use crate::noticed_runs::NoticedRuns;
+
 /// Default hold time until the first report, in microseconds.
 const DEFAULT_HOLD_US: f64 = 50_000.0;
 
@@ -50,6 +53,9 @@
 /// targets receive more calls; with a higher one all callers choose the same target until the next reports.
 const DRAW_POWER: i32 = 3;
 
+const US_PER_S: f64 = 1e6;
+const MILLI: f64 = 1e3;
+
 /// Status of a target as its node reports it.
 #[record]
 pub struct TargetReport {
@@ -57,6 +63,10 @@
     pub service: Service,
     /// Identifies the run of the target process; the target checks it with each call.
     pub instance: String,
+    /// Start of that run, in milliseconds since the Unix epoch. A later run may have the same name.
+    pub started_unix_ms: i64,
+    /// What the run has said about itself; `None` if its node has not heard a response of it.
+    pub notices: Option<TargetNotices>,
     /// Whether the target accepts calls.
     pub ready: bool,
     /// Calls that may run concurrently.
@@ -82,18 +92,29 @@
     refusal_pause_until: TimeUs,
 }
 
+impl ReportedTarget {
+    /// Returns how long a call waits for its turn at a target that names a maximum rate, in microseconds.
+    fn paced_wait_us(&self) -> f64 {
+        let Some(max_rate) = self.report.notices.and_then(|notices| notices.max_rate) else { return 0.0 };
+        let ahead = self.report.waiting + self.sent_since_report;
+        f64::from(ahead) * US_PER_S * MILLI / (max_rate.0 as f64).max(1.0)
+    }
+}
+
 /// Targets of all services in the local view of this node.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     targets: HashMap<VmId, ReportedTarget>,
     services: HashMap<Service, Vec<VmId>>,
     service_hold_us: HashMap<Service, f64>,
+    noticed_runs: NoticedRuns,
 }
 
 impl LoadBalancer {
     /// Records a report about a node's target; `None` means that the node has no target.
     pub fn record_report(&mut self, node: VmId, zone: &AvailabilityZone, report: Option<TargetReport>, now: TimeUs) {
         let Some(report) = report else { return self.remove(node) };
+        self.noticed_runs.record_report(&report, now);
         if report.hold_us > 0 {
             self.service_hold_us.insert(report.service.clone(), f64::from(report.hold_us));
         }
@@ -158,6 +179,11 @@
         self.targets.get(&node).map(|target| &target.report)
     }
 
+    /// Returns what the run of a node's target has said about itself, also if the node itself has not heard it yet.
+    pub fn notices(&self, node: VmId) -> Option<TargetNotices> {
+        self.noticed_runs.notices(&self.targets.get(&node)?.report)
+    }
+
     /// Returns the zone of a node that has a target.
     pub fn zone(&self, node: VmId) -> Option<&AvailabilityZone> {
         self.targets.get(&node).map(|target| &target.zone)
@@ -211,8 +237,8 @@
         f64::from(load) / f64::from(target.report.limit.max(1))
     }
 
-    /// Returns the expected time of a call at a target: its usual time there, longer the fuller the target is, and in
-    /// proportion to the queue once all slots are in use.
+    /// Returns the expected time of a call at a target: its usual time there, longer the fuller the target is, in
+    /// proportion to the queue once all slots are in use, and with the wait for the target's maximum rate.
     fn expected_time_us(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
         let service_us = self.service_hold_us.get(&target.report.service).copied().unwrap_or(DEFAULT_HOLD_US);
@@ -224,7 +250,7 @@
         let occupancy = self.occupancy(node) + f64::from(target.report.limit.max(1)).recip();
         let slowdown = 1.0 + FULL_SLOWDOWN * occupancy.min(1.0).powi(FULLNESS_POWER);
         let refusal_factor = if now < target.refusal_pause_until { REFUSAL_FACTOR } else { 1.0 };
-        hold_us * slowdown * occupancy.max(1.0) * refusal_factor
+        hold_us * slowdown * occupancy.max(1.0) * refusal_factor + target.paced_wait_us()
     }
 
     /// Draws one of several random nodes, with a probability that falls with the expected time.
--- /dev/null
+++ b/crates/policy/src/noticed_runs.rs
@@ -0,0 +1,43 @@
+//! What runs of targets have said about themselves, in the memory of the nodes that send to them.
+
+use std::collections::HashMap;
+
+use fulmartrestle_core::TimeUs;
+
+use crate::{TargetNotices, TargetReport};
+
+/// Time for which a notice is kept after the last report of it, in milliseconds. A node that starts again hears its
+/// target's next response long before.
+const NOTICE_VALID_MS: u64 = 60_000;
+
+/// Notices of runs of targets that have said anything. A node that starts again does not know what its target has said,
+/// but those that have forwarded its responses are still bound by it.
+#[derive(Debug, Default)]
+pub struct NoticedRuns {
+    runs: HashMap<(String, i64), (TargetNotices, TimeUs)>,
+}
+
+impl NoticedRuns {
+    /// Records what a node reports about its target.
+    pub fn record_report(&mut self, report: &TargetReport, now: TimeUs) {
+        let Some(notices) = report.notices else { return };
+        if notices == TargetNotices::default() && self.runs.is_empty() {
+            return;
+        }
+        let run = (report.instance.clone(), report.started_unix_ms);
+        if notices == TargetNotices::default() {
+            self.runs.remove(&run);
+        } else {
+            self.runs.retain(|_, (_, noticed_at)| now.ms_since(*noticed_at) < NOTICE_VALID_MS);
+            self.runs.insert(run, (notices, now));
+        }
+    }
+
+    /// Returns what the run of a report has said about itself, as far as it is known.
+    pub fn notices(&self, report: &TargetReport) -> Option<TargetNotices> {
+        report.notices.or_else(|| {
+            let known = self.runs.get(&(report.instance.clone(), report.started_unix_ms));
+            known.map(|(notices, _)| *notices)
+        })
+    }
+}
--- a/crates/policy/src/slot_queue.rs
+++ b/crates/policy/src/slot_queue.rs
@@ -2,13 +2,14 @@
 //!
 //! Load pattern: many callers send to one target at once, more than it has slots for. Waiting calls are
 //! started in order of rank, and calls that can't end before their deadline are refused before they take a
-//! slot.
+//! slot. The calls of a target that names a maximum rate are paced as well.
 
 use std::collections::{BTreeMap, HashMap};
 
-use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs};
+use fulmartrestle_core::{CallId, RateMilliPerS, Reason, Refusal, TimeUs};
 use fulmartrestle_derive::local;
 
+use crate::rate_pacer::RatePacer;
 use crate::{Admission, QueueEvent, Rank};
 
 /// Weight of a new hold time in the running mean.
@@ -29,6 +30,8 @@
 /// which is a few seconds away.
 const MAX_RETRY_AFTER_MS: u64 = 2_000;
 
+const US_PER_S: f64 = 1e6;
+
 /// A call that is offered to the queue.
 #[local]
 #[derive(Copy)]
@@ -47,6 +50,8 @@
 pub struct SlotLoad {
     /// Calls that may run concurrently.
     pub limit: u32,
+    /// Slots that calls can use in the long run: fewer than the limit if the maximum rate does not fill them.
+    pub usable: u32,
     /// Calls that are running.
     pub running: u32,
     /// Calls that are waiting.
@@ -59,6 +64,7 @@
 #[derive(Debug)]
 pub struct SlotQueue {
     limit: usize,
+    pacer: Option<RatePacer>,
     running: HashMap<CallId, TimeUs>,
     waiting: BTreeMap<(Rank, u64), SlotRequest>,
     positions: HashMap<CallId, (Rank, u64)>,
@@ -73,6 +79,7 @@
     pub fn new(limit: usize) -> Self {
         Self {
             limit: limit.max(1),
+            pacer: None,
             running: HashMap::new(),
             waiting: BTreeMap::new(),
             positions: HashMap::new(),
@@ -90,11 +97,20 @@
         self.start_waiting(now);
     }
 
+    /// Changes the maximum rate at which calls start; `None` means that there is none.
+    pub fn set_max_rate(&mut self, max_rate: Option<RateMilliPerS>, now: TimeUs) {
+        match (&mut self.pacer, max_rate) {
+            (Some(pacer), Some(max_rate)) => pacer.set_rate(max_rate, now),
+            (_, max_rate) => self.pacer = max_rate.map(|max_rate| RatePacer::new(max_rate, now)),
+        }
+        self.start_waiting(now);
+    }
+
     /// Admits, queues or refuses a new call. The result for a queued call follows as an event of
     /// [`SlotQueue::take_events`].
     pub fn offer(&mut self, request: SlotRequest, now: TimeUs) -> Admission {
-        if self.running.len() < self.limit && self.waiting.is_empty() {
-            self.running.insert(request.call, now);
+        if self.waiting.is_empty() && self.may_start(now) {
+            self.start(request.call, now);
             return Admission::Run;
         }
         let calls_ahead = self.waiting.range(..=(request.rank, u64::MAX)).count();
@@ -133,10 +149,17 @@
         std::mem::take(&mut self.queue_events)
     }
 
+    /// Returns when a waiting call may start although no other one ends, if the maximum rate is what it waits for.
+    pub fn next_start_at(&self) -> Option<TimeUs> {
+        let pacer = self.pacer.as_ref().filter(|_| self.running.len() < self.limit)?;
+        Some(pacer.next_token_at())
+    }
+
     /// Returns the current load.
     pub fn load(&self) -> SlotLoad {
         SlotLoad {
             limit: self.limit as u32,
+            usable: self.usable_slots() as u32,
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             hold_us: self.mean_hold_us as u32,
@@ -150,7 +173,25 @@
 
     /// Returns the expected wait in microseconds of a call with `calls_ahead` calls before it.
     fn expected_wait_us(&self, calls_ahead: usize) -> f64 {
-        self.mean_hold_us * (calls_ahead + 1) as f64 / self.limit as f64
+        let paced_us = self.pacer.as_ref().map_or(0.0, |pacer| US_PER_S / pacer.rate_per_s());
+        (self.mean_hold_us / self.limit as f64).max(paced_us) * (calls_ahead + 1) as f64
+    }
+
+    /// Returns the slots that calls at the maximum rate hold, at least one.
+    fn usable_slots(&self) -> usize {
+        let Some(pacer) = self.pacer.as_ref().filter(|_| self.mean_hold_us > 0.0) else { return self.limit };
+        ((pacer.rate_per_s() * self.mean_hold_us / US_PER_S).round() as usize).clamp(1, self.limit)
+    }
+
+    fn may_start(&mut self, now: TimeUs) -> bool {
+        self.running.len() < self.limit && self.pacer.as_mut().is_none_or(|pacer| pacer.has_token(now))
+    }
+
+    fn start(&mut self, call: CallId, now: TimeUs) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take_token();
+        }
+        self.running.insert(call, now);
     }
 
     fn would_miss_deadline(&self, expected_wait_us: f64, deadline: TimeUs, now: TimeUs) -> bool {
@@ -174,15 +215,17 @@
         true
     }
 
-    fn start_waiting(&mut self, now: TimeUs) {
-        while self.running.len() < self.limit {
+    /// Starts the waiting calls that may run now. Slots that become free do so by themselves; the owner of the queue calls
+    /// this at [`SlotQueue::next_start_at`].
+    pub fn start_waiting(&mut self, now: TimeUs) {
+        while self.may_start(now) {
             let Some((_, next)) = self.waiting.pop_first() else { return };
             self.positions.remove(&next.call);
             if self.would_miss_deadline(0.0, next.deadline, now) {
                 self.queue_events.push(QueueEvent::Drop(next.call, self.refusal()));
                 continue;
             }
-            self.running.insert(next.call, now);
+            self.start(next.call, now);
             self.queue_events.push(QueueEvent::Start(next.call));
         }
     }
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -19,6 +19,8 @@
 fn report(running: u32, hold_us: u32) -> TargetReport {
     TargetReport {
         service: service(),
+        started_unix_ms: 0,
+        notices: None,
         instance: "one".to_owned(),
         ready: true,
         limit: 10,
