A target that says in its answers that it leaves gets no further requests

Cause: the same class as the limit, a target's word in its answers was no input of any decision.

Change: its node treats the notice like an announcement that it drains, for that run of the target. Senders keep the notice by run, so that a node which starts anew beside the target and takes it for ready gets no call from those that have passed the answer on.

--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -25,6 +25,9 @@
         }
         let before = state.notices.unwrap_or_default();
         state.set_notices(Some(notices), now);
+        if notices.leaving {
+            state.target.apply_withdrawal(&admitted.instance, Some(admitted.started_unix_ms));
+        }
         if notices == before {
             return;
         }
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -228,7 +228,10 @@
 
     fn is_usable(&self, node: VmId, now: TimeUs) -> bool {
         let Some(target) = self.targets.get(&node) else { return false };
-        target.report.ready && now >= target.backoff_until && now.ms_since(target.last_contact) < CONTACT_TIMEOUT_MS
+        target.report.ready
+            && now >= target.backoff_until
+            && now.ms_since(target.last_contact) < CONTACT_TIMEOUT_MS
+            && !self.noticed_runs.notices(&target.report).is_some_and(|notices| notices.leaving)
     }
 
     fn occupancy(&self, node: VmId) -> f64 {
--- a/crates/policy/src/noticed_runs.rs
+++ b/crates/policy/src/noticed_runs.rs
@@ -35,9 +35,10 @@
 
     /// Returns what the run of a report has said about itself, as far as it is known.
     pub fn notices(&self, report: &TargetReport) -> Option<TargetNotices> {
-        report.notices.or_else(|| {
-            let known = self.runs.get(&(report.instance.clone(), report.started_unix_ms));
-            known.map(|(notices, _)| *notices)
-        })
+        if report.notices.is_some() || self.runs.is_empty() {
+            return report.notices;
+        }
+        let known = self.runs.get(&(report.instance.clone(), report.started_unix_ms));
+        known.map(|(notices, _)| *notices)
     }
 }
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -46,8 +46,8 @@
     fleet
 }
 
-/// Sends requests through all nodes for a time. Returns how many were answered with 200, and how many were sent.
-async fn send_for(fleet: &SidecarFleet, duration_ms: u64) -> (usize, usize) {
+/// Sends requests through the nodes of `vms` for a time. Returns how many were answered with 200, and how many were sent.
+async fn send_for(fleet: &SidecarFleet, vms: &[usize], duration_ms: u64) -> (usize, usize) {
     let until = Instant::now() + Duration::from_millis(duration_ms);
     let (served, sent) = (AtomicUsize::new(0), AtomicUsize::new(0));
     let callers = (0..CALLERS).map(|caller| {
@@ -55,7 +55,7 @@
         async move {
             while Instant::now() < until {
                 let number = sent.fetch_add(1, Ordering::Relaxed);
-                let response = fleet.try_send(caller % fleet.vms.len(), &request(format!("r-{number}"))).await;
+                let response = fleet.try_send(vms[caller % vms.len()], &request(format!("r-{number}"))).await;
                 served.fetch_add(usize::from(response.is_ok_and(|response| response.status == 200)), Ordering::Relaxed);
                 tokio::time::sleep(Duration::from_millis(CALLER_PAUSE_MS)).await;
             }
@@ -95,7 +95,7 @@
     let fleet = start_fleet(&["front", "trips", "trips", "trips"]).await;
     set_notices(&fleet, 1, vec![("server-limit", LIMIT_PER_S.to_string())]);
     let named = Instant::now();
-    let (served, sent) = send_for(&fleet, BINDS_AFTER_MS + 1_000 * WINDOW_S + 1_000).await;
+    let (served, sent) = send_for(&fleet, &[0, 1, 2, 3], BINDS_AFTER_MS + 1_000 * WINDOW_S + 1_000).await;
     let binding = named + Duration::from_millis(BINDS_AFTER_MS);
     assert_that!(most_runs_in_window(&fleet, 1, binding), le(allowed_in_window(LIMIT_PER_S)));
     // The others have room for all that the first one does not take, and the first one is used as far as it allows.
@@ -104,7 +104,7 @@
     // Without the header the limit no longer holds.
     set_notices(&fleet, 1, vec![]);
     let lifted = Instant::now();
-    send_for(&fleet, 1_000 * WINDOW_S).await;
+    send_for(&fleet, &[0, 1, 2, 3], 1_000 * WINDOW_S).await;
     assert_that!(most_runs_in_window(&fleet, 1, lifted), gt(allowed_in_window(LIMIT_PER_S)));
 }
 
@@ -116,7 +116,7 @@
     let mut fleet = start_fleet(&["front", "trips"]).await;
     set_notices(&fleet, 1, vec![("server-limit", LIMIT_PER_S.to_string())]);
     let named = Instant::now();
-    send_for(&fleet, BINDS_AFTER_MS + 500).await;
+    send_for(&fleet, &[0, 1], BINDS_AFTER_MS + 500).await;
     *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(1_500);
     fleet.restart_node(1).await;
     wait_until("the restarted node runs requests", || async {
@@ -125,7 +125,32 @@
         (count_runs(&fleet) > runs_before).then_some(())
     })
     .await;
-    send_for(&fleet, 1_000 * WINDOW_S).await;
+    send_for(&fleet, &[0, 1], 1_000 * WINDOW_S).await;
     let binding = named + Duration::from_millis(BINDS_AFTER_MS);
     assert_that!(most_runs_in_window(&fleet, 1, binding), le(allowed_in_window(LIMIT_PER_S)));
 }
+
+/// Returns how many requests the target of `vm` began to run after `from`.
+fn runs_since(fleet: &SidecarFleet, vm: usize, from: Instant) -> usize {
+    let runs = fleet.vms[vm].target.runs.lock().expect("not poisoned");
+    runs.iter().filter(|run| run.started >= from).count()
+}
+
+/// A target says that it leaves in its responses only, while its announcements still call it ready. After its node has
+/// started again, nodes that have forwarded such a response are still bound by it.
+#[tokio::test]
+async fn target_gets_requests_after_it_said_that_it_leaves() {
+    const DRAIN_MS: u64 = 2_000;
+    let mut fleet = start_fleet(&["front", "trips", "trips"]).await;
+    set_notices(&fleet, 1, vec![("server-leaving", "1".to_owned())]);
+    send_for(&fleet, &[0, 1, 2], 1_000).await;
+    tokio::time::sleep(Duration::from_millis(DRAIN_MS)).await;
+    let bound = Instant::now();
+    let (served, sent) = send_for(&fleet, &[0, 1, 2], 1_000).await;
+    assert_that!(runs_since(&fleet, 1, bound), eq(0));
+    assert_that!(served, eq(sent));
+    fleet.restart_node(1).await;
+    let (served, sent) = send_for(&fleet, &[0, 2], 4_000).await;
+    assert_that!(runs_since(&fleet, 1, bound), eq(0));
+    assert_that!(served, eq(sent));
+}
