A target that left is not chosen again after its node has started again

What would be seen: DRAIN, a target that was deregistered or had announced that it drains gets requests again. Its node had acknowledged that and was started again; a heartbeat sent before calls the target ready, and the new process believes it.

Cause: only the process that acknowledged it knew. The senders knew the target as not ready, but by the id of the node's earlier run.

Change: the node reports the leaving with what the target said itself, so that the senders keep it by the run of the target.

--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -107,7 +107,7 @@
             service: announcement.service.clone(),
             instance: announcement.instance.clone(),
             started_unix_ms: announcement.started_unix_ms,
-            notices: self.notices,
+            notices: self.reported_notices(announcement),
             ready: !self.draining && self.target.usable(now).is_some(),
             limit: load.limit,
             running: load.running,
@@ -117,6 +117,15 @@
         })
     }
 
+    /// Returns what the other nodes should keep about the run of the target. They remember that it leaves, however this node
+    /// has learned of it, in case this node starts again and no longer knows.
+    fn reported_notices(&self, announcement: &Announcement) -> Option<TargetNotices> {
+        match announcement.draining {
+            true => Some(TargetNotices { leaving: true, ..self.notices.unwrap_or_default() }),
+            false => self.notices,
+        }
+    }
+
     /// Replaces what the current run of the target has said about itself.
     pub fn set_notices(&mut self, notices: Option<TargetNotices>, now: TimeUs) {
         self.notices = notices;
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -86,6 +86,7 @@
     pub target: Arc<Target>,
     pub caller_address: SocketAddr,
     ready_address: SocketAddr,
+    control_address: SocketAddr,
     settings_file: String,
 }
 
@@ -163,8 +164,17 @@
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), Arc::clone(&target)));
         let settings_file = file.display().to_string();
-        let [caller_address, ready_address, ..] = addresses[..] else { panic!("five addresses") };
-        self.vms.push(SidecarVm { node, target, caller_address, ready_address, settings_file });
+        let [caller_address, ready_address, control_address, ..] = addresses[..] else { panic!("five addresses") };
+        self.vms.push(SidecarVm { node, target, caller_address, ready_address, control_address, settings_file });
+    }
+
+    /// Deregisters the target of a VM. It goes on to serve, and late heartbeats still call it ready.
+    pub async fn deregister_target(&self, vm: usize) {
+        let vm = &self.vms[vm];
+        let path = format!("/fulmartrestle/Instances.Deregister/{}", vm.target.instance_id);
+        let request = Request::post(format!("http://{}{path}", vm.control_address), "{}".to_owned());
+        let response = self.client.try_send(&request).await.expect("a response of the node");
+        assert_eq!(response.status, 200);
     }
 
     /// Kills the node of a VM and starts it again, while its target goes on.
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -154,3 +154,17 @@
     assert_that!(runs_since(&fleet, 1, bound), eq(0));
     assert_that!(served, eq(sent));
 }
+
+/// The node that acknowledged the deregistration has started again, and hears a heartbeat that was sent before it.
+#[tokio::test]
+async fn deregistered_target_gets_requests_after_its_node_restarted() {
+    const DRAIN_MS: u64 = 2_000;
+    let mut fleet = start_fleet(&["front", "trips", "trips"]).await;
+    fleet.deregister_target(1).await;
+    tokio::time::sleep(Duration::from_millis(DRAIN_MS)).await;
+    let bound = Instant::now();
+    fleet.restart_node(1).await;
+    let (served, sent) = send_for(&fleet, &[0, 2], 4_000).await;
+    assert_that!(runs_since(&fleet, 1, bound), eq(0));
+    assert_that!(served, eq(sent));
+}
