A node that joins alone in its zone learns which requests are blocked

What would be seen on the product's own interface: a request that is blocked for crashing targets crashes the target of a node that has just joined a zone without other nodes, or whose neighbours have just joined too.

Cause: only a node of the same zone handed the crash marks to a new member.

Change: one node of each zone sends them.

The marks still travel in one datagram, which may be lost: not mended, see DEVELOPERS.md.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -36,7 +36,7 @@
 /// Number of fast ticks between connection probes of the local target.
 const FAST_TICKS_PER_TARGET_PROBE: u64 = 50;
 
-/// Rendezvous hashing role of the member that sends crash marks to new members of its zone.
+/// Rendezvous hashing role of the member of a zone that sends crash marks to new members.
 const CRASH_MARKS_ROLE: &str = "crash-marks";
 
 /// Number of fast ticks between ticks of configuration propagation.
@@ -231,10 +231,11 @@
 
 /// Schedules the transfer of all crash marks to a new member, if this node is the one to send them.
 ///
-/// Without the marks the new member would run blocked requests. Rendezvous hashing selects the same sender on
-/// every node of the zone; a duplicate transfer is harmless.
+/// Without the marks the new member would run blocked requests. Rendezvous hashing selects one sender in each zone: the
+/// new member may be alone in its own, or the others there may have just joined themselves. Duplicate transfers are
+/// harmless.
 fn schedule_crash_marks(state: &NodeState, row: &MemberRow) {
-    if row.zone != state.zone || lock(&state.crashes).is_empty() {
+    if lock(&state.crashes).is_empty() {
         return;
     }
     let zone = lock(&state.membership).reachable_in_zone(&state.zone);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -242,3 +242,32 @@
     }
     Ok(())
 }
+
+/// A node that joins is alone in its zone, so that no node of the same zone can tell it what is blocked.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_reaches_a_target_that_joined_alone_in_its_zone() -> Result<()> {
+    let spec = three_target_spec();
+    let first_two = FleetSpec { targets: spec.targets[..2].to_vec(), ..spec.clone() };
+    let (mut fleet, key) = start_fleet(&first_two).await;
+    let crashing = |fleet: &Fleet, vm| Request::get(fleet.caller_url(vm, "/search/poison")).bearer_auth(&key);
+    let behaviour = json!({"crash_marker": "poison", "restart_after_ms": 300});
+    for vm in 0..2 {
+        fleet.set_behaviour(vm, &behaviour).await;
+    }
+    for attempt in 0..10 {
+        let _ = fleet.client.try_send(&crashing(&fleet, attempt % 2)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.start_vm(&spec.targets[2]);
+    fleet.set_behaviour(2, &behaviour).await;
+    fleet.wait_until_admitted("/search/warm", &key).await;
+    for _ in 0..10 {
+        let _ = fleet.client.try_send(&crashing(&fleet, 2)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let records = wait_until("the target is up", async || {
+        let response = fleet.client.try_send(&Request::get(fleet.target_url(2, "/standin/records"))).await;
+        response.ok().filter(|response| response.status == 200)
+    });
+    verify_that!(records.await.json()["crashes"].as_u64(), some(eq(0)))
+}
