--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Starts the waiting calls that may run by now. Calls that began to wait before the target named a maximum rate do not
+    /// look for their turn themselves.
+    pub fn start_waiting_calls(&self) {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        state.slots.start_waiting(now);
+        state.notify_waiters(now);
+    }
+
     /// Closes connections to the target that have been idle for too long.
     pub fn close_expired(&self) {
         self.pool.close_expired(self.clock.now());
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -193,13 +193,10 @@
             if let Ok(result) = waited {
                 return result.unwrap_or(Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS))));
             }
-            let now = self.clock.now();
-            if now >= refusal_time {
+            if self.clock.now() >= refusal_time {
                 return Err(Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS)));
             }
-            let mut state = lock(&self.state);
-            state.slots.start_waiting(now);
-            state.notify_waiters(now);
+            self.start_waiting_calls();
         }
     }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -277,6 +277,7 @@
         state.event_log.flush(state.now());
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
+        state.gate.start_waiting_calls();
         notify_changes(&state, &mut last_notified);
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(ROUNDS_PER_SETTINGS_CHECK)
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -3,7 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,7 @@
 /// Offset of the next port to try, so that no two nodes of a test program get the same port.
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
-/// Interval between heartbeats of a target.
+/// Interval between heartbeats of a target unless a test changes it.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
 /// Time from the crash of a target to its next start.
@@ -72,6 +72,8 @@
     pub runs: Mutex<Vec<RecordedRun>>,
     /// Whether the heartbeats report that the target is draining.
     pub draining: Mutex<bool>,
+    /// Time from one heartbeat to the next.
+    pub heartbeat_interval_ms: AtomicU64,
     /// Headers that the target adds to its responses.
     pub notices: Mutex<Vec<(&'static str, String)>>,
     /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
@@ -156,6 +158,7 @@
             behaviour: Mutex::new(TargetBehaviour::Respond),
             runs: Mutex::default(),
             draining: Mutex::new(false),
+            heartbeat_interval_ms: AtomicU64::new(HEARTBEAT_INTERVAL_MS),
             notices: Mutex::default(),
             crashes: AtomicUsize::new(0),
             crashing: Notify::new(),
@@ -264,7 +267,7 @@
         });
         // Heartbeats fail while the node is restarting.
         let _ = client.try_send(&Request::post(&url, body.to_string())).await;
-        tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(target.heartbeat_interval_ms.load(Ordering::Relaxed))).await;
     }
 }
 
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -168,3 +168,24 @@
     assert_that!(runs_since(&fleet, 1, bound), eq(0));
     assert_that!(served, eq(sent));
 }
+
+/// The requests that wait for a slot when a target names a limit began to wait without one. No other request follows.
+#[tokio::test]
+async fn waiting_requests_are_not_started_after_a_limit_is_named() {
+    const LIMIT_PER_S: u64 = 10;
+    const REQUESTS: usize = 40;
+    let fleet = start_fleet(&["front", "trips"]).await;
+    // A heartbeat would start waiting requests too.
+    fleet.vms[1].target.heartbeat_interval_ms.store(5_000, Ordering::Relaxed);
+    send_for(&fleet, &[0], 500).await;
+    set_notices(&fleet, 1, vec![("server-limit", LIMIT_PER_S.to_string())]);
+    let runs_before = count_runs(&fleet);
+    let requests = (0..REQUESTS).map(|number| {
+        let request = request(format!("waiting-{number}"));
+        let fleet = &fleet;
+        async move { fleet.try_send(0, &request).await }
+    });
+    futures_util::future::join_all(requests).await;
+    // Nine slots at once, and at the rate for most of the second until the route's timeout.
+    assert_that!(count_runs(&fleet) - runs_before, ge(9 + 6));
+}
