Notices in the answer of another instance are ignored; status messages without crash marks take no lock

A 421 comes from another target at the same address, so that its notices say nothing about the expected one.

--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -37,7 +37,8 @@
             true => ResponseClass::Invalid,
             false => self.wire_protocol.classify_response(request_id, head.repeatable, parts.status, &parts.headers),
         };
-        if class != ResponseClass::Invalid {
+        // A response of another instance says nothing about the expected one.
+        if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             self.record_notices(head, &admitted, &parts.headers);
         }
         let body = incoming_body(body);
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -230,7 +230,9 @@
     if effect.is_outdated {
         return;
     }
-    merge_crash_marks(state, message.crashes.marks(message.node), now);
+    if !message.crashes.notices.is_empty() {
+        merge_crash_marks(state, message.crashes.marks(message.node), now);
+    }
     let StatusEffect { replaced, is_new, .. } = effect;
     apply_leases(state, message, replaced, now);
     let target = status.target_report();
