Policy: pace the calls to a cold target within a bound on any one second

Cause: a target that has just started crashes when it receives more than a fraction of its usual rate. SlotQueue had a pacer for named rates only, whose burst is a quarter second and which forgets the calls that started before the rate was set.

Change: ColdLimit turns the operator's bound into a sustained rate and a maximum per window; ColdPacer keeps the times of recent starts, also while the target is warm, so that they count at the moment at which it turns cold. The lower of the named rate and the cold rate binds. Reports carry the rate in force (paced_rate), and senders account for it. RatePacer no longer earns the same time twice when a clock value is older than its last refill.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,8 @@
 mod arrivals;
 mod capacity_admission;
 pub mod checks;
+mod cold_limit;
+mod cold_pacer;
 mod crash;
 mod demand;
 mod ingress_admission;
@@ -33,6 +35,7 @@
 };
 pub use arrivals::{ArrivalMeter, RouteArrivals};
 pub use capacity_admission::CapacityAdmission;
+pub use cold_limit::ColdLimit;
 pub use crash::{AnsweredRequests, CrashMark, CrashSettings, CrashTable, CrashVerdict, request_fingerprint};
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
+use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, TimeUs, VmId};
 use fulmartrestle_derive::record;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
@@ -21,6 +21,10 @@
 /// Factor of the service's hold time for a target that is still warming up and has not reported its own.
 const COLD_HOLD_FACTOR: f64 = 2.0;
 
+/// Calls that are taken to be ahead at a target that is paced because it is cold, besides the reported ones. All senders
+/// see its free slots at once, and a call at a random moment waits half of the interval between two starts.
+const COLD_CALLS_AHEAD: f64 = 0.5;
+
 /// Share by which a call takes longer at a target whose slots are all in use. Targets slow down when they are nearly
 /// full, and the last free slots are lost to callers with older reports.
 const FULL_SLOWDOWN: f64 = 4.0;
@@ -79,6 +83,9 @@
     pub hold_us: u32,
     /// Whether the target is still warming up and slow.
     pub cold: bool,
+    /// Rate at which its node starts calls: the lower one of what the target names and what it takes while it is cold.
+    /// `None` if it is not limited.
+    pub paced_rate: Option<RateMilliPerS>,
 }
 
 #[derive(Debug)]
@@ -93,11 +100,13 @@
 }
 
 impl ReportedTarget {
-    /// Returns how long a call waits for its turn at a target that names a maximum rate, in microseconds.
+    /// Returns how long a call waits for its turn at a target whose calls are paced, in microseconds.
     fn paced_wait_us(&self) -> f64 {
-        let Some(max_rate) = self.report.notices.and_then(|notices| notices.max_rate) else { return 0.0 };
-        let ahead = self.report.waiting + self.sent_since_report;
-        f64::from(ahead) * US_PER_S * MILLI / (max_rate.0 as f64).max(1.0)
+        let max_rate = self.report.notices.and_then(|notices| notices.max_rate);
+        let Some(rate) = self.report.paced_rate.or(max_rate) else { return 0.0 };
+        let is_cold_rate = max_rate.is_none_or(|max_rate| rate < max_rate);
+        let ahead = f64::from(self.report.waiting + self.sent_since_report);
+        (ahead + if is_cold_rate { COLD_CALLS_AHEAD } else { 0.0 }) * US_PER_S * MILLI / (rate.0 as f64).max(1.0)
     }
 }
 
--- a/crates/policy/src/rate_pacer.rs
+++ b/crates/policy/src/rate_pacer.rs
@@ -17,12 +17,19 @@
     rate_per_s: f64,
     tokens: f64,
     refilled_at: TimeUs,
+    /// Most tokens that are kept; `None` for those of [`BURST_S`].
+    burst: Option<f64>,
 }
 
 impl RatePacer {
     /// Returns a pacer that allows one call at once.
     pub fn new(max_rate: RateMilliPerS, now: TimeUs) -> Self {
-        Self { rate_per_s: to_rate_per_s(max_rate), tokens: 1.0, refilled_at: now }
+        Self { rate_per_s: to_rate_per_s(max_rate), tokens: 1.0, refilled_at: now, burst: None }
+    }
+
+    /// Returns a pacer that allows one call at once, and up to `burst` after a pause.
+    pub fn with_burst(max_rate: RateMilliPerS, burst: f64, now: TimeUs) -> Self {
+        Self { burst: Some(burst), ..Self::new(max_rate, now) }
     }
 
     /// Changes the rate from `now` on.
@@ -57,11 +64,12 @@
     fn refill(&mut self, now: TimeUs) {
         let earned = now.us_since(self.refilled_at) as f64 / US_PER_S * self.rate_per_s;
         self.tokens = (self.tokens + earned).min(self.capacity());
-        self.refilled_at = now;
+        // A clock value that was read before the last refill must not earn the same time twice.
+        self.refilled_at = self.refilled_at.max(now);
     }
 
     fn capacity(&self) -> f64 {
-        (self.rate_per_s * BURST_S).max(1.0)
+        self.burst.unwrap_or(self.rate_per_s * BURST_S).max(1.0)
     }
 }
 
--- a/crates/policy/src/slot_queue.rs
+++ b/crates/policy/src/slot_queue.rs
@@ -2,13 +2,15 @@
 //!
 //! Load pattern: many callers send to one target at once, more than it has slots for. Waiting calls are
 //! started in order of rank, and calls that can't end before their deadline are refused before they take a
-//! slot. The calls of a target that names a maximum rate are paced as well.
+//! slot. The calls of a target that names a maximum rate or is cold are paced as well, at the lower rate of both.
 
 use std::collections::{BTreeMap, HashMap};
 
 use fulmartrestle_core::{CallId, RateMilliPerS, Reason, Refusal, TimeUs};
 use fulmartrestle_derive::local;
 
+use crate::cold_limit::ColdLimit;
+use crate::cold_pacer::ColdPacer;
 use crate::rate_pacer::RatePacer;
 use crate::{Admission, QueueEvent, Rank};
 
@@ -31,6 +33,7 @@
 const MAX_RETRY_AFTER_MS: u64 = 2_000;
 
 const US_PER_S: f64 = 1e6;
+const MILLI: f64 = 1e3;
 
 /// A call that is offered to the queue.
 #[local]
@@ -58,6 +61,8 @@
     pub waiting: u32,
     /// Mean time for which a call holds its slot, in microseconds; zero until the first call ends.
     pub hold_us: u32,
+    /// Slots in thousandths that calls at the rate of a cold target hold; `None` while the target is warm.
+    pub cold_slots_milli: Option<u32>,
 }
 
 /// Slots of one target and the queue of calls that wait for them.
@@ -65,6 +70,7 @@
 pub struct SlotQueue {
     limit: usize,
     pacer: Option<RatePacer>,
+    cold_pacer: Option<ColdPacer>,
     running: HashMap<CallId, TimeUs>,
     waiting: BTreeMap<(Rank, u64), SlotRequest>,
     positions: HashMap<CallId, (Rank, u64)>,
@@ -80,6 +86,7 @@
         Self {
             limit: limit.max(1),
             pacer: None,
+            cold_pacer: None,
             running: HashMap::new(),
             waiting: BTreeMap::new(),
             positions: HashMap::new(),
@@ -106,6 +113,41 @@
         self.start_waiting(now);
     }
 
+    /// Changes the limit that holds while the target is cold, and whether it is; `None` means that there is no limit.
+    pub fn set_cold_limit(&mut self, limit: Option<ColdLimit>, is_cold: bool, now: TimeUs) {
+        match limit {
+            Some(limit) => self.cold_pacer.get_or_insert_with(|| ColdPacer::new(limit, now)).set(limit, is_cold, now),
+            None => self.cold_pacer = None,
+        }
+        self.start_waiting(now);
+    }
+
+    /// Returns whether a started call may be sent to the target now. Starts count at the moment of sending while the
+    /// target is cold, so that a call that was held up, or that started while the target was warm, starts anew.
+    pub fn confirm_start(&mut self, call: CallId, now: TimeUs) -> bool {
+        let Some(cold_pacer) = &mut self.cold_pacer else { return true };
+        let Some(started_at) = self.running.get_mut(&call) else { return false };
+        if cold_pacer.is_current(*started_at, now) {
+            return true;
+        }
+        if !cold_pacer.may_start(now) {
+            return false;
+        }
+        cold_pacer.record_start(now);
+        *started_at = now;
+        true
+    }
+
+    /// Returns when [`SlotQueue::confirm_start`] may succeed; `None` if nothing is known to prevent it.
+    pub fn next_cold_start_at(&self) -> Option<TimeUs> {
+        self.cold_pacer.as_ref().and_then(ColdPacer::next_start_at)
+    }
+
+    /// Returns the rate at which calls start, or `None` if it is not limited.
+    pub fn paced_rate(&self) -> Option<RateMilliPerS> {
+        self.paced_rate_per_s().map(|per_s| RateMilliPerS((per_s * MILLI).round() as u64))
+    }
+
     /// Admits, queues or refuses a new call. The result for a queued call follows as an event of
     /// [`SlotQueue::take_events`].
     pub fn offer(&mut self, request: SlotRequest, now: TimeUs) -> Admission {
@@ -114,15 +156,15 @@
             return Admission::Run;
         }
         let calls_ahead = self.waiting.range(..=(request.rank, u64::MAX)).count();
-        let expected_wait_us = self.expected_wait_us(calls_ahead);
+        let expected_wait_us = self.expected_wait_us(calls_ahead, now);
         let remaining_us = request.deadline.us_since(now) as f64;
         if expected_wait_us > remaining_us * MAX_WAIT_SHARE
             || self.would_miss_deadline(expected_wait_us, request.deadline, now)
         {
-            return Admission::Refused(self.refusal());
+            return Admission::Refused(self.refusal(now));
         }
-        if self.waiting.len() >= self.limit * MAX_WAITING_PER_SLOT && !self.evict_below(request.rank) {
-            return Admission::Refused(self.refusal());
+        if self.waiting.len() >= self.limit * MAX_WAITING_PER_SLOT && !self.evict_below(request.rank, now) {
+            return Admission::Refused(self.refusal(now));
         }
         let position = (request.rank, self.next_sequence);
         self.next_sequence += 1;
@@ -149,10 +191,12 @@
         std::mem::take(&mut self.queue_events)
     }
 
-    /// Returns when a waiting call may start although no other one ends, if the maximum rate is what it waits for.
+    /// Returns when a waiting call may start although no other one ends, if a rate is what it waits for.
     pub fn next_start_at(&self) -> Option<TimeUs> {
-        let pacer = self.pacer.as_ref().filter(|_| self.running.len() < self.limit)?;
-        Some(pacer.next_token_at())
+        if self.running.len() >= self.limit {
+            return None;
+        }
+        self.pacer.as_ref().map(RatePacer::next_token_at).max(self.next_cold_start_at())
     }
 
     /// Returns the current load.
@@ -163,6 +207,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             hold_us: self.mean_hold_us as u32,
+            cold_slots_milli: self.cold_rate_per_s().map(|per_s| (per_s * self.mean_hold_us / US_PER_S * MILLI) as u32),
         }
     }
 
@@ -172,25 +217,47 @@
     }
 
     /// Returns the expected wait in microseconds of a call with `calls_ahead` calls before it.
-    fn expected_wait_us(&self, calls_ahead: usize) -> f64 {
-        let paced_us = self.pacer.as_ref().map_or(0.0, |pacer| US_PER_S / pacer.rate_per_s());
-        (self.mean_hold_us / self.limit as f64).max(paced_us) * (calls_ahead + 1) as f64
+    fn expected_wait_us(&self, calls_ahead: usize, now: TimeUs) -> f64 {
+        let paced_us = self.paced_rate_per_s().map_or(0.0, |per_s| US_PER_S / per_s);
+        let wait_us = (self.mean_hold_us / self.limit as f64).max(paced_us) * (calls_ahead + 1) as f64;
+        // A target that has just turned cold takes no call before its recent ones have left the window.
+        let closed_us = self.next_cold_start_at().map_or(0.0, |next| next.us_since(now) as f64);
+        wait_us.max(closed_us + paced_us * calls_ahead as f64)
+    }
+
+    /// Returns the lower one of the target's maximum rate and the rate while it is cold.
+    fn paced_rate_per_s(&self) -> Option<f64> {
+        let max_rate_per_s = self.pacer.as_ref().map(RatePacer::rate_per_s);
+        max_rate_per_s.into_iter().chain(self.cold_rate_per_s()).reduce(f64::min)
     }
 
-    /// Returns the slots that calls at the maximum rate hold, at least one.
+    fn cold_rate_per_s(&self) -> Option<f64> {
+        self.cold_pacer.as_ref().and_then(ColdPacer::rate_per_s)
+    }
+
+    /// Returns the slots that calls at the rate in force hold, at least one.
     fn usable_slots(&self) -> usize {
-        let Some(pacer) = self.pacer.as_ref().filter(|_| self.mean_hold_us > 0.0) else { return self.limit };
-        ((pacer.rate_per_s() * self.mean_hold_us / US_PER_S).round() as usize).clamp(1, self.limit)
+        let Some(per_s) = self.paced_rate_per_s() else { return self.limit };
+        if self.mean_hold_us == 0.0 {
+            // Calls at the rate of a cold target hold few slots, however long each takes.
+            return if self.cold_rate_per_s().is_some() { 1 } else { self.limit };
+        }
+        ((per_s * self.mean_hold_us / US_PER_S).round() as usize).clamp(1, self.limit)
     }
 
     fn may_start(&mut self, now: TimeUs) -> bool {
-        self.running.len() < self.limit && self.pacer.as_mut().is_none_or(|pacer| pacer.has_token(now))
+        self.running.len() < self.limit
+            && self.pacer.as_mut().is_none_or(|pacer| pacer.has_token(now))
+            && self.cold_pacer.as_mut().is_none_or(|cold_pacer| cold_pacer.may_start(now))
     }
 
     fn start(&mut self, call: CallId, now: TimeUs) {
         if let Some(pacer) = &mut self.pacer {
             pacer.take_token();
         }
+        if let Some(cold_pacer) = &mut self.cold_pacer {
+            cold_pacer.record_start(now);
+        }
         self.running.insert(call, now);
     }
 
@@ -198,20 +265,20 @@
         now.plus_us((expected_wait_us + self.min_hold_us) as u64) >= deadline
     }
 
-    fn refusal(&self) -> Refusal {
-        let wait_ms = (self.expected_wait_us(self.waiting.len()) / 1e3) as u64;
+    fn refusal(&self, now: TimeUs) -> Refusal {
+        let wait_ms = (self.expected_wait_us(self.waiting.len(), now) / 1e3) as u64;
         Refusal::not_run(Reason::Shed, Some(wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)))
     }
 
     /// Drops the least urgent waiting call if it is less urgent than `rank`.
-    fn evict_below(&mut self, rank: Rank) -> bool {
+    fn evict_below(&mut self, rank: Rank, now: TimeUs) -> bool {
         let Some((&position, &last)) = self.waiting.last_key_value() else { return false };
         if last.rank <= rank {
             return false;
         }
         self.waiting.remove(&position);
         self.positions.remove(&last.call);
-        self.queue_events.push(QueueEvent::Drop(last.call, self.refusal()));
+        self.queue_events.push(QueueEvent::Drop(last.call, self.refusal(now)));
         true
     }
 
@@ -222,7 +289,7 @@
             let Some((_, next)) = self.waiting.pop_first() else { return };
             self.positions.remove(&next.call);
             if self.would_miss_deadline(0.0, next.deadline, now) {
-                self.queue_events.push(QueueEvent::Drop(next.call, self.refusal()));
+                self.queue_events.push(QueueEvent::Drop(next.call, self.refusal(now)));
                 continue;
             }
             self.start(next.call, now);
