--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{RouteId, Version};
+use fulmartrestle_core::{RateMilliPerS, RouteId, Service, Version};
 use fulmartrestle_derive::record;
 use fulmartrestle_quota::TenantLimit;
 
@@ -40,6 +40,7 @@
     by_key: HashMap<ApiKey, usize>,
     unreadable_tenants: usize,
     positions: HashMap<RouteId, u32>,
+    cold_rates: HashMap<Service, RateMilliPerS>,
 }
 
 impl MeshConfig {
@@ -57,7 +58,20 @@
             }
         }
         let positions = (0..).zip(&routes).map(|(position, route)| (route.id.clone(), position)).collect();
-        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0, positions }
+        let cold_rates = HashMap::new();
+        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0, positions, cold_rates }
+    }
+
+    /// Sets the rates that targets handle while they are cold. A rate of 0 stands for one that could not be read.
+    pub fn with_cold_rates(mut self, cold_rates: HashMap<Service, RateMilliPerS>) -> Self {
+        self.cold_rates = cold_rates;
+        self
+    }
+
+    /// Returns the rate that the targets of a service handle while they are cold, or `None` if the service has no limit. A
+    /// rate of 0 stands for one that could not be read: there is a limit, but it is not known.
+    pub fn cold_rate(&self, service: &Service) -> Option<RateMilliPerS> {
+        self.cold_rates.get(service).copied()
     }
 
     /// Sets how many tenants could not be read. Their keys are unknown, but valid.
--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -76,6 +76,7 @@
         lock(&state.tokens).set_limits(&config.tenant_limits(), now);
         *active = ActiveConfig { config: Some(config), bytes: Arc::new(bytes.to_vec()) };
     }
+    state.apply_cold_limit();
     log_warnings(state, &warnings);
     state.status_due.notify_one();
     true
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -1,6 +1,7 @@
 //! The admission gate in front of the local target: its slots, its queue and its connections.
 
 mod admission;
+mod cold;
 mod crashes;
 mod notices;
 mod responses;
@@ -109,6 +110,8 @@
             AnnouncementResult::Current => {}
         }
         if result != AnnouncementResult::Outdated {
+            // Before the slots, which could start calls that the cold target must not receive.
+            state.update_cold_limit(now);
             state.slots.set_limit(usable_slots(slots), now);
             state.notify_waiters(now);
         }
@@ -117,6 +120,8 @@
             let usable = state.target.usable(now).is_some();
             self.event_log.write(LogLine::new("target_changed").flag("usable", usable), now);
         }
+        drop(state);
+        self.log_cold_state("announcement");
         changed
     }
 
@@ -172,10 +177,14 @@
     /// Starts the waiting calls that may run by now. Calls that began to wait before the target named a maximum rate do not
     /// look for their turn themselves.
     pub fn start_waiting_calls(&self) {
-        let now = self.clock.now();
-        let mut state = lock(&self.state);
-        state.slots.start_waiting(now);
-        state.notify_waiters(now);
+        {
+            let mut state = lock(&self.state);
+            let now = self.clock.now();
+            state.update_cold_limit(now);
+            state.slots.start_waiting(now);
+            state.notify_waiters(now);
+        }
+        self.log_cold_state("time");
     }
 
     /// Closes connections to the target that have been idle for too long.
@@ -199,13 +208,21 @@
             Ok(request) => request,
             Err(refusal) => return self.refuse(&head, refusal, false),
         };
+        let call = admitted.slot.call();
+        if let Err(refusal) = self.wait_until_sendable(call, deadline).await {
+            return self.refuse(&head, refusal, false);
+        }
         let started = self.clock.now();
         let origin = head.origin.clone();
-        lock(&self.state).parents.insert(deadline, admitted.slot.call(), head.route.clone(), origin, started);
-        let sending = self.pool.send(self.address, request, head.repeatable, started);
+        lock(&self.state).parents.insert(deadline, call, head.route.clone(), origin, started);
+        let may_send = || self.confirm_start(call);
+        let sending = self.pool.send(self.address, request, head.repeatable, started, may_send);
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
             Err(_) => self.report_unknown(&head, Reason::Deadline, false),
             Ok(Err(TargetError::NotSent(detail))) => self.target_unreachable(&head, &detail),
+            Ok(Err(TargetError::TooLate)) => {
+                self.refuse(&head, Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS)), false)
+            }
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
                 let crashed = self.has_target_crashed().await;
@@ -235,7 +252,13 @@
     pub fn demand(&self) -> Option<DemandReport> {
         let state = lock(&self.state);
         let service = &state.target.last_announcement()?.service;
-        Some(state.demand.report(service, state.slots.load().usable))
+        let load = state.slots.load();
+        let mut report = state.demand.report(service, load.usable);
+        if let Some(cold_slots_milli) = load.cold_slots_milli.filter(|_| load.hold_us > 0) {
+            // Short calls at the rate of a cold target fill less than one slot.
+            report.capacity_milli = report.capacity_milli.min(cold_slots_milli);
+        }
+        Some(report)
     }
 
     /// Closes the window in which demand is measured, if it has elapsed. Returns the load if it did.
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,8 +4,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetNotices,
-    TargetReport,
+    Admission, AnsweredRequests, ColdLimit, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest,
+    TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -24,7 +24,7 @@
 
 /// How long before its deadline a waiting call is refused, in microseconds, so that the refusal arrives before
 /// the caller's node gives up.
-const REFUSAL_MARGIN_US: u64 = 15_000;
+pub(super) const REFUSAL_MARGIN_US: u64 = 15_000;
 
 /// Mutable state of a gate: its target, the slots and the admitted calls.
 pub struct GateState {
@@ -42,6 +42,12 @@
     pub draining: bool,
     /// Whether all further calls are refused.
     pub closed: bool,
+    /// Limit that holds while the target is cold.
+    pub cold_limit: Option<ColdLimit>,
+    /// When the limit was last updated.
+    pub cold_limit_updated: TimeUs,
+    /// State of the target and limit that were last logged.
+    pub logged_cold: Option<(String, Option<ColdLimit>)>,
     waiters: AdmissionWaiters,
     next_call: u64,
 }
@@ -73,6 +79,9 @@
             notices: None,
             draining: false,
             closed: false,
+            cold_limit: None,
+            cold_limit_updated: TimeUs::default(),
+            logged_cold: None,
             waiters: AdmissionWaiters::default(),
             next_call: 0,
         }
@@ -114,6 +123,7 @@
             waiting: load.waiting,
             hold_us: load.hold_us,
             cold: self.target.is_cold(now),
+            paced_rate: self.slots.paced_rate(),
         })
     }
 
@@ -201,12 +211,14 @@
     }
 
     fn request_slot(self: &Arc<Self>, head: &CallRequestHead, deadline: TimeUs) -> Result<SlotReservation, Refusal> {
-        let now = self.clock.now();
         let mut state = lock(&self.state);
+        // Read after the lock was taken, so that no call starts at an earlier time than one before it.
+        let now = self.clock.now();
         if state.closed {
             return Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS)));
         }
         state.target_for(&head.service, now)?;
+        state.update_cold_limit(now);
         state.adopt_notices(head, now);
         if let (Some(origin), false) = (&head.origin, head.is_retry) {
             state.demand.record_arrival(&head.route, origin);
--- a/crates/mesh/src/gate/crashes.rs
+++ b/crates/mesh/src/gate/crashes.rs
@@ -43,6 +43,7 @@
             Ok(Err(_)) => true,
         };
         if refused {
+            self.set_cold_state_unknown("crashed");
             lock(&self.state).last_crash = Some(self.clock.now());
         }
         refused
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -109,6 +109,7 @@
 
     pub(super) fn target_unreachable(&self, head: &CallRequestHead, detail: &str) -> (CallResponseHead, ByteBody) {
         lock(&self.state).target.set_reachable(false);
+        self.set_cold_state_unknown("unreachable");
         self.log_target_event(head, "target_unreachable", detail);
         self.refuse(head, Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)), false)
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -40,7 +40,7 @@
 pub use config_position::{ConfigPosition, KnownVersions};
 pub use crash_marks::{CrashMarkLog, CrashNotice, CrashNotices};
 pub use event_log::{EventLog, LogLine};
-pub use local_target::{Announcement, AnnouncementResult, LocalTarget};
+pub use local_target::{Announcement, AnnouncementResult, ColdState, LocalTarget};
 pub use metrics::Metrics;
 pub use node::{MeshNode, MeshOptions};
 pub use peer_table::{PeerTable, Registration, StatusEffect};
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -47,10 +47,40 @@
 struct AnnouncedTarget {
     announcement: Announcement,
     last_announced: TimeUs,
-    cold_until: TimeUs,
+    /// When the target will be warm; `None` if it is not known whether it is cold.
+    cold_until: Option<TimeUs>,
     reachable: bool,
 }
 
+/// Whether the target beside this node is cold, as far as the node knows.
+#[value]
+pub enum ColdState {
+    /// The target handles its usual rate.
+    Warm,
+    /// The target has announced that it is cold until this time.
+    Cold(TimeUs),
+    /// Nothing is known since the node started, the target was unreachable or its zone was evacuated. The target is
+    /// treated as cold.
+    Unknown,
+}
+
+impl ColdState {
+    /// Returns whether the target must be treated as cold.
+    pub fn is_cold(self) -> bool {
+        self != Self::Warm
+    }
+}
+
+impl std::fmt::Display for ColdState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::Warm => "warm",
+            Self::Cold(_) => "cold",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
 /// The target beside this node. A run that has announced that it is draining, or was withdrawn, never receives
 /// requests again.
 #[derive(Debug, Default)]
@@ -65,7 +95,7 @@
         if self.is_withdrawn(&announcement.instance, announcement.started_unix_ms) {
             return AnnouncementResult::Outdated;
         }
-        let cold_until = now.plus_ms(announcement.cold_left_ms);
+        let cold_until = Some(now.plus_ms(announcement.cold_left_ms));
         if let Some(target) = &mut self.target {
             let known = &target.announcement;
             if announcement.started_unix_ms < known.started_unix_ms {
@@ -110,11 +140,22 @@
         }
     }
 
-    /// Records whether the target accepts connections.
+    /// Records whether the target accepts connections. One that does not may have ended, and is cold when it is back.
     pub fn set_reachable(&mut self, reachable: bool) {
         if let Some(target) = &mut self.target {
             target.reachable = reachable;
         }
+        if !reachable {
+            self.mark_cold_state_unknown();
+        }
+    }
+
+    /// Treats the target as cold until its next announcement, because something may have happened to it that it has not
+    /// announced yet.
+    pub fn mark_cold_state_unknown(&mut self) {
+        if let Some(target) = &mut self.target {
+            target.cold_until = None;
+        }
     }
 
     /// Returns the last announcement if the target may receive requests.
@@ -131,9 +172,18 @@
         self.target.as_ref().map(|target| &target.announcement)
     }
 
-    /// Returns whether the target has started recently and is still slow.
+    /// Returns whether the target has started recently and is still slow, or may be.
     pub fn is_cold(&self, now: TimeUs) -> bool {
-        self.target.as_ref().is_some_and(|target| now < target.cold_until)
+        self.cold_state(now).is_cold()
+    }
+
+    /// Returns what is known about whether the target is cold.
+    pub fn cold_state(&self, now: TimeUs) -> ColdState {
+        match self.target.as_ref().and_then(|target| target.cold_until) {
+            None => ColdState::Unknown,
+            Some(cold_until) if now < cold_until => ColdState::Cold(cold_until),
+            Some(_) => ColdState::Warm,
+        }
     }
 
     fn is_withdrawn(&self, instance: &str, started_unix_ms: i64) -> bool {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -117,6 +117,7 @@
         let peers = listen("peers", settings.peer_address).await?;
         let datagrams = listen_for_datagrams(settings.peer_address).await?;
         let state = Arc::new(build_state(settings, &options));
+        state.apply_cold_limit();
         let (stopping, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let limits = {
@@ -277,7 +278,9 @@
         state.event_log.flush(state.now());
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
+        state.apply_cold_limit();
         state.gate.start_waiting_calls();
+        state.metrics.set_gauge("cold_targets", u64::from(state.gate.has_cold_target()));
         notify_changes(&state, &mut last_notified);
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(ROUNDS_PER_SETTINGS_CHECK)
@@ -344,6 +347,7 @@
             let first_start = current.first_start;
             *current = Arc::new(MeshSettings { first_start, ..settings });
             drop(current);
+            state.apply_cold_limit();
             state.log(LogLine::new("settings_reloaded").flag("changed", changed));
         }
         Err(error) => state.log(LogLine::new("settings_rejected").text("detail", error)),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -22,6 +22,11 @@
     pub retry_ratio: f64,
     /// Retries that a service may receive beyond that ratio, over all nodes.
     pub retry_slack: f64,
+    /// Factor by which the requests of a cold target may exceed the rate that it handles. `None` counts as 1 if there is
+    /// a slack; without both, cold targets have no limit.
+    pub cold_overage: Option<f64>,
+    /// Requests in one second by which a cold target may exceed that. `None` counts as 0 if there is an overage.
+    pub cold_slack: Option<f64>,
 }
 
 /// Settings of one node.
@@ -83,10 +88,26 @@
         if quota_slack < 0.0 {
             return Err(invalid_value(file_name, "bounds.quota_slack", quota_slack, "expected 0 or more"));
         }
+        let cold_bounds =
+            [("bounds.cold_overage", settings.bounds.cold_overage), ("bounds.cold_slack", settings.bounds.cold_slack)];
+        for (field, value) in cold_bounds {
+            if let Some(value) = value.filter(|value| *value < 0.0) {
+                return Err(invalid_value(file_name, field, value, "expected 0 or more"));
+            }
+        }
         Ok(settings)
     }
 }
 
+impl DeploymentBounds {
+    /// Returns the overage and the slack for cold targets, or `None` if they have no limit. A missing one of the two takes
+    /// its most restrictive value.
+    pub fn cold_bounds(&self) -> Option<(f64, f64)> {
+        let is_limited = self.cold_overage.is_some() || self.cold_slack.is_some();
+        is_limited.then(|| (self.cold_overage.unwrap_or(1.0), self.cold_slack.unwrap_or(0.0)))
+    }
+}
+
 fn invalid_value(file_name: &str, field: &str, value: f64, reason: &str) -> SettingsError {
     SettingsError::Value(file_name.to_owned(), field.to_owned(), value.to_string(), reason.to_owned())
 }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use fulmartrestle_core::{TimeUs, VmId, lock};
-use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets};
+use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
+use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
@@ -144,6 +144,20 @@
         lock(&self.freshness).age_ms(now)
     }
 
+    /// Applies the limit for the target of this node while it is cold, from the settings and the configuration. Before
+    /// the first configuration the rate of the target is not known.
+    pub fn apply_cold_limit(&self) {
+        let settings = self.settings();
+        let limit = settings.bounds.cold_bounds().and_then(|(overage, slack)| {
+            let service = self.gate.target_service().unwrap_or_else(|| settings.service.clone());
+            match self.config().map(|config| config.cold_rate(&service)) {
+                None | Some(Some(RateMilliPerS(0))) => Some(ColdLimit::for_unknown_rate(slack)),
+                Some(cold_rate) => cold_rate.map(|cold_rate| ColdLimit::new(cold_rate, overage, slack)),
+            }
+        });
+        self.gate.set_cold_limit(limit);
+    }
+
     /// Returns whether the platform should route callers to this node.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == NodePhase::Serving && self.config().is_some()
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use fulmartrestle_core::{AvailabilityZone, Service, Version, VmId};
+use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, Version, VmId};
 use fulmartrestle_derive::record;
 use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetNotices, TargetReport};
 use fulmartrestle_quota::ShardSet;
@@ -46,6 +46,8 @@
     pub hold_us: u32,
     /// What the target has said about itself.
     pub notices: Option<TargetNotices>,
+    /// Rate at which its node starts calls; `None` if it is not limited.
+    pub paced_rate: Option<RateMilliPerS>,
 }
 
 /// Demand of one route, by the route's position in the configuration.
@@ -141,6 +143,7 @@
             waiting: report.waiting,
             hold_us: report.hold_us,
             notices: report.notices,
+            paced_rate: report.paced_rate,
         }
     }
 }
@@ -160,6 +163,7 @@
             waiting: load.waiting,
             hold_us: load.hold_us,
             cold: load.cold,
+            paced_rate: load.paced_rate,
         })
     }
 
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -48,6 +48,10 @@
         Lost(detail: String) {
             display("lost: {}", detail)
         }
+        /// The connection took so long that the request may not be sent any more. The target did not receive it.
+        TooLate {
+            display("not sent in time")
+        }
     }
 }
 
@@ -67,18 +71,20 @@
 impl TargetConnectionPool {
     /// Sends a request and waits for the head of the response. Reuses an idle connection if there is one, unless
     /// the target is suspect and the request is not `repeatable`. Dropping the future closes the connection,
-    /// which cancels the request at the target.
+    /// which cancels the request at the target. `may_send` is asked each time before the request is handed to a
+    /// connection.
     ///
     /// # Errors
     ///
-    /// Returns [`TargetError::NotSent`] if the target certainly did not receive the request, otherwise
-    /// [`TargetError::Lost`].
+    /// Returns [`TargetError::NotSent`] or [`TargetError::TooLate`] if the target certainly did not receive the request,
+    /// otherwise [`TargetError::Lost`].
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<ByteBody>,
         repeatable: bool,
         now: TimeUs,
+        may_send: impl Fn() -> bool,
     ) -> Result<(TargetConnection, Response<Incoming>), TargetError> {
         let mut request = request;
         let new_connection_only = !repeatable && now < *lock(&self.suspect_until);
@@ -86,6 +92,9 @@
             if !becomes_ready(&mut connection).await {
                 continue;
             }
+            if !may_send() {
+                return Err(TargetError::TooLate);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(mut error) => match error.take_message() {
@@ -96,6 +105,9 @@
             }
         }
         let mut connection = connect(address).await?;
+        if !may_send() {
+            return Err(TargetError::TooLate);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((connection, response)),
             Err(mut error) => match error.take_message() {
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -170,3 +170,52 @@
     freshness.record_confirmation(TimeUs::from_ms(9_000));
     assert_that!(freshness.age_ms(NOW), some(eq(500)));
 }
+
+/// Guards against a target that is taken to be warm although nothing is known of it, or because of a late heartbeat.
+#[gtest]
+fn target_is_cold_unless_its_last_announcement_says_otherwise() {
+    enum Step {
+        Announce { started_unix_ms: i64, seq: u64, cold_left_ms: u64 },
+        Unreachable,
+        MarkUnknown,
+        Pass { ms: u64 },
+    }
+    use Step::{Announce, MarkUnknown, Pass, Unreachable};
+    struct Case {
+        name: &'static str,
+        steps: Vec<Step>,
+        cold: bool,
+    }
+    let announce = |started_unix_ms, seq, cold_left_ms| Announce { started_unix_ms, seq, cold_left_ms };
+    let cases = [
+        Case { name: "nothing heard", steps: vec![], cold: true },
+        Case { name: "warm", steps: vec![announce(5, 1, 0)], cold: false },
+        Case { name: "cold", steps: vec![announce(5, 1, 900), Pass { ms: 899 }], cold: true },
+        Case { name: "no longer cold", steps: vec![announce(5, 1, 900), Pass { ms: 900 }], cold: false },
+        Case { name: "cold again", steps: vec![announce(5, 1, 0), announce(5, 2, 900)], cold: true },
+        Case { name: "late, lower seq", steps: vec![announce(5, 2, 900), announce(5, 1, 0)], cold: true },
+        Case { name: "late, earlier run", steps: vec![announce(9, 1, 900), announce(5, 7, 0)], cold: true },
+        Case { name: "new run", steps: vec![announce(5, 7, 0), announce(9, 1, 900)], cold: true },
+        Case { name: "unreachable", steps: vec![announce(5, 1, 0), Unreachable], cold: true },
+        Case { name: "reachable again", steps: vec![announce(5, 1, 0), Unreachable, announce(5, 2, 0)], cold: false },
+        Case { name: "marked", steps: vec![announce(5, 1, 0), MarkUnknown, Pass { ms: 60_000 }], cold: true },
+        Case { name: "late after mark", steps: vec![announce(5, 2, 0), MarkUnknown, announce(5, 1, 0)], cold: true },
+        Case { name: "heard after mark", steps: vec![announce(5, 2, 0), MarkUnknown, announce(5, 3, 0)], cold: false },
+    ];
+    for case in cases {
+        let mut target = LocalTarget::default();
+        let mut now = NOW;
+        for step in case.steps {
+            match step {
+                Announce { started_unix_ms, seq, cold_left_ms } => {
+                    let heard = Announcement { cold_left_ms, ..announcement("a", started_unix_ms, seq, false) };
+                    target.apply_announcement(heard, now);
+                }
+                Unreachable => target.set_reachable(false),
+                MarkUnknown => target.mark_cold_state_unknown(),
+                Pass { ms } => now = now.plus_ms(ms),
+            }
+        }
+        expect_that!(target.is_cold(now), eq(case.cold), "{}", case.name);
+    }
+}
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -40,6 +40,7 @@
         waiting: 3,
         hold_us: 480_000,
         notices: Some(Default::default()),
+        paced_rate: None,
     };
     let demand = |route: u32| IndexedDemand { route, slots_milli: 6_400 };
     let arrivals = |route: u32| IndexedArrivals { route, rank: Rank(518), offered_milli: 5_600, admitted_milli: 4_900 };
