EvacuationState: which zones are evacuated, from records and other nodes' reports

Nodes learn of it from a few readers of the store, so messages arrive late and out of order, and the store may come back from an older copy without the record.

Change: a pure state in policy, ordered by era and end offset, that applies a record, the latest records of all keys, or a peer's report. The offset is kept as the exclusive end, because a record at offset O and a listing that ended at O would else compare as equal although only the first includes the record. LoadBalancer does not choose targets of evacuated zones.

Conclusion: the state alone decides; mesh has to feed and apply it.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! does I/O. Some decisions have two implementations: the `node` crate uses [`TargetTable`],
 //! [`IngressAdmission`] and [`AdmissionGate`], the `mesh` crate [`LoadBalancer`], [`CapacityAdmission`] and
 //! [`SlotQueue`]. The design is described in `docs/ADMISSION.md`, `docs/RETRIES.md`, `docs/TARGET-CHOICE.md`,
-//! `docs/CRASH-REQUESTS.md` and `docs/DRAIN.md`.
+//! `docs/CRASH-REQUESTS.md`, `docs/DRAIN.md` and `docs/design/zone-evacuation.md`.
 
 mod admission_gate;
 mod admission_level;
@@ -13,6 +13,8 @@
 pub mod checks;
 mod crash;
 mod demand;
+mod evacuation_report;
+mod evacuation_state;
 mod ingress_admission;
 mod load_balancer;
 mod noticed_runs;
@@ -35,6 +37,8 @@
 pub use capacity_admission::CapacityAdmission;
 pub use crash::{AnsweredRequests, CrashMark, CrashSettings, CrashTable, CrashVerdict, request_fingerprint};
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
+pub use evacuation_report::EvacuationReport;
+pub use evacuation_state::{EvacuationRecord, EvacuationState};
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use parents::RunningParents;
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -5,7 +5,7 @@
 //! up to a second old, so that all callers would send to the same best target. Instead, each caller draws a target at
 //! random, the faster and emptier ones with a higher probability, and calls sent since the last report count as load.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
 use fulmartrestle_derive::record;
@@ -108,9 +108,20 @@
     services: HashMap<Service, Vec<VmId>>,
     service_hold_us: HashMap<Service, f64>,
     noticed_runs: NoticedRuns,
+    evacuated_zones: BTreeSet<AvailabilityZone>,
 }
 
 impl LoadBalancer {
+    /// Replaces the zones whose targets are not chosen.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<AvailabilityZone>) {
+        self.evacuated_zones = zones;
+    }
+
+    /// Returns the number of targets that report that they are cold.
+    pub fn cold_count(&self) -> usize {
+        self.targets.values().filter(|target| target.report.cold).count()
+    }
+
     /// Records a report about a node's target; `None` means that the node has no target.
     pub fn record_report(&mut self, node: VmId, zone: &AvailabilityZone, report: Option<TargetReport>, now: TimeUs) {
         let Some(report) = report else { return self.remove(node) };
@@ -229,6 +240,7 @@
     fn is_usable(&self, node: VmId, now: TimeUs) -> bool {
         let Some(target) = self.targets.get(&node) else { return false };
         target.report.ready
+            && !self.evacuated_zones.contains(&target.zone)
             && now >= target.backoff_until
             && now.ms_since(target.last_contact) < CONTACT_TIMEOUT_MS
             && !self.noticed_runs.notices(&target.report).is_some_and(|notices| notices.leaving)
