mesh: evacuated zones are read, passed on and enforced at senders and gates

Cause: nodes read only the configuration's key of the operator's stream, and neither senders nor gates know evacuated zones.

Change: the follower of the configuration applies the records under the prefix of the store's layout; status messages carry the state once any zone was evacuated, and a change is passed on at once. The gate refuses new and waiting calls with "not run", checks again after the queue and after the body was read, and reports the target as not ready.

No store call was added; a status message without evacuation grows by the one byte of the empty field.

--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -8,8 +8,9 @@
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
 
 use crate::config_position::{ConfigPosition, KnownVersions};
+use crate::evacuation::{apply_evacuation_listing, apply_evacuation_records};
 use crate::event_log::LogLine;
-use crate::platform::DecodedConfig;
+use crate::platform::{DecodedConfig, StoreLayout};
 use crate::state::{ActiveConfig, MeshState};
 use crate::store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
 
@@ -19,10 +20,17 @@
 /// Maximum number of log lines about values of one version that cannot be read.
 const MAX_LOGGED_WARNINGS: usize = 20;
 
-/// Follows the configuration until the task is aborted.
-pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, stream: StreamName, config_key: String) {
-    let mut follower =
-        ConfigFollower { state, store, stream, config_key, position: ConfigPosition::default(), last_read_at: None };
+/// Follows the configuration and the evacuated zones until the task is aborted.
+pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, layout: StoreLayout) {
+    let mut follower = ConfigFollower {
+        state,
+        store,
+        stream: layout.operator_stream,
+        config_key: layout.config_key,
+        position: ConfigPosition::default(),
+        last_read_at: None,
+        evacuation_key_prefix: layout.evacuation_key_prefix,
+    };
     let mut connected = None;
     let mut backoff = StoreBackoff::default();
     loop {
@@ -108,6 +116,7 @@
     config_key: String,
     position: ConfigPosition,
     last_read_at: Option<TimeUs>,
+    evacuation_key_prefix: String,
 }
 
 impl ConfigFollower {
@@ -128,6 +137,7 @@
     }
 
     fn view(&mut self, now: TimeUs) -> StoreView {
+        let must_read_evacuation = lock(&self.state.evacuation).must_read();
         let peers = lock(&self.state.peers);
         let own_version = self.state.config().map_or(Version(0), |config| config.version());
         StoreView {
@@ -135,7 +145,8 @@
             age_ms: self.state.config_age_ms(now),
             since_read_ms: self.last_read_at.map(|read_at| now.ms_since(read_at)),
             is_behind: peers.highest_version(now) > own_version
-                || self.position.next_offset(self.store.era(), now).is_none(),
+                || self.position.next_offset(self.store.era(), now).is_none()
+                || must_read_evacuation,
         }
     }
 
@@ -144,7 +155,11 @@
     async fn read_next(&mut self, wait_ms: u64, started: TimeUs) -> Result<StepOutcome, LogError> {
         let Some(from) = self.position.next_offset(self.store.era(), started) else {
             let page = self.store.read_latest(&self.stream).await?;
-            self.apply_records(&page.records, page.end_offset, true, started);
+            if self.apply_records(&page.records, page.end_offset, true, started) {
+                let era = self.store.era().unwrap_or_default();
+                let prefix = &self.evacuation_key_prefix;
+                apply_evacuation_listing(&self.state, prefix, era, page.end_offset, &page.records);
+            }
             return Ok(StepOutcome::Read);
         };
         let long_poll = self.store.read_long_poll(&self.stream, from, MAX_READ_RECORDS, wait_ms);
@@ -161,7 +176,11 @@
             read => read?,
         };
         let records: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
-        self.apply_records(&records, page.next_offset, page.next_offset >= page.end_offset, started);
+        if self.apply_records(&records, page.next_offset, page.next_offset >= page.end_offset, started) {
+            let era = self.store.era().unwrap_or_default();
+            let end_offset = Some(page.next_offset).filter(|next_offset| *next_offset >= page.end_offset);
+            apply_evacuation_records(&self.state, &self.evacuation_key_prefix, era, &records, end_offset);
+        }
         Ok(StepOutcome::Read)
     }
 
@@ -179,8 +198,14 @@
     }
 
     /// Applies records in their order. If a version does not parse, the active configuration does not count as
-    /// confirmed, because that version may have revoked keys.
-    fn apply_records(&mut self, records: &[KeyedRecord], next_offset: LogOffset, at_end: bool, started: TimeUs) {
+    /// confirmed, because that version may have revoked keys. Returns whether the records belong to the current era.
+    fn apply_records(
+        &mut self,
+        records: &[KeyedRecord],
+        next_offset: LogOffset,
+        at_end: bool,
+        started: TimeUs,
+    ) -> bool {
         let mut all_valid = true;
         let mut last_config = None;
         for record in records.iter().filter(|record| record.key == self.config_key) {
@@ -190,7 +215,7 @@
         let era = self.store.era();
         if !self.position.advance(era, next_offset, last_config) {
             self.state.log(LogLine::new("store_era_changed").optional_text("era", era));
-            return;
+            return false;
         }
         let now = self.state.now();
         let versions = KnownVersions {
@@ -206,5 +231,6 @@
                 self.state.status_due.notify_one();
             }
         }
+        true
     }
 }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -139,6 +139,24 @@
         lock(&self.state).closed = true;
     }
 
+    /// Applies whether the zone of this node is evacuated. While it is, no call reaches the target: waiting calls are
+    /// refused at once, and running ones are completed.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        if !evacuated {
+            return self.end_evacuation();
+        }
+        if lock(&self.state).start_evacuation() {
+            self.status_due.notify_one();
+        }
+    }
+
+    /// Lets calls reach the target again after an evacuation.
+    fn end_evacuation(&self) {
+        if lock(&self.state).end_evacuation() {
+            self.status_due.notify_one();
+        }
+    }
+
     /// Returns the state of the target as it is reported to other nodes.
     pub fn report(&self) -> GateReport {
         let now = self.clock.now();
@@ -199,6 +217,10 @@
             Ok(request) => request,
             Err(refusal) => return self.refuse(&head, refusal, false),
         };
+        // The zone may have been evacuated while the body was read.
+        if let Err(refusal) = lock(&self.state).check_evacuation() {
+            return self.refuse(&head, refusal, false);
+        }
         let started = self.clock.now();
         let origin = head.origin.clone();
         lock(&self.state).parents.insert(deadline, admitted.slot.call(), head.route.clone(), origin, started);
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -26,6 +26,9 @@
 /// the caller's node gives up.
 const REFUSAL_MARGIN_US: u64 = 15_000;
 
+/// Refusal of calls in an evacuated zone, so that their senders choose targets elsewhere.
+const EVACUATED: Refusal = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
+
 /// Mutable state of a gate: its target, the slots and the admitted calls.
 pub struct GateState {
     pub target: LocalTarget,
@@ -44,6 +47,8 @@
     pub closed: bool,
     waiters: AdmissionWaiters,
     next_call: u64,
+    /// Whether the zone of this node is evacuated, so that no call may reach the target.
+    evacuated: bool,
 }
 
 /// A call that was admitted, and the target instance that runs it.
@@ -75,6 +80,7 @@
             closed: false,
             waiters: AdmissionWaiters::default(),
             next_call: 0,
+            evacuated: false,
         }
     }
 }
@@ -108,7 +114,7 @@
             instance: announcement.instance.clone(),
             started_unix_ms: announcement.started_unix_ms,
             notices: self.reported_notices(announcement),
-            ready: !self.draining && self.target.usable(now).is_some(),
+            ready: !self.draining && !self.evacuated && self.target.usable(now).is_some(),
             limit: load.limit,
             running: load.running,
             waiting: load.waiting,
@@ -144,8 +150,27 @@
         }
     }
 
+    /// Evacuates the target, and refuses the calls that wait. Running calls go on. Returns whether this is a change.
+    pub fn start_evacuation(&mut self) -> bool {
+        let is_change = !self.evacuated;
+        self.evacuated = true;
+        self.waiters.refuse_all(EVACUATED);
+        is_change
+    }
+
+    /// Lets calls reach the target again. Returns whether this is a change.
+    pub fn end_evacuation(&mut self) -> bool {
+        std::mem::take(&mut self.evacuated)
+    }
+
+    /// Refuses a call that has not reached the target while the zone is evacuated.
+    pub fn check_evacuation(&self) -> Result<(), Refusal> {
+        if self.evacuated { Err(EVACUATED) } else { Ok(()) }
+    }
+
     /// Returns the announcement of the target that accepts calls for `service`.
     fn target_for(&self, service: &Service, now: TimeUs) -> Result<&Announcement, Refusal> {
+        self.check_evacuation()?;
         let target = self.target.usable(now).filter(|target| target.service == *service);
         let no_target = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
         target.ok_or(no_target)
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,6 +14,7 @@
 mod config_freshness;
 mod config_position;
 mod crash_marks;
+mod evacuation;
 mod event_log;
 mod gate;
 mod local_target;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -23,6 +23,7 @@
 use crate::config_follower::follow_config;
 use crate::config_freshness::ConfigFreshness;
 use crate::crash_marks::fetch_crash_marks;
+use crate::evacuation::refresh_evacuation;
 use crate::event_log::{EventLog, LogLine};
 use crate::gate::{Gate, GateOptions};
 use crate::metrics::Metrics;
@@ -129,9 +130,9 @@
         let datagrams = Arc::new(datagrams);
         tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
         tasks.spawn(send_status(Arc::clone(&state), datagrams));
-        let StoreLayout { operator_stream, config_key, nodes_stream } = options.layout;
+        let nodes_stream = options.layout.nodes_stream.clone();
         let store = options.store;
-        tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), operator_stream, config_key));
+        tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), options.layout));
         tasks.spawn(run_registry(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
         tasks.spawn(fetch_crash_marks(Arc::clone(&state)));
         tasks.spawn(run_maintenance(Arc::clone(&state), options.settings_path.clone()));
@@ -265,6 +266,7 @@
         store_due: Notify::new(),
         reaches_store: AtomicBool::new(false),
         fetches_config: AtomicBool::new(false),
+        evacuation: Mutex::default(),
     }
 }
 
@@ -278,6 +280,7 @@
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
         state.gate.start_waiting_calls();
+        refresh_evacuation(&state);
         notify_changes(&state, &mut last_notified);
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(ROUNDS_PER_SETTINGS_CHECK)
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -163,6 +163,12 @@
             && self.peers.values().filter(is_in_zone).all(|peer| peer.confirmed_stamp > TimeUs::default())
     }
 
+    /// Returns whether a known node is in `zone`. Returns true while no node is known at all, or one whose zone is not
+    /// known, because it may be there.
+    pub fn may_have_nodes_in(&self, zone: &AvailabilityZone) -> bool {
+        self.peers.is_empty() || self.peers.values().any(|peer| peer.zone.is_none() || peer.zone.as_ref() == Some(zone))
+    }
+
     /// Returns the entry of the node at `address`.
     pub fn get(&self, address: &SocketAddr) -> Option<&Peer> {
         self.peers.get(address)
--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -29,6 +29,8 @@
     pub config_key: String,
     /// Stream that holds the peer addresses of the nodes.
     pub nodes_stream: StreamName,
+    /// Prefix of the keys in the operator's stream that evacuate a zone; the zone's name follows.
+    pub evacuation_key_prefix: String,
 }
 
 /// Metadata that a caller sends in the headers of a request.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootClock;
 use crate::config_freshness::ConfigFreshness;
 use crate::crash_marks::CrashMarkLog;
+use crate::evacuation::Evacuation;
 use crate::event_log::{EventLog, LogLine};
 use crate::gate::Gate;
 use crate::metrics::Metrics;
@@ -105,6 +106,8 @@
     pub reaches_store: AtomicBool,
     /// Whether a configuration is being fetched from another node.
     pub fetches_config: AtomicBool,
+    /// The zones that the operator has evacuated.
+    pub evacuation: Mutex<Evacuation>,
 }
 
 impl MeshState {
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::config_follower::apply_config;
 use crate::crash_marks::{CrashNotices, merge_crash_marks};
+use crate::evacuation::merge_evacuation;
 use crate::event_log::LogLine;
 use crate::node_messages::ConfigResponse;
 use crate::peer_streams::CONFIG_PATH;
@@ -176,6 +177,7 @@
         let demand = state.gate.demand();
         let index = |demand: &DemandReport| config.as_ref().map(|config| index_demand(demand, config));
         let arrivals = lock(&state.arrivals).report();
+        let evacuation = lock(&state.evacuation).report(started_at);
         let message = StatusMessage {
             node: state.node_id,
             identity: None,
@@ -193,6 +195,7 @@
             leaving: *state.phase.borrow() != NodePhase::Serving,
             crashes: CrashNotices::default(),
             crashes_received: 0,
+            evacuation,
         };
         Self { started_at, identity, identity_changed_at, issuers, message }
     }
@@ -233,6 +236,9 @@
     if !message.crashes.notices.is_empty() {
         merge_crash_marks(state, message.crashes.marks(message.node), now);
     }
+    if let Some(evacuation) = &message.evacuation {
+        merge_evacuation(state, evacuation);
+    }
     let StatusEffect { replaced, is_new, .. } = effect;
     apply_leases(state, message, replaced, now);
     let target = status.target_report();
@@ -327,4 +333,5 @@
     lock(&state.resend_budgets).set_settings(settings(RESEND_SHARE, burst));
     lock(&state.rerun_budgets).set_settings(settings(RERUN_SHARE, 1));
     state.metrics.set_gauge("sharers", sharers as u64);
+    state.metrics.set_gauge("cold_targets", lock(&state.load_balancer).cold_count() as u64);
 }
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -8,7 +8,9 @@
 
 use fulmartrestle_core::{AvailabilityZone, Service, Version, VmId};
 use fulmartrestle_derive::record;
-use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetNotices, TargetReport};
+use fulmartrestle_policy::{
+    DemandReport, EvacuationReport, Rank, RouteArrivals, RouteDemand, TargetNotices, TargetReport,
+};
 use fulmartrestle_quota::ShardSet;
 
 use crate::MeshConfig;
@@ -105,6 +107,8 @@
     pub crashes: CrashNotices,
     /// Number up to which the sender has received the crashes of the receiver's target.
     pub crashes_received: u32,
+    /// Evacuated zones as the sender knows them; `None` if no zone was ever evacuated.
+    pub evacuation: Option<EvacuationReport>,
 }
 
 /// A status message with the names that it leaves out.
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -60,6 +60,7 @@
         leaving: false,
         crashes: Default::default(),
         crashes_received: 0,
+        evacuation: None,
     }
 }
 
--- a/crates/transport/src/admission_waiters.rs
+++ b/crates/transport/src/admission_waiters.rs
@@ -32,4 +32,12 @@
     pub fn notify(&mut self, call: CallId, result: AdmissionResult) -> bool {
         self.senders.remove(&call).is_some_and(|sender| sender.send(result).is_ok())
     }
+
+    /// Refuses all calls whose tasks still wait.
+    pub fn refuse_all(&mut self, refusal: Refusal) {
+        for (_, sender) in self.senders.drain() {
+            // The task may have ended by now.
+            let _ = sender.send(Err(refusal));
+        }
+    }
 }
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -32,6 +32,9 @@
 /// Offset of the next port to try, so that no two nodes of a test program get the same port.
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
+/// Zone of all VMs unless a test names others.
+const DEFAULT_ZONE: &str = "milano";
+
 /// Interval between heartbeats of a target unless a test changes it.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
@@ -105,13 +108,19 @@
     /// Starts a store, publishes the configuration, starts one VM for each item of `services`, and waits until
     /// every node is ready.
     pub async fn start(services: &[&str], config: &serde_json::Value) -> Self {
+        let vms: Vec<_> = services.iter().map(|service| (*service, DEFAULT_ZONE)).collect();
+        Self::start_in_zones(&vms, config).await
+    }
+
+    /// Starts a fleet like [`SidecarFleet::start`], with the service and the zone of each VM.
+    pub async fn start_in_zones(vms: &[(&str, &str)], config: &serde_json::Value) -> Self {
         let store = Process::start(LOG_PROGRAM, &["--listen", "127.0.0.1:0"]);
         let store_client = StoreClient::new(&format!("http://{}", store.address(""))).expect("a client");
         let settings_dir = tempfile::tempdir().expect("a directory for settings");
         let mut fleet = Self { client: Client::new(), store, store_client, vms: Vec::new(), settings_dir };
         fleet.publish_config(config).await;
-        for service in services {
-            fleet.start_vm(service).await;
+        for (service, zone) in vms {
+            fleet.start_vm(service, zone).await;
         }
         fleet.wait_until_ready().await;
         fleet
@@ -119,9 +128,15 @@
 
     /// Appends a configuration to the store, as the platform's operator does.
     pub async fn publish_config(&self, config: &serde_json::Value) {
+        self.write_operator_record("config", &config.to_string()).await;
+    }
+
+    /// Appends a record to the operator's stream; one with an empty value removes the key. Returns after the store has
+    /// acknowledged it.
+    pub async fn write_operator_record(&self, key: &str, value: &str) {
         let stream: StreamName = "keyed.op".parse().expect("a valid name");
-        let record = KeyedRecord::encode("config", config.to_string().as_bytes());
-        self.store_client.append(&stream, vec![record]).await.expect("the store accepts the configuration");
+        let record = KeyedRecord::encode(key, value.as_bytes());
+        self.store_client.append(&stream, vec![record]).await.expect("the store accepts the record");
     }
 
     /// Replaces the store's records by a copy that is `age_ms` old.
@@ -132,7 +147,7 @@
         assert_eq!(response.status, 200);
     }
 
-    async fn start_vm(&mut self, service: &str) {
+    async fn start_vm(&mut self, service: &str, zone: &str) {
         let index = self.vms.len();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let target_address = listener.local_addr().expect("an address");
@@ -142,7 +157,7 @@
         }
         let file = self.settings_dir.path().join(format!("sidecar-{index}.jsonc"));
         let text = serde_json::json!({
-            "name": format!("sidecar-{index}"), "availability_zone": "milano",
+            "name": format!("sidecar-{index}"), "availability_zone": zone,
             "caller_address": addresses[0], "ready_address": addresses[1], "control_address": addresses[2],
             "peer_address": addresses[3], "metrics_address": addresses[4], "target_address": target_address,
             "service": service, "store_address": self.store.address(""), "max_descriptors": 1_024,
@@ -165,7 +180,7 @@
             is_down: Mutex::new(false),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
-        tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), Arc::clone(&target)));
+        tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), zone.to_owned(), Arc::clone(&target)));
         let settings_file = file.display().to_string();
         let [caller_address, ready_address, control_address, ..] = addresses[..] else { panic!("five addresses") };
         self.vms.push(SidecarVm { node, target, caller_address, ready_address, control_address, settings_file });
@@ -251,7 +266,7 @@
 }
 
 /// Sends heartbeats of a target to its node until the test ends.
-async fn send_heartbeats(control_address: SocketAddr, service: String, target: Arc<Target>) {
+async fn send_heartbeats(control_address: SocketAddr, service: String, zone: String, target: Arc<Target>) {
     let client = Client::new();
     let url = format!("http://{control_address}/fulmartrestle/Instances.Heartbeat/{}", target.instance_id);
     for seq in 1_u64.. {
@@ -262,7 +277,7 @@
         let state = if *target.draining.lock().expect("not poisoned") { "draining" } else { "ready" };
         let body = serde_json::json!({
             "addr": "127.0.0.1:1", "born": started_unix_ms,
-            "info": {"service": service, "version": "v1", "zone": "milano", "slots": 10},
+            "info": {"service": service, "version": "v1", "zone": zone, "slots": 10},
             "status": {"state": state, "seq": seq, "cold_left_ms": 0}
         });
         // Heartbeats fail while the node is restarting.
