Responses without an end are bounded

Cause: interim responses of a target were read until the deadline of the request, and the connection was not closed with the request; a response body without a length was forwarded for as long as the caller kept its connection. Change: a request ends after 8 interim responses; dropping a connection to a target closes its socket; a response head has at most 64 KiB; a response without a length ends with an error at the caller's deadline. Bytes that are not a response count as a bad answer. Left: crates/node has its own connections to targets and was not tested.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -10,8 +10,8 @@
 use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
 use fulmartrestle_policy::{Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
-    BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, ReplayBody, headers_from_pairs, headers_to_pairs,
-    incoming_body,
+    BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, ReplayBody, TimeLimitedBody, headers_from_pairs,
+    headers_to_pairs, incoming_body,
 };
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use http::{HeaderMap, StatusCode};
@@ -26,7 +26,7 @@
 use crate::{MeshConfig, Route, TenantConfig};
 
 pub use admitted_request::AdmittedRequest;
-use deadline::response_deadline;
+use deadline::{body_limit_ms, response_deadline};
 
 /// Retry-After while this node has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 400;
@@ -203,8 +203,14 @@
         pairs
     }
 
-    fn build_response(&self, response: TargetResponse) -> CallerResponse {
-        let mut caller_response = hyper::Response::new(response.body);
+    /// Builds the response to a caller. A body without a length may have no end, so it must end by `body_deadline`.
+    fn build_response(&self, response: TargetResponse, body_deadline: TimeUs) -> CallerResponse {
+        let has_length = response.headers.iter().any(|pair| pair.name == CONTENT_LENGTH.as_str());
+        let body = match has_length {
+            true => response.body,
+            false => TimeLimitedBody::new(response.body, self.state.clock.duration_until(body_deadline)).boxed(),
+        };
+        let mut caller_response = hyper::Response::new(body);
         *caller_response.status_mut() = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
         *caller_response.headers_mut() = headers_from_pairs(&response.headers);
         caller_response
@@ -250,7 +256,7 @@
         // A refused caller retries on a new connection.
         let may_retry = result.as_ref().is_err_and(|refusal| refusal.retry_after_ms.is_some());
         let mut caller_response = match result {
-            Ok(response) => self.build_response(response),
+            Ok(response) => self.build_response(response, arrived.plus_ms(body_limit_ms(metadata.deadline_ms))),
             Err(refusal) => self.state.wire_protocol.refusal_response(&refusal, metadata.request_id.as_deref()),
         };
         if *self.state.phase.borrow() != NodePhase::Serving
--- a/crates/mesh/src/caller_handler/deadline.rs
+++ b/crates/mesh/src/caller_handler/deadline.rs
@@ -14,3 +14,9 @@
     let deadline_ms = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).saturating_sub(RESPONSE_MARGIN_MS);
     arrived.plus_ms(deadline_ms.min(timeout_ms.unwrap_or(u64::MAX)))
 }
+
+/// Returns how long the body of a response may take, in milliseconds since the request arrived. The timeout of the route
+/// concerns the start of the response only, since a large body may take a slow caller longer.
+pub fn body_limit_ms(deadline_ms: Option<u64>) -> u64 {
+    deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)
+}
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -206,6 +206,11 @@
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
             Err(_) => self.report_unknown(&head, Reason::Deadline, false),
             Ok(Err(TargetError::NotSent(detail))) => self.target_unreachable(&head, &detail),
+            Ok(Err(TargetError::Invalid(detail))) => {
+                self.pool.mark_suspect(self.clock.now());
+                self.log_target_event(&head, "target_answer_unusable", &detail);
+                self.report_unknown(&head, Reason::BadAnswer, false)
+            }
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
                 let crashed = self.has_target_crashed().await;
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -1,7 +1,8 @@
 //! Connections to the local target.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use fulmartrestle_core::{TimeUs, lock};
@@ -12,6 +13,8 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 /// Connect timeout, in milliseconds. The target is on the same VM, but a full accept queue drops the first
 /// packet, which is retransmitted after a second.
@@ -36,6 +39,13 @@
 /// milliseconds. The target may have sent unsolicited bytes on its other connections too.
 const SUSPECT_MS: u64 = 6_000;
 
+/// Maximum number of interim responses (status 1xx) before a response. Targets send at most one or two; a target that
+/// sends them without end would keep the request and its slot until the deadline.
+const MAX_INTERIM_RESPONSES: u32 = 8;
+
+/// Largest response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 quick_error! {
     /// Why the target did not respond to a request.
     #[derive(Debug)]
@@ -48,13 +58,46 @@
         Lost(detail: String) {
             display("lost: {}", detail)
         }
+        /// The target sent bytes that are not a response.
+        Invalid(detail: String) {
+            display("invalid response: {}", detail)
+        }
     }
 }
 
-/// A connection that carries one request at a time.
+/// A connection that carries one request at a time. Dropping it closes the socket at once, also while the target is
+/// still sending.
 pub struct TargetConnection {
     sender: SendRequest<ByteBody>,
     usable_until: TimeUs,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Counts the interim responses to one request.
+#[derive(Default)]
+struct InterimResponses {
+    count: AtomicU32,
+    exceeded: Notify,
+}
+
+impl InterimResponses {
+    /// Counts the interim responses to `request`, also if it is sent on another connection later.
+    fn watch(request: &mut Request<ByteBody>) -> Arc<Self> {
+        let interim_responses = Arc::new(Self::default());
+        let counted = Arc::clone(&interim_responses);
+        hyper::ext::on_informational(request, move |_| {
+            if counted.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                counted.exceeded.notify_one();
+            }
+        });
+        interim_responses
+    }
 }
 
 /// Idle connections to the target. The one used last is reused first.
@@ -72,7 +115,7 @@
     /// # Errors
     ///
     /// Returns [`TargetError::NotSent`] if the target certainly did not receive the request, otherwise
-    /// [`TargetError::Lost`].
+    /// [`TargetError::Lost`] or [`TargetError::Invalid`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -81,29 +124,26 @@
         now: TimeUs,
     ) -> Result<(TargetConnection, Response<Incoming>), TargetError> {
         let mut request = request;
+        let interim_responses = InterimResponses::watch(&mut request);
         let new_connection_only = !repeatable && now < *lock(&self.suspect_until);
         while !new_connection_only && let Some(mut connection) = self.take_idle(now) {
             if !becomes_ready(&mut connection).await {
                 continue;
             }
-            match connection.sender.try_send_request(request).await {
+            match exchange(&mut connection, request, &interim_responses).await {
                 Ok(response) => return Ok((connection, response)),
-                Err(mut error) => match error.take_message() {
-                    // The connection was closed before the request was written.
-                    Some(unsent) => request = unsent,
-                    None => return Err(TargetError::Lost(error.into_error().to_string())),
-                },
+                // The connection was closed before the request was written.
+                Err(ExchangeError::Unsent(unsent)) => request = *unsent,
+                Err(ExchangeError::Failed(error)) => return Err(error),
             }
         }
         let mut connection = connect(address).await?;
-        match connection.sender.try_send_request(request).await {
+        match exchange(&mut connection, request, &interim_responses).await {
             Ok(response) => Ok((connection, response)),
-            Err(mut error) => match error.take_message() {
-                Some(_) => {
-                    Err(TargetError::NotSent("the connection was closed before the request was sent".to_owned()))
-                }
-                None => Err(TargetError::Lost(error.into_error().to_string())),
-            },
+            Err(ExchangeError::Unsent(_)) => {
+                Err(TargetError::NotSent("the connection was closed before the request was sent".to_owned()))
+            }
+            Err(ExchangeError::Failed(error)) => Err(error),
         }
     }
 
@@ -144,6 +184,39 @@
     }
 }
 
+/// Why a connection yielded no response.
+enum ExchangeError {
+    /// The request was not written.
+    Unsent(Box<Request<ByteBody>>),
+    /// The request was sent.
+    Failed(TargetError),
+}
+
+/// Sends a request on a connection and waits for the head of the response.
+async fn exchange(
+    connection: &mut TargetConnection,
+    request: Request<ByteBody>,
+    interim_responses: &InterimResponses,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let sent = tokio::select! {
+        sent = connection.sender.try_send_request(request) => sent,
+        () = interim_responses.exceeded.notified() => {
+            let detail = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+            return Err(ExchangeError::Failed(TargetError::Invalid(detail)));
+        }
+    };
+    sent.map_err(|mut error| match error.take_message() {
+        Some(unsent) => ExchangeError::Unsent(Box::new(unsent)),
+        None => {
+            let error = error.into_error();
+            ExchangeError::Failed(match error.is_parse() {
+                true => TargetError::Invalid(error.to_string()),
+                false => TargetError::Lost(error.to_string()),
+            })
+        }
+    })
+}
+
 /// Waits until a connection can take a request. One that has just carried a response needs a moment. Returns
 /// whether it became ready.
 async fn becomes_ready(connection: &mut TargetConnection) -> bool {
@@ -164,12 +237,12 @@
     };
     let options = tcp.set_nodelay(true).and_then(|()| set_tcp_timeouts(&tcp, SEND_TIMEOUT_MS));
     options.map_err(|error| TargetError::NotSent(error.to_string()))?;
-    let handshake = http1::handshake(TokioIo::new(tcp)).await;
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(tcp)).await;
     let (sender, driver) = handshake.map_err(|error| TargetError::NotSent(error.to_string()))?;
-    tokio::spawn(async move {
+    let driver = tokio::spawn(async move {
         if let Err(error) = driver.await {
             log::debug!("target: connection failed: {error}");
         }
     });
-    Ok(TargetConnection { sender, usable_until: TimeUs::default() })
+    Ok(TargetConnection { sender, usable_until: TimeUs::default(), driver })
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod server;
 mod socket;
 mod stream;
+mod time_limited_body;
 mod watched_body;
 
 pub use admission_waiters::{AdmissionResult, AdmissionWaiters};
@@ -32,4 +33,5 @@
 pub use server::{StreamHandler, serve_streams};
 pub use socket::set_tcp_timeouts;
 pub use stream::{receive_head, send_head_and_body, send_initial_data, stream_body, stream_error};
+pub use time_limited_body::TimeLimitedBody;
 pub use watched_body::{BodyWatcher, WatchedBody};
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -15,7 +15,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tempfile::TempDir;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
@@ -56,6 +57,25 @@
     CrashOn(&'static str),
 }
 
+/// Bytes that a target writes in place of a response.
+#[derive(Clone, Copy, Debug)]
+pub struct RawResponse {
+    /// Written first. `{id}` stands for the ID of the request.
+    pub start: &'static str,
+    /// Written again and again until the connection is closed.
+    pub repeated: &'static str,
+    /// Pause between two writes, in milliseconds; 0 writes without a pause.
+    pub pause_ms: u64,
+}
+
+/// What became of the connections on which a target writes without end.
+#[derive(Debug, Default)]
+pub struct RawConnections {
+    pub accepted: AtomicUsize,
+    pub open: AtomicUsize,
+    pub written_bytes: AtomicUsize,
+}
+
 /// A request that a target has run.
 #[derive(Clone, Debug)]
 pub struct RecordedRun {
@@ -78,10 +98,21 @@
     pub notices: Mutex<Vec<(&'static str, String)>>,
     /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
     pub crashes: AtomicUsize,
+    /// Written to each new connection in place of responses, if it is set.
+    pub raw_response: Mutex<Option<RawResponse>>,
+    pub raw_connections: RawConnections,
+    closing: Notify,
     crashing: Notify,
     is_down: Mutex<bool>,
 }
 
+impl Target {
+    /// Closes all connections of the target.
+    pub fn close_connections(&self) {
+        self.closing.notify_waiters();
+    }
+}
+
 /// One VM: a sidecar process and a target.
 pub struct SidecarVm {
     pub node: Process,
@@ -161,6 +192,9 @@
             heartbeat_interval_ms: AtomicU64::new(HEARTBEAT_INTERVAL_MS),
             notices: Mutex::default(),
             crashes: AtomicUsize::new(0),
+            raw_response: Mutex::default(),
+            raw_connections: RawConnections::default(),
+            closing: Notify::new(),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
         });
@@ -290,8 +324,24 @@
         let tcp = tokio::select! {
             accepted = listener.accept() => accepted.expect("the listener works").0,
             () = target.crashing.notified() => break,
+            () = target.closing.notified() => {
+                connections.shutdown().await;
+                continue;
+            }
         };
         let target = Arc::clone(target);
+        let raw_response = *target.raw_response.lock().expect("not poisoned");
+        if let Some(raw_response) = raw_response {
+            connections.spawn(async move {
+                let raw_connections = &target.raw_connections;
+                raw_connections.accepted.fetch_add(1, Ordering::Relaxed);
+                raw_connections.open.fetch_add(1, Ordering::Relaxed);
+                // Writing ends with an error when the node closes the connection.
+                let _ = write_without_end(tcp, raw_response, raw_connections).await;
+                raw_connections.open.fetch_sub(1, Ordering::Relaxed);
+            });
+            continue;
+        }
         connections.spawn(async move {
             let service = service_fn(move |request| handle_request(request, Arc::clone(&target)));
             // Dropped responses end the connection with an error.
@@ -302,6 +352,24 @@
     connections.shutdown().await;
 }
 
+/// Reads the head of one request and writes bytes until the connection is closed.
+async fn write_without_end(mut tcp: TcpStream, raw: RawResponse, counts: &RawConnections) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(tcp.read_u8().await?);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let request_id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default();
+    tcp.write_all(raw.start.replace("{id}", request_id).as_bytes()).await?;
+    loop {
+        tcp.write_all(raw.repeated.as_bytes()).await?;
+        counts.written_bytes.fetch_add(raw.repeated.len(), Ordering::Relaxed);
+        if raw.pause_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(raw.pause_ms)).await;
+        }
+    }
+}
+
 /// Handles one request according to the target's behaviour, and records it if it runs.
 async fn handle_request(
     request: hyper::Request<Incoming>,
