A late second "not run" is not taken for the response to the next request

Cause: a target may send a second copy of a response, late. Copies are recognised by the ID of their request, but refusals with 421 or with the header for "not run" may have none. On a reused connection such a copy was taken for the response to the next request, which the target ran and which was then sent to another target. Change: a connection whose last response had no ID carries repeatable requests only.

--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -41,6 +41,7 @@
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             self.record_notices(head, &admitted, &parts.headers);
         }
+        let is_identified = self.wire_protocol.bears_request_id(&parts.headers);
         let body = incoming_body(body);
         let read = tokio::time::timeout(self.clock.duration_until(deadline), ReplayBody::read(body, u64::MAX));
         let body = match (class, read.await) {
@@ -59,10 +60,10 @@
         };
         match class {
             ResponseClass::Valid => {
-                self.forward_response(admitted.slot, connection, parts.status, &parts.headers, body)
+                self.forward_response(admitted.slot, connection, parts.status, &parts.headers, body, is_identified)
             }
             ResponseClass::NotRun | ResponseClass::WrongInstance | ResponseClass::Invalid => {
-                self.release_connection(connection, &parts.headers);
+                self.release_connection(connection, &parts.headers, is_identified);
                 self.metrics.increment("target_refused", head.service.as_str());
                 let reason = if class == ResponseClass::NotRun { Reason::Shed } else { Reason::NoTarget };
                 self.log_target_event(head, "target_refused", parts.status.as_str());
@@ -80,6 +81,7 @@
         status: StatusCode,
         headers: &HeaderMap,
         mut body: ReplayBody,
+        is_identified: bool,
     ) -> (CallResponseHead, ByteBody) {
         let mut pairs = headers_to_pairs(headers);
         pairs.retain(|pair| pair.name != CONTENT_LENGTH.as_str());
@@ -90,7 +92,7 @@
         }
         let body = body.next_attempt().unwrap_or_else(empty_body);
         let body = if is_buffered {
-            self.release_connection(connection, headers);
+            self.release_connection(connection, headers, is_identified);
             slot.complete();
             body
         } else {
@@ -100,10 +102,11 @@
         (CallResponseHead { outcome, report: self.report() }, body)
     }
 
-    fn release_connection(&self, connection: TargetConnection, headers: &HeaderMap) {
+    fn release_connection(&self, connection: TargetConnection, headers: &HeaderMap, is_identified: bool) {
         let closing = headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if !closing {
-            self.pool.return_connection(connection, headers.get(&KEEP_ALIVE).and_then(keep_alive_s), self.clock.now());
+            let keep_alive_s = headers.get(&KEEP_ALIVE).and_then(keep_alive_s);
+            self.pool.return_connection(connection, keep_alive_s, is_identified, self.clock.now());
         }
     }
 
--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -89,6 +89,9 @@
         headers: &HeaderMap,
     ) -> ResponseClass;
 
+    /// Returns whether a target's response names the request that it belongs to.
+    fn bears_request_id(&self, headers: &HeaderMap) -> bool;
+
     /// Parses what the response of a target says about the target itself.
     ///
     /// # Errors
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -70,6 +70,8 @@
 pub struct TargetConnection {
     sender: SendRequest<ByteBody>,
     usable_until: TimeUs,
+    /// Whether a second copy of the last response would be recognised by the ID that it bears.
+    is_identified: bool,
     driver: JoinHandle<()>,
 }
 
@@ -126,7 +128,7 @@
         let mut request = request;
         let interim_responses = InterimResponses::watch(&mut request);
         let new_connection_only = !repeatable && now < *lock(&self.suspect_until);
-        while !new_connection_only && let Some(mut connection) = self.take_idle(now) {
+        while !new_connection_only && let Some(mut connection) = self.take_idle(repeatable, now) {
             if !becomes_ready(&mut connection).await {
                 continue;
             }
@@ -148,12 +150,21 @@
     }
 
     /// Returns a connection to the pool after a complete response. `keep_alive_s` is the idle time that the
-    /// target announced, in seconds.
-    pub fn return_connection(&self, mut connection: TargetConnection, keep_alive_s: Option<u64>, now: TimeUs) {
+    /// target announced, in seconds. `is_identified` is whether the response bore the ID of its request: a target may send
+    /// a second copy of a response later, and one without an ID that says "not run" would be taken for the response to the
+    /// next request, which would be sent elsewhere although it runs. Such a connection carries repeatable requests only.
+    pub fn return_connection(
+        &self,
+        mut connection: TargetConnection,
+        keep_alive_s: Option<u64>,
+        is_identified: bool,
+        now: TimeUs,
+    ) {
         if connection.sender.is_closed() {
             return;
         }
         let keep_alive_ms = keep_alive_s.map(|seconds| (seconds as f64 * 1e3 * KEEP_ALIVE_SHARE) as u64);
+        connection.is_identified &= is_identified;
         connection.usable_until = now.plus_ms(keep_alive_ms.unwrap_or(IDLE_TIMEOUT_MS).min(IDLE_TIMEOUT_MS));
         lock(&self.idle).push(connection);
     }
@@ -173,14 +184,12 @@
         *lock(&self.suspect_until) = now.plus_ms(SUSPECT_MS);
     }
 
-    fn take_idle(&self, now: TimeUs) -> Option<TargetConnection> {
+    /// Takes the usable connection that was used last.
+    fn take_idle(&self, repeatable: bool, now: TimeUs) -> Option<TargetConnection> {
         let mut idle = lock(&self.idle);
-        while let Some(connection) = idle.pop() {
-            if now < connection.usable_until && !connection.sender.is_closed() {
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|connection| now < connection.usable_until && !connection.sender.is_closed());
+        let position = idle.iter().rposition(|connection| repeatable || connection.is_identified)?;
+        Some(idle.remove(position))
     }
 }
 
@@ -244,5 +253,5 @@
             log::debug!("target: connection failed: {error}");
         }
     });
-    Ok(TargetConnection { sender, usable_until: TimeUs::default(), driver })
+    Ok(TargetConnection { sender, usable_until: TimeUs::default(), is_identified: true, driver })
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,4 +10,4 @@
 pub use client::{Client, Request, Response};
 pub use fleet::{Fleet, FleetSpec, TargetSpec, wait_until};
 pub use process::Process;
-pub use sidecar::{CallerRequest, RawResponse, SidecarFleet, SidecarVm, TargetBehaviour};
+pub use sidecar::{CallerRequest, RawResponse, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour};
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -68,6 +68,15 @@
     pub pause_ms: u64,
 }
 
+/// What a target does with one request on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ScriptStep {
+    /// Whether the target runs the request.
+    pub runs: bool,
+    /// What it writes; `{id}` stands for the ID of the request.
+    pub response: &'static str,
+}
+
 /// What became of the connections on which a target writes without end.
 #[derive(Debug, Default)]
 pub struct RawConnections {
@@ -101,6 +110,8 @@
     /// Written to each new connection in place of responses, if it is set.
     pub raw_response: Mutex<Option<RawResponse>>,
     pub raw_connections: RawConnections,
+    /// What happens on the next new connection, if it is set. It closes at the end of the script.
+    pub script: Mutex<Option<&'static [ScriptStep]>>,
     closing: Notify,
     crashing: Notify,
     is_down: Mutex<bool>,
@@ -194,6 +205,7 @@
             crashes: AtomicUsize::new(0),
             raw_response: Mutex::default(),
             raw_connections: RawConnections::default(),
+            script: Mutex::default(),
             closing: Notify::new(),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
@@ -330,6 +342,14 @@
             }
         };
         let target = Arc::clone(target);
+        let script = target.script.lock().expect("not poisoned").take();
+        if let Some(script) = script {
+            connections.spawn(async move {
+                // The node may close the connection at any time.
+                let _ = respond_by_script(tcp, script, &target).await;
+            });
+            continue;
+        }
         let raw_response = *target.raw_response.lock().expect("not poisoned");
         if let Some(raw_response) = raw_response {
             connections.spawn(async move {
@@ -352,15 +372,37 @@
     connections.shutdown().await;
 }
 
-/// Reads the head of one request and writes bytes until the connection is closed.
-async fn write_without_end(mut tcp: TcpStream, raw: RawResponse, counts: &RawConnections) -> std::io::Result<()> {
+/// Reads the head of one request without a body, and returns the ID of the request.
+async fn read_request_id(tcp: &mut TcpStream) -> std::io::Result<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(tcp.read_u8().await?);
     }
     let head = String::from_utf8_lossy(&head).to_lowercase();
-    let request_id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default();
-    tcp.write_all(raw.start.replace("{id}", request_id).as_bytes()).await?;
+    Ok(head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default().to_owned())
+}
+
+async fn respond_by_script(mut tcp: TcpStream, script: &[ScriptStep], target: &Target) -> std::io::Result<()> {
+    for step in script {
+        let request_id = read_request_id(&mut tcp).await?;
+        if step.runs {
+            let run = RecordedRun {
+                request_id: request_id.clone(),
+                headers: http::HeaderMap::new(),
+                body_bytes: 0,
+                started: Instant::now(),
+            };
+            target.runs.lock().expect("not poisoned").push(run);
+        }
+        tcp.write_all(step.response.replace("{id}", &request_id).as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// Reads the head of one request and writes bytes until the connection is closed.
+async fn write_without_end(mut tcp: TcpStream, raw: RawResponse, counts: &RawConnections) -> std::io::Result<()> {
+    let request_id = read_request_id(&mut tcp).await?;
+    tcp.write_all(raw.start.replace("{id}", &request_id).as_bytes()).await?;
     loop {
         tcp.write_all(raw.repeated.as_bytes()).await?;
         counts.written_bytes.fetch_add(raw.repeated.len(), Ordering::Relaxed);
