--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -247,6 +247,11 @@
             Ok(Err(TargetError::TooLate)) => {
                 self.refuse(&head, Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS)), false)
             }
+            Ok(Err(TargetError::Invalid(detail))) => {
+                self.pool.mark_suspect(self.clock.now());
+                self.log_target_event(&head, "target_answer_unusable", &detail);
+                self.report_unknown(&head, Reason::BadAnswer, false)
+            }
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
                 let crashed = self.has_target_crashed().await;
