Tests: ports of nodes are reserved for one test program

Cause: request_is_answered_not_run_after_its_response_was_lost failed once beside other test runs: status 200 for a request that no target of the fleet had run. Test programs that run at once pick ports from the same range, and a port is free between the choice and the start of the node, and while a node restarts. Change: each port is reserved by a listener on 127.0.0.2 for as long as the test program runs.

--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -2,7 +2,7 @@
 //! the test process.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -33,6 +33,12 @@
 /// Offset of the next port to try, so that no two nodes of a test program get the same port.
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
+/// Address on which test programs reserve ports. Nodes and targets don't use it.
+const RESERVATION_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+/// Reservations of this test process, which end with it.
+static RESERVATIONS: Mutex<Vec<std::net::TcpListener>> = Mutex::new(Vec::new());
+
 /// Zone of all VMs unless a test names others.
 const DEFAULT_ZONE: &str = "milano";
 
@@ -300,12 +306,16 @@
 }
 
 /// Returns a loopback address with a port that is free and outside the system's range of ephemeral ports, so
-/// that no outgoing connection can take it before the node listens on it.
+/// that no outgoing connection can take it before the node listens on it. The port stays reserved for this test process
+/// by a listener on [`RESERVATION_IP`]: two test programs at once took each other's ports while a node was starting or
+/// restarting, and requests were answered by the targets of the other one.
 async fn free_address() -> SocketAddr {
     loop {
         let port = FIRST_PORT + NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let Ok(reservation) = std::net::TcpListener::bind((RESERVATION_IP, port)) else { continue };
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).await.is_ok() {
+            RESERVATIONS.lock().expect("not poisoned").push(reservation);
             return address;
         }
     }
