Calls that waited during a pause do not reach an evacuated target

Cause: a node that goes on after a pause hands the calls from its sockets to the target before it has read the message that says that its zone is evacuated.

Change: PauseGuard notices that more than 2 s have passed since the node was last seen running, and calls wait for 100 ms before the last check. The state's lock is released before the refusal. Gate::end_evacuation is called only at the end of an evacuation of the own zone.

Conclusion: the last check before a call is handed over covers the queue, the body and pauses.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -142,19 +142,22 @@
     /// Applies whether the zone of this node is evacuated. While it is, no call reaches the target: waiting calls are
     /// refused at once, and running ones are completed.
     pub fn set_evacuated(&self, evacuated: bool) {
-        if !evacuated {
-            return self.end_evacuation();
-        }
-        if lock(&self.state).start_evacuation() {
-            self.status_due.notify_one();
+        let was_evacuated = lock(&self.state).check_evacuation().is_err();
+        match (was_evacuated, evacuated) {
+            (false, true) => {
+                lock(&self.state).start_evacuation();
+                self.status_due.notify_one();
+            }
+            (true, false) => self.end_evacuation(),
+            _ => {}
         }
     }
 
-    /// Lets calls reach the target again after an evacuation.
+    /// Lets calls reach the target again after an evacuation. What has to be known before the first call is set before the
+    /// gate opens.
     fn end_evacuation(&self) {
-        if lock(&self.state).end_evacuation() {
-            self.status_due.notify_one();
-        }
+        lock(&self.state).end_evacuation();
+        self.status_due.notify_one();
     }
 
     /// Returns the state of the target as it is reported to other nodes.
@@ -192,10 +195,19 @@
     pub fn start_waiting_calls(&self) {
         let now = self.clock.now();
         let mut state = lock(&self.state);
+        state.pause_guard.observe(now);
         state.slots.start_waiting(now);
         state.notify_waiters(now);
     }
 
+    /// Waits until this node has heard of the others again, if the process was paused.
+    async fn wait_after_pause(&self) {
+        let hold_until = lock(&self.state).pause_guard.observe(self.clock.now());
+        if let Some(hold_until) = hold_until {
+            tokio::time::sleep(self.clock.duration_until(hold_until)).await;
+        }
+    }
+
     /// Closes connections to the target that have been idle for too long.
     pub fn close_expired(&self) {
         self.pool.close_expired(self.clock.now());
@@ -213,14 +225,16 @@
             // The caller's node aborted the request before any of it reached the target.
             None => return self.refuse(&head, Refusal::not_run(Reason::Cancelled, None), false),
         };
+        // The zone may have been evacuated while the body was read or while the process was paused.
+        self.wait_after_pause().await;
+        let checked = lock(&self.state).check_evacuation();
+        if let Err(refusal) = checked {
+            return self.refuse(&head, refusal, false);
+        }
         let request = match self.build_request(&head, &admitted.instance, body, deadline) {
             Ok(request) => request,
             Err(refusal) => return self.refuse(&head, refusal, false),
         };
-        // The zone may have been evacuated while the body was read.
-        if let Err(refusal) = lock(&self.state).check_evacuation() {
-            return self.refuse(&head, refusal, false);
-        }
         let started = self.clock.now();
         let origin = head.origin.clone();
         lock(&self.state).parents.insert(deadline, admitted.slot.call(), head.route.clone(), origin, started);
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,8 +4,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetNotices,
-    TargetReport,
+    Admission, AnsweredRequests, DemandMeter, PauseGuard, QueueEvent, RunningParents, SlotQueue, SlotRequest,
+    TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -49,6 +49,8 @@
     next_call: u64,
     /// Whether the zone of this node is evacuated, so that no call may reach the target.
     evacuated: bool,
+    /// Notices that the process was paused.
+    pub pause_guard: PauseGuard,
 }
 
 /// A call that was admitted, and the target instance that runs it.
@@ -81,6 +83,7 @@
             waiters: AdmissionWaiters::default(),
             next_call: 0,
             evacuated: false,
+            pause_guard: PauseGuard::default(),
         }
     }
 }
@@ -150,17 +153,15 @@
         }
     }
 
-    /// Evacuates the target, and refuses the calls that wait. Running calls go on. Returns whether this is a change.
-    pub fn start_evacuation(&mut self) -> bool {
-        let is_change = !self.evacuated;
+    /// Evacuates the target, and refuses the calls that wait. Running calls go on.
+    pub fn start_evacuation(&mut self) {
         self.evacuated = true;
         self.waiters.refuse_all(EVACUATED);
-        is_change
     }
 
-    /// Lets calls reach the target again. Returns whether this is a change.
-    pub fn end_evacuation(&mut self) -> bool {
-        std::mem::take(&mut self.evacuated)
+    /// Lets calls reach the target again.
+    pub fn end_evacuation(&mut self) {
+        self.evacuated = false;
     }
 
     /// Refuses a call that has not reached the target while the zone is evacuated.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod load_balancer;
 mod noticed_runs;
 mod parents;
+mod pause_guard;
 mod rank;
 mod rate_pacer;
 mod retry;
@@ -42,6 +43,7 @@
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use parents::RunningParents;
+pub use pause_guard::PauseGuard;
 pub use rank::Rank;
 pub use retry::{
     AttemptResult, FailedAttempt, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext, RetryDecision,
--- a/crates/policy/tests/evacuation_state.rs
+++ b/crates/policy/tests/evacuation_state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use fulmartrestle_core::{AvailabilityZone, LogEra, LogOffset, TimeUs};
-use fulmartrestle_policy::{EvacuationRecord, EvacuationReport, EvacuationState};
+use fulmartrestle_policy::{EvacuationRecord, EvacuationReport, EvacuationState, PauseGuard};
 use googletest::prelude::*;
 
 const START: TimeUs = TimeUs::from_s(100);
@@ -336,3 +336,26 @@
     receiver.record_end(LogEra(1), LogOffset(100));
     assert_that!(receiver.merge(&report, START), eq(false));
 }
+
+/// A process that goes on after a pause would hand calls to the target before it hears of an evacuation. Whichever of its
+/// tasks runs first, the others must wait, too; ordinary delays must cost nothing.
+#[gtest]
+fn calls_wait_for_a_moment_after_a_pause() {
+    struct Case {
+        name: &'static str,
+        observed_ms: &'static [u64],
+        held_until_ms: Option<u64>,
+    }
+    let cases = [
+        Case { name: "start", observed_ms: &[5_000], held_until_ms: None },
+        Case { name: "busy processor", observed_ms: &[0, 200, 1_900], held_until_ms: None },
+        Case { name: "first task after a pause", observed_ms: &[0, 6_000], held_until_ms: Some(6_100) },
+        Case { name: "another task after it", observed_ms: &[0, 6_000, 6_050], held_until_ms: Some(6_100) },
+        Case { name: "later", observed_ms: &[0, 6_000, 6_050, 6_100], held_until_ms: None },
+    ];
+    for case in cases {
+        let mut guard = PauseGuard::default();
+        let held_until = case.observed_ms.iter().map(|ms| guard.observe(START.plus_ms(*ms))).last().flatten();
+        expect_that!(held_until, eq(case.held_until_ms.map(|ms| START.plus_ms(ms))), "{}", case.name);
+    }
+}
--- a/tests/zone_evacuation.rs
+++ b/tests/zone_evacuation.rs
@@ -15,11 +15,11 @@
 const USABLE_SLOTS: usize = 9;
 
 fn config() -> Value {
-    let route = |name: &str, kind: &str| {
+    let route = |name: &str, kind: &str, public: bool| {
         json!({"name": name, "host": "trips.example", "prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 3_000,
-            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": false})
+            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": public})
     };
-    json!({"version": "00000001", "routes": [route("view", "safe"), route("book", "unsafe")],
+    json!({"version": "00000001", "routes": [route("view", "safe", false), route("book", "unsafe", false), route("open", "safe", true)],
         "services": [{"name": "trips", "health_path": "/healthz", "max_conns": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
@@ -112,3 +112,23 @@
     fleet.write_operator_record("evacuate/verona", "").await;
     wait_for_runs(&fleet, 0, 1).await;
 }
+
+/// A node that goes on after a pause finds calls that have waited in its sockets. They must not reach the target, although
+/// the node hears of the evacuation only now. The route is public, so that the age of the configuration does not matter.
+#[tokio::test]
+async fn calls_that_waited_during_a_pause_do_not_reach_an_evacuated_target() {
+    let fleet = start_fleet(&[("trips", "milano"), ("trips", "verona")]).await;
+    fleet.vms[0].node.suspend();
+    fleet.write_operator_record("evacuate/milano", "{}").await;
+    let ids: Vec<String> = (0..20).map(|number| format!("p-{number}")).collect();
+    let requests: Vec<_> = ids.iter().map(|id| request("GET", "/open/1", id.as_str())).collect();
+    let (responses, ()) =
+        tokio::join!(futures_util::future::join_all(requests.iter().map(|request| fleet.send(0, request))), async {
+            tokio::time::sleep(Duration::from_millis(EVACUATE_MS + 500)).await;
+            fleet.vms[0].node.resume();
+        });
+    assert_that!(responses.iter().map(|response| response.status).collect::<Vec<_>>(), each(any!(eq(&200), eq(&503))));
+    let runs = fleet.vms[0].target.runs.lock().expect("not poisoned").clone();
+    let late: Vec<_> = runs.iter().filter(|run| ids.contains(&run.request_id)).collect();
+    assert_that!(late.len(), eq(0));
+}
