Retry budgets: calls of targets get a larger share than callers' requests

Cause: reruns of what may have run had one share of 0.05 of retry_ratio, for callers' requests and calls alike. With a retry_ratio of 0.2 that is one rerun in 100 answered calls, so that a whole request failed for most calls whose response was lost.

Result: tests/retries.rs lets three levels of calls spend all budgets: the extra arrivals stay below the ratio for ratios from 0.01 to 0.8, and new budgets below the slack for 1 to 95 nodes. The effect on lost responses was not measured on a fleet.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -1,9 +1,10 @@
 //! Attempts of one request: selects a target, sends the request and decides whether to retry.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId, lock};
-use fulmartrestle_policy::{CrashVerdict, LoadBalancer, TargetNotices, TargetReport};
+use fulmartrestle_policy::{CrashVerdict, LoadBalancer, RetryBudgets, TargetNotices, TargetReport};
 use fulmartrestle_transport::{ByteBody, PeerError, ReplayBody};
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, NoticedRun};
@@ -257,7 +258,7 @@
     if progress.reached_targets >= request.attempts {
         return false;
     }
-    let budgets = if not_run { &state.resend_budgets } else { &state.rerun_budgets };
+    let budgets = if not_run { &state.resend_budgets } else { rerun_budgets(state, request) };
     lock(budgets).spend_one(&request.service, state.now())
 }
 
@@ -266,5 +267,11 @@
 fn credit_retry_budgets(state: &MeshState, request: &AdmittedRequest) {
     let now = state.now();
     lock(&state.resend_budgets).record_success(&request.service, now);
-    lock(&state.rerun_budgets).record_success(&request.service, now);
+    lock(rerun_budgets(state, request)).record_success(&request.service, now);
+}
+
+/// Returns the budgets for repeating a request that may have run. Those of calls have the larger share, because a
+/// repeated call repeats less work than a repeated request.
+fn rerun_budgets<'s>(state: &'s MeshState, request: &AdmittedRequest) -> &'s Mutex<RetryBudgets> {
+    if request.is_child_call { &state.call_rerun_budgets } else { &state.request_rerun_budgets }
 }
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -118,6 +118,7 @@
             method,
             path,
             headers: self.forwarded_headers(&parts.headers),
+            is_child_call,
         };
         send_request(state, &admitted, body).await
     }
--- a/crates/mesh/src/caller_handler/admitted_request.rs
+++ b/crates/mesh/src/caller_handler/admitted_request.rs
@@ -37,6 +37,8 @@
     pub path: String,
     /// Headers that are forwarded to the target.
     pub headers: Vec<HeaderPair>,
+    /// Whether a target made the request while it served another one.
+    pub is_child_call: bool,
 }
 
 impl AdmittedRequest {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -73,8 +73,10 @@
     pub capacity_admission: Mutex<CapacityAdmission>,
     /// Budgets for retries of requests that no target has run.
     pub resend_budgets: Mutex<RetryBudgets>,
-    /// Budgets for retries of requests that a target may have run.
-    pub rerun_budgets: Mutex<RetryBudgets>,
+    /// Budgets for retries of calls of targets that may have run.
+    pub call_rerun_budgets: Mutex<RetryBudgets>,
+    /// Budgets for retries of callers' requests that a target may have run.
+    pub request_rerun_budgets: Mutex<RetryBudgets>,
     /// Requests that crashed targets.
     pub crashes: Arc<Mutex<CrashTable>>,
     /// Crashes of the local target, to be sent to the other nodes.
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fulmartrestle_core::{TimeUs, Version, VmId, lock};
-use fulmartrestle_policy::{BasisPoints, DemandReport, RetryBudgetSettings};
+use fulmartrestle_policy::{DemandReport, FleetRetryBudgets};
 use fulmartrestle_quota::{IssuerCandidate, IssuerTable, IssuingRight, ShardSet};
 use fulmartrestle_transport::{decode_exact, encode};
 use tokio::net::UdpSocket;
@@ -44,17 +44,6 @@
 /// lower.
 const MAX_CONFIG_BYTES: usize = 4 << 20;
 
-/// Share of the operator's retry ratio that is used for requests that no target has run. The rest leaves room
-/// for nodes that count differently and for retries of the calls that a retried request makes.
-const RESEND_SHARE: f64 = 0.4;
-
-/// Share of the retry ratio for requests that may have run. It is small because each such retry repeats all calls
-/// that the request makes.
-const RERUN_SHARE: f64 = 0.05;
-
-/// Share of the operator's retry slack that all nodes together may use at once.
-const RETRY_SLACK_SHARE: f64 = 0.5;
-
 /// Sends this node's status until the task is aborted.
 pub async fn send_status(state: Arc<MeshState>, socket: Arc<UdpSocket>) {
     let mut round = StatusRound::start(&state, None);
@@ -317,14 +306,9 @@
     let sharers = lock(&state.peers).quota_sharers(now);
     let bounds = state.settings().bounds;
     lock(&state.tokens).set_fleet_size(sharers, bounds.quota_slack, now);
-    let burst = (bounds.retry_slack * RETRY_SLACK_SHARE / sharers.max(1) as f64).max(1.0) as u64;
-    let settings = |share: f64, burst| {
-        RetryBudgetSettings::default()
-            .retry_ratio(BasisPoints::from_fraction(bounds.retry_ratio * share))
-            .burst(burst)
-            .min_retries_per_s(0)
-    };
-    lock(&state.resend_budgets).set_settings(settings(RESEND_SHARE, burst));
-    lock(&state.rerun_budgets).set_settings(settings(RERUN_SHARE, 1));
+    let budgets = FleetRetryBudgets::for_node(bounds.retry_ratio, bounds.retry_slack, sharers);
+    lock(&state.resend_budgets).set_settings(budgets.resend);
+    lock(&state.call_rerun_budgets).set_settings(budgets.call_rerun);
+    lock(&state.request_rerun_budgets).set_settings(budgets.request_rerun);
     state.metrics.set_gauge("sharers", sharers as u64);
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,8 +40,8 @@
 pub use parents::RunningParents;
 pub use rank::Rank;
 pub use retry::{
-    AttemptResult, FailedAttempt, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext, RetryDecision,
-    RetryReservation, decide_retry,
+    AttemptResult, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
+    RetryDecision, RetryReservation, decide_retry,
 };
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
--- a/crates/policy/src/retry/budgets.rs
+++ b/crates/policy/src/retry/budgets.rs
@@ -17,11 +17,12 @@
     retry_ratio: BasisPoints,
     burst: u64,
     min_retries_per_s: u64,
+    initial_share: BasisPoints,
 }
 
 impl Default for RetryBudgetSettings {
     fn default() -> Self {
-        Self { retry_ratio: BasisPoints(1_000), burst: 10, min_retries_per_s: 1 }
+        Self { retry_ratio: BasisPoints(1_000), burst: 10, min_retries_per_s: 1, initial_share: BasisPoints::FULL }
     }
 }
 
@@ -47,6 +48,13 @@
         self.min_retries_per_s = min_retries_per_s;
         self
     }
+
+    /// Sets the share of the burst that a new budget contains, all of it by default.
+    #[must_use]
+    pub fn initial_share(mut self, initial_share: BasisPoints) -> Self {
+        self.initial_share = initial_share;
+        self
+    }
 }
 
 /// Retry budgets of one node, one for each service that it calls.
@@ -63,7 +71,7 @@
 }
 
 impl RetryBudgets {
-    /// Returns budgets that are initially full.
+    /// Returns budgets that initially contain the share of their burst that the settings name.
     pub fn new(settings: RetryBudgetSettings) -> Self {
         Self { settings, budgets: HashMap::new() }
     }
@@ -98,7 +106,8 @@
     fn credit(&mut self, service: &Service, earned: u64, now: TimeUs) -> u64 {
         let max_balance = self.settings.burst * ONE_RETRY;
         if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.clone(), Budget { balance_ten_thousandths: max_balance, refilled_at: now });
+            let balance_ten_thousandths = self.settings.burst * u64::from(self.settings.initial_share.0);
+            self.budgets.insert(service.clone(), Budget { balance_ten_thousandths, refilled_at: now });
         }
         let Some(budget) = self.budgets.get_mut(service) else { return 0 };
         let refill = now.ms_since(budget.refilled_at) * self.settings.min_retries_per_s * ONE_RETRY / MS_PER_S;
--- a/crates/policy/tests/retries.rs
+++ b/crates/policy/tests/retries.rs
@@ -2,8 +2,8 @@
 
 use fulmartrestle_core::{CallId, Fingerprint, Outcome, Reason, Refusal, Service, TimeUs, VmId};
 use fulmartrestle_policy::{
-    AttemptResult, CrashTable, FailedAttempt, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
-    RetryDecision, decide_retry,
+    AttemptResult, BasisPoints, CrashTable, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings,
+    RetryBudgets, RetryContext, RetryDecision, decide_retry,
 };
 use googletest::prelude::*;
 
@@ -37,6 +37,58 @@
     expect_that!(budgets.may_retry(&service(), now), eq(false));
 }
 
+/// Returns how many retries new budgets grant for `successes` answered requests, all spent as they are earned.
+fn granted_retries(settings: RetryBudgetSettings, successes: u32) -> f64 {
+    let mut budgets = RetryBudgets::new(settings);
+    let now = TimeUs::from_s(1);
+    let mut granted = 0;
+    for _ in 0..successes {
+        budgets.record_success(&service(), now);
+        while budgets.spend_one(&service(), now) {
+            granted += 1;
+        }
+    }
+    f64::from(granted)
+}
+
+/// Returns how many retries new budgets contain, fractions included.
+fn initial_retries(settings: RetryBudgetSettings) -> f64 {
+    let mut budgets = RetryBudgets::new(settings.retry_ratio(BasisPoints(1)));
+    let now = TimeUs::from_s(1);
+    let mut whole = 0.0;
+    while budgets.spend_one(&service(), now) {
+        whole += 1.0;
+    }
+    let mut missing = 0;
+    while !budgets.may_retry(&service(), now) {
+        budgets.record_success(&service(), now);
+        missing += 1;
+    }
+    whole + BasisPoints::FULL.fraction() - BasisPoints(missing).fraction()
+}
+
+/// Guards against shares that look small at each level but exceed the operator's ratio or slack after three levels.
+#[gtest]
+fn three_levels_that_spend_all_budgets_stay_below_the_ratio_and_the_slack() {
+    const SUCCESSES: u32 = 20_000;
+    for retry_ratio in [0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8] {
+        let budgets = FleetRetryBudgets::for_node(retry_ratio, 0.0, 76);
+        let ratio = |settings: RetryBudgetSettings| granted_retries(settings, SUCCESSES) / f64::from(SUCCESSES);
+        let [resend, call, request] = [budgets.resend, budgets.call_rerun, budgets.request_rerun].map(ratio);
+        expect_that!(call, gt(request * 3.0), "{retry_ratio}");
+        // Requests at the first level, calls at the second and third; resends execute nothing below them.
+        let extra = (1.0 + request) * (1.0 + call) * (1.0 + call + resend) - 1.0;
+        expect_that!(extra, lt(retry_ratio), "{retry_ratio}: {resend} {call} {request}");
+    }
+    for (node_count, retry_slack) in [(1, 48.0), (3, 48.0), (76, 48.0), (95, 10.0)] {
+        let budgets = FleetRetryBudgets::for_node(0.0, retry_slack, node_count);
+        let initial = |settings| initial_retries(settings) * node_count as f64;
+        let [resend, call, request] = [budgets.resend, budgets.call_rerun, budgets.request_rerun].map(initial);
+        let sum = request + 2.0 * call + resend;
+        expect_that!(sum, lt(retry_slack), "{node_count}: {resend} {call} {request}");
+    }
+}
+
 #[gtest]
 fn a_failed_attempt_is_retried_only_if_safe_and_useful() {
     struct Case {
