Nodes and zones that are silent are avoided, and repeatable requests leave them

Cause: senders went on choosing the nodes of a zone that was cut off for up to 2.6 s, and requests under way waited for their deadline.

Change: policy::PeerContact knows the last sign of life of each node and zone. A zone counts as silent after 1.5 times its longest recent gap, 300 ms at least; a node when a ping that is sent after a request has waited for 150 ms is not answered within 150 ms. LoadBalancer chooses silent nodes only if there are no others. A repeatable request leaves a silent node after some 400 ms if the rerun budget allows it. A stream that is not open within a quarter of the time left, 250 ms at most, counts as not sent. A large body that was not sent yet can still be sent elsewhere; one that was sent and not run is refused as not run, where it was refused as unknown before.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -5,10 +5,11 @@
 
 use fulmartrestle_core::{Reason, Refusal, TimeUs, VmId, lock};
 use fulmartrestle_policy::{CrashVerdict, LoadBalancer, RetryBudgets, TargetNotices, TargetReport};
-use fulmartrestle_transport::{ByteBody, PeerError, ReplayBody};
+use fulmartrestle_transport::{ByteBody, PeerConnection, PeerError, PeerStream, ReplayBody};
 
-use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, NoticedRun};
+use crate::call_messages::{CallOutcome, CallResponseHead, NoticedRun};
 use crate::caller_handler::{AdmittedRequest, TargetResponse};
+use crate::contact_watch::{wait_until_lost, watch_body};
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
 use crate::state::MeshState;
@@ -29,14 +30,33 @@
 /// one.
 const TARGET_WAIT_MS: u64 = 100;
 
+/// Share of the time left within which a stream to a node must be open, and its bounds in milliseconds. The upper bound
+/// leaves time for another node within the shortest latency objectives. Connecting takes a few milliseconds, because
+/// the peer's system does it also while its process pauses.
+const OPEN_TIME_SHARE: u64 = 4;
+const MIN_OPEN_TIME_MS: u64 = 50;
+const MAX_OPEN_TIME_MS: u64 = 250;
+
+/// Pause between two checks whether a request may leave a silent node, in milliseconds. Responses to other requests
+/// refill the budget meanwhile.
+const LEAVE_POLL_INTERVAL_MS: u64 = 100;
+
 /// Crashes after which a request is not sent to another target, as in `fulmartrestle_policy::CrashTable`.
 const MAX_CRASHES: u32 = 2;
 
 /// Result of one attempt.
 enum AttemptOutcome {
     Answered(TargetResponse),
-    NotRun { refusal: Refusal, reached_target: bool },
-    Unknown { reason: Reason, crashed: bool },
+    NotRun {
+        refusal: Refusal,
+        reached_target: bool,
+    },
+    Unknown {
+        reason: Reason,
+        crashed: bool,
+    },
+    /// The request left a silent node that may have run it. The retry has been spent from the budget.
+    Left,
 }
 
 /// State of a request across its attempts.
@@ -75,9 +95,8 @@
             return Err(progress.give_up());
         }
         let Some(node) = select_target(state, request, &progress).await else { return Err(progress.give_up()) };
-        let Some(body) = body.next_attempt() else { return Err(Refusal::unknown(Reason::TargetFailed)) };
         progress.tried_nodes.push(node);
-        let outcome = run_attempt(state, request, &progress.tried_nodes, body).await;
+        let outcome = run_attempt(state, request, &progress, &mut body).await;
         let reason = match outcome {
             AttemptOutcome::Answered(response) => {
                 credit_retry_budgets(state, request);
@@ -88,15 +107,23 @@
                     return Err(progress.final_refusal(refusal));
                 }
                 progress.refusal = Some(refusal);
+                if !body.has_next_attempt() {
+                    return Err(progress.give_up());
+                }
                 if !reached_target {
                     continue;
                 }
                 progress.reached_targets += 1;
-                if !may_retry(state, request, &progress, true) {
+                if !may_retry(state, request, progress.reached_targets, true) {
                     return Err(progress.give_up());
                 }
                 refusal.reason
             }
+            AttemptOutcome::Left => {
+                progress.reached_targets += 1;
+                progress.unknown = Some(Reason::TargetFailed);
+                Reason::TargetFailed
+            }
             AttemptOutcome::Unknown { reason, crashed } => {
                 progress.reached_targets += 1;
                 progress.unknown = Some(reason);
@@ -104,8 +131,8 @@
                 if progress.crashes >= MAX_CRASHES {
                     return Err(Refusal::unknown(Reason::Blocked));
                 }
-                let in_time = state.now() < request.deadline;
-                if !in_time || !request.repeatable || !may_retry(state, request, &progress, false) {
+                let can_repeat = request.repeatable && body.has_next_attempt() && state.now() < request.deadline;
+                if !can_repeat || !may_retry(state, request, progress.reached_targets, false) {
                     return Err(Refusal::unknown(reason));
                 }
                 reason
@@ -129,9 +156,14 @@
         self.final_refusal(self.refusal.unwrap_or(no_target))
     }
 
-    /// Returns `refusal`, or one that promises nothing if an earlier attempt may have run.
+    /// Returns `refusal`, or one that promises nothing if an earlier attempt may have run. A request that has not run
+    /// may come again, so the refusal says when.
     fn final_refusal(&self, refusal: Refusal) -> Refusal {
-        self.unknown.map_or(refusal, Refusal::unknown)
+        let retry_after_ms = match refusal.reason {
+            Reason::Deadline | Reason::Cancelled => refusal.retry_after_ms.or(Some(NO_TARGET_RETRY_AFTER_MS)),
+            _ => refusal.retry_after_ms,
+        };
+        self.unknown.map_or(Refusal { retry_after_ms, ..refusal }, Refusal::unknown)
     }
 }
 
@@ -172,13 +204,13 @@
 async fn run_attempt(
     state: &MeshState,
     request: &AdmittedRequest,
-    tried_nodes: &[VmId],
-    body: ByteBody,
+    progress: &RequestProgress,
+    body: &mut ReplayBody,
 ) -> AttemptOutcome {
-    let Some(&node) = tried_nodes.last() else {
+    let Some(&node) = progress.tried_nodes.last() else {
         return AttemptOutcome::Unknown { reason: Reason::NoTarget, crashed: false };
     };
-    let is_retry = tried_nodes.len() > 1;
+    let is_retry = progress.tried_nodes.len() > 1;
     let started = state.now();
     let (instance, noticed) = {
         let mut load_balancer = lock(&state.load_balancer);
@@ -188,30 +220,111 @@
             None => (String::new(), None),
         }
     };
-    let head = |now| request.head(instance.clone(), noticed.clone(), is_retry, now);
-    let exchange = send_to_node(state, node, head, body);
-    let result = tokio::time::timeout(state.clock.duration_until(request.deadline), exchange).await;
+    let exchange = match open_exchange(state, request, node).await {
+        Ok(exchange) => exchange,
+        Err(error) => return record_peer_error(state, request, node, &error),
+    };
+    let Some(attempt_body) = body.next_attempt() else {
+        return AttemptOutcome::NotRun { refusal: progress.give_up(), reached_target: false };
+    };
+    let sent_at = state.now();
+    let head = request.head(instance, noticed, is_retry, sent_at);
+    let can_leave = request.repeatable && body.has_next_attempt() && progress.tried_nodes.len() < MAX_NODES_PER_REQUEST;
+    let ended = match exchange {
+        NodeExchange::Local => {
+            let running = state.gate.run(head, attempt_body);
+            let timed = tokio::time::timeout(state.clock.duration_until(request.deadline), running).await;
+            timed.map_or(ExchangeEnd::Deadline, |response| ExchangeEnd::Completed(Ok(response)))
+        }
+        NodeExchange::Peer(connection, stream) => {
+            let leaving = async {
+                wait_until_lost(state, node, &connection, sent_at).await;
+                // A request that must not be sent again waits on, since the node may be running it.
+                while !can_leave || !may_leave(state, request, progress) {
+                    tokio::time::sleep(Duration::from_millis(LEAVE_POLL_INTERVAL_MS)).await;
+                    wait_until_lost(state, node, &connection, sent_at).await;
+                }
+            };
+            tokio::select! {
+                biased;
+                result = stream.exchange(&head, attempt_body) => ExchangeEnd::Completed(result),
+                () = tokio::time::sleep(state.clock.duration_until(request.deadline)) => ExchangeEnd::Deadline,
+                () = leaving => ExchangeEnd::Left,
+            }
+        }
+    };
     let now = state.now();
     state.metrics.observe_us("attempt", request.service.as_str(), now.us_since(started));
-    match result {
-        Err(_) => AttemptOutcome::Unknown { reason: Reason::Deadline, crashed: false },
-        Ok(Err(error)) => {
-            lock(&state.load_balancer).record_failure(node, now);
-            let line = LogLine::new("peer_failed")
+    match ended {
+        ExchangeEnd::Deadline => AttemptOutcome::Unknown { reason: Reason::Deadline, crashed: false },
+        ExchangeEnd::Left => {
+            state.metrics.increment("left", request.service.as_str());
+            let line = LogLine::new("silent_node_left")
                 .optional_text("request", request.request_id.as_deref())
                 .text("node", node)
-                .text("detail", &error)
-                .flag("sent", !error.is_not_sent());
+                .number("waited_ms", now.ms_since(sent_at))
+                .number("left_ms", request.deadline.ms_since(now));
             state.log(line);
-            match error.is_not_sent() {
-                true => {
-                    let refusal = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
-                    AttemptOutcome::NotRun { refusal, reached_target: false }
-                }
-                false => AttemptOutcome::Unknown { reason: Reason::TargetFailed, crashed: false },
-            }
+            AttemptOutcome::Left
+        }
+        ExchangeEnd::Completed(Err(error)) => record_peer_error(state, request, node, &error),
+        ExchangeEnd::Completed(Ok((response_head, body))) => record_response(state, node, response_head, body),
+    }
+}
+
+/// How the exchange of an attempt ended.
+enum ExchangeEnd {
+    Completed(Result<(CallResponseHead, ByteBody), PeerError>),
+    Deadline,
+    Left,
+}
+
+/// Where an attempt runs; nothing of it has been sent yet.
+enum NodeExchange {
+    Local,
+    Peer(PeerConnection, PeerStream),
+}
+
+/// Opens a stream to the node of the selected target, which may be this node. A node that is not reached within a
+/// part of the time left has certainly received nothing.
+async fn open_exchange(state: &MeshState, request: &AdmittedRequest, node: VmId) -> Result<NodeExchange, PeerError> {
+    if node == state.node_id {
+        return Ok(NodeExchange::Local);
+    }
+    let address = lock(&state.peers).address_of(node);
+    let address = address.ok_or_else(|| PeerError::NotSent("the node is no longer known".to_owned()))?;
+    let left_ms = request.deadline.ms_since(state.now());
+    let limit_ms = (left_ms / OPEN_TIME_SHARE).clamp(MIN_OPEN_TIME_MS, MAX_OPEN_TIME_MS).min(left_ms);
+    let opening = async {
+        let connection = state.peer_connections.connection(address).await?;
+        let stream = connection.open(RUN_PATH).await?;
+        Ok(NodeExchange::Peer(connection, stream))
+    };
+    let opened = tokio::time::timeout(Duration::from_millis(limit_ms), opening).await;
+    opened.unwrap_or_else(|_| Err(PeerError::NotSent(format!("no stream was open after {limit_ms} ms"))))
+}
+
+/// Returns whether a request may leave its silent node: another node is heard, and the budget allows it. Spends the
+/// retry.
+fn may_leave(state: &MeshState, request: &AdmittedRequest, progress: &RequestProgress) -> bool {
+    let has_other = lock(&state.load_balancer).has_heard_target(&request.service, &progress.tried_nodes, state.now());
+    has_other && may_retry(state, request, progress.reached_targets + 1, false)
+}
+
+fn record_peer_error(state: &MeshState, request: &AdmittedRequest, node: VmId, error: &PeerError) -> AttemptOutcome {
+    lock(&state.load_balancer).record_failure(node, state.now());
+    let line = LogLine::new("peer_failed")
+        .optional_text("request", request.request_id.as_deref())
+        .text("node", node)
+        .text("detail", error)
+        .flag("sent", !error.is_not_sent());
+    state.log(line);
+    match error.is_not_sent() {
+        true => {
+            let refusal = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
+            AttemptOutcome::NotRun { refusal, reached_target: false }
         }
-        Ok(Ok((response_head, body))) => record_response(state, node, response_head, body),
+        false => AttemptOutcome::Unknown { reason: Reason::TargetFailed, crashed: false },
     }
 }
 
@@ -225,11 +338,17 @@
     let now = state.now();
     let mut load_balancer = lock(&state.load_balancer);
     load_balancer.record_response(node, now);
+    if node != state.node_id {
+        load_balancer.record_sign(node, now);
+    }
     if let Some(zone) = load_balancer.zone(node).cloned() {
         load_balancer.record_report(node, &zone, response_head.report, now);
     }
     match response_head.outcome {
-        CallOutcome::Answered { status, headers } => AttemptOutcome::Answered(TargetResponse { status, headers, body }),
+        CallOutcome::Answered { status, headers } => {
+            let body = if node == state.node_id { body } else { watch_body(state, node, body) };
+            AttemptOutcome::Answered(TargetResponse { status, headers, body })
+        }
         CallOutcome::NotRun { refusal, reached_target } => {
             load_balancer.record_refusal(node, now);
             AttemptOutcome::NotRun { refusal, reached_target }
@@ -238,24 +357,9 @@
     }
 }
 
-/// Sends an attempt to the node of the selected target, which may be this node.
-async fn send_to_node(
-    state: &MeshState,
-    node: VmId,
-    head: impl Fn(TimeUs) -> CallRequestHead,
-    body: ByteBody,
-) -> Result<(CallResponseHead, ByteBody), PeerError> {
-    if node == state.node_id {
-        return Ok(state.gate.run(head(state.now()), body).await);
-    }
-    let address = lock(&state.peers).address_of(node);
-    let address = address.ok_or_else(|| PeerError::NotSent("the node is no longer known".to_owned()))?;
-    let connection = state.peer_connections.connection(address).await?;
-    connection.exchange(RUN_PATH, &head(state.now()), body).await
-}
-
-fn may_retry(state: &MeshState, request: &AdmittedRequest, progress: &RequestProgress, not_run: bool) -> bool {
-    if progress.reached_targets >= request.attempts {
+/// Spends one retry of a request that has reached `reached_targets`, and returns whether one was left.
+fn may_retry(state: &MeshState, request: &AdmittedRequest, reached_targets: u32, not_run: bool) -> bool {
+    if reached_targets >= request.attempts {
         return false;
     }
     let budgets = if not_run { &state.resend_budgets } else { rerun_budgets(state, request) };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,6 +13,7 @@
 mod config_follower;
 mod config_freshness;
 mod config_position;
+mod contact_watch;
 mod crash_marks;
 mod event_log;
 mod gate;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -22,6 +22,7 @@
 use crate::clock::BootClock;
 use crate::config_follower::follow_config;
 use crate::config_freshness::ConfigFreshness;
+use crate::contact_watch::{observe_contact, pong_observer};
 use crate::crash_marks::fetch_crash_marks;
 use crate::event_log::{EventLog, LogLine};
 use crate::gate::{Gate, GateOptions};
@@ -224,6 +225,8 @@
     let node_id = VmId(rng.random());
     let crashes: Arc<Mutex<CrashTable>> = Arc::default();
     let status_due: Arc<Notify> = Arc::default();
+    let load_balancer: Arc<Mutex<LoadBalancer>> = Arc::default();
+    let peers: Arc<Mutex<PeerTable>> = Arc::default();
     let gate = Gate::new(GateOptions {
         clock,
         node_id,
@@ -245,7 +248,7 @@
         freshness: Mutex::new(ConfigFreshness::default()),
         gate: Arc::new(gate),
         caller_connections,
-        load_balancer: Mutex::new(LoadBalancer::default()),
+        load_balancer: Arc::clone(&load_balancer),
         arrivals: Mutex::default(),
         capacity_admission: Mutex::new(CapacityAdmission::default()),
         resend_budgets: Mutex::new(RetryBudgets::default()),
@@ -256,8 +259,8 @@
         knows_crash_marks: AtomicBool::new(false),
         tokens: Mutex::new(TokenPool::default()),
         issuing_right: Mutex::new(IssuingRight::default()),
-        peers: Mutex::new(PeerTable::default()),
-        peer_connections: PeerConnectionPool::default(),
+        peers: Arc::clone(&peers),
+        peer_connections: PeerConnectionPool::with_observer(pong_observer(clock, peers, load_balancer)),
         rng: Mutex::new(rng),
         event_log: options.event_log.clone(),
         metrics,
@@ -274,7 +277,9 @@
     let mut rounds = 0_u32;
     let mut last_notified = LastNotified::default();
     loop {
+        let due = state.now().plus_ms(MAINTENANCE_INTERVAL_MS);
         tokio::time::sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
+        observe_contact(&state, due);
         state.event_log.flush(state.now());
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -66,7 +66,7 @@
     /// Limit of callers' connections.
     pub caller_connections: CallerConnectionLimit,
     /// Selects targets of all services.
-    pub load_balancer: Mutex<LoadBalancer>,
+    pub load_balancer: Arc<Mutex<LoadBalancer>>,
     /// Measures the requests that arrive at this node.
     pub arrivals: Mutex<ArrivalMeter>,
     /// Sheds requests of routes whose services lack capacity.
@@ -88,7 +88,7 @@
     /// This node's right to issue tokens, which it leases to other nodes.
     pub issuing_right: Mutex<IssuingRight>,
     /// The other nodes of the fleet.
-    pub peers: Mutex<PeerTable>,
+    pub peers: Arc<Mutex<PeerTable>>,
     /// Connections to the other nodes.
     pub peer_connections: PeerConnectionPool,
     /// Random number generator for load balancing, admission and backoff.
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -230,8 +230,10 @@
         let mut load_balancer = lock(&state.load_balancer);
         if let Some(replaced) = replaced {
             load_balancer.remove(replaced);
+            load_balancer.contact().remove(replaced);
         }
         load_balancer.record_report(message.node, &status.identity.zone, target, now);
+        load_balancer.contact().record_sign(message.node, &status.identity.zone, now);
     }
     let config = state.config();
     let own_version = config.as_ref().map_or(Version(0), |config| config.version());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod load_balancer;
 mod noticed_runs;
 mod parents;
+mod peer_contact;
 mod rank;
 mod rate_pacer;
 mod retry;
@@ -38,6 +39,7 @@
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use parents::RunningParents;
+pub use peer_contact::{ContactChange, ContactCheck, ContactSubject, PeerContact};
 pub use rank::Rank;
 pub use retry::{
     AttemptResult, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -12,8 +12,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
-use crate::TargetNotices;
 use crate::noticed_runs::NoticedRuns;
+use crate::{PeerContact, TargetNotices};
 
 /// Default hold time until the first report, in microseconds.
 const DEFAULT_HOLD_US: f64 = 50_000.0;
@@ -108,6 +108,7 @@
     services: HashMap<Service, Vec<VmId>>,
     service_hold_us: HashMap<Service, f64>,
     noticed_runs: NoticedRuns,
+    contact: PeerContact,
 }
 
 impl LoadBalancer {
@@ -160,8 +161,13 @@
     ) -> Option<VmId> {
         let nodes = self.services.get(service)?;
         let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now);
+        let mut candidates: Vec<VmId> = nodes.iter().copied().filter(usable).collect();
+        // A node without contact to any other goes on choosing among all of them.
+        if self.contact.is_any_silent() && candidates.iter().any(|node| !self.contact.is_silent(*node)) {
+            candidates.retain(|node| !self.contact.is_silent(*node));
+        }
         let (local, remote): (Vec<VmId>, Vec<VmId>) =
-            nodes.iter().copied().filter(usable).partition(|node| self.targets[node].zone == *own_zone);
+            candidates.into_iter().partition(|node| self.targets[node].zone == *own_zone);
         let drawn_local = self.draw(&local, rng, now);
         let drawn_remote = self.draw(&remote, rng, now);
         match (drawn_local, drawn_remote) {
@@ -174,6 +180,24 @@
         }
     }
 
+    /// Returns whether a target of `service` can be chosen whose node is neither silent nor among `tried`.
+    pub fn has_heard_target(&self, service: &Service, tried: &[VmId], now: TimeUs) -> bool {
+        let nodes = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let is_heard = |node: &VmId| self.is_usable(*node, now) && !self.contact.is_silent(*node);
+        nodes.iter().any(|node| !tried.contains(node) && is_heard(node))
+    }
+
+    /// Returns the contact to the other nodes.
+    pub fn contact(&mut self) -> &mut PeerContact {
+        &mut self.contact
+    }
+
+    /// Records a sign of life of a node that has a target and is not this one.
+    pub fn record_sign(&mut self, node: VmId, now: TimeUs) {
+        let Some(target) = self.targets.get(&node) else { return };
+        self.contact.record_sign(node, &target.zone, now);
+    }
+
     /// Returns the latest report of a node's target.
     pub fn target_report(&self, node: VmId) -> Option<&TargetReport> {
         self.targets.get(&node).map(|target| &target.report)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -26,7 +26,7 @@
 pub use error::PeerError;
 pub use header_pair::{HeaderPair, headers_from_pairs, headers_to_pairs};
 pub use listen::{StartError, listen, listen_for_datagrams};
-pub use peer_connection::PeerConnection;
+pub use peer_connection::{PeerConnection, PeerStream, PongObserver};
 pub use peer_connection_pool::PeerConnectionPool;
 pub use replay_body::{REPLAY_LIMIT_BYTES, ReplayBody};
 pub use server::{StreamHandler, serve_streams};
--- a/crates/transport/src/peer_connection.rs
+++ b/crates/transport/src/peer_connection.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::body::ByteBody;
 use crate::stream::{receive_head, send_head_and_body, send_initial_data, stream_body, stream_error};
@@ -35,11 +36,21 @@
 /// Flow-control window of a connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 
+/// Is told the address of a peer whenever it answers a ping, also when the answer comes late.
+pub type PongObserver = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+
 /// An HTTP/2 connection to a node. It counts as closed once the peer closes it or stops answering pings.
 #[derive(Clone)]
 pub struct PeerConnection {
     sender: SendRequest<Bytes>,
     closed: Arc<AtomicBool>,
+    ping_due: Arc<Notify>,
+}
+
+/// A stream to a peer on which nothing has been sent yet.
+pub struct PeerStream {
+    response: ResponseFuture,
+    stream: SendStream<Bytes>,
 }
 
 impl PeerConnection {
@@ -49,11 +60,21 @@
     ///
     /// Returns [`PeerError::Connect`] when the connection fails or is not established in time.
     pub async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
-        let handshake = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), Self::handshake(address));
+        Self::connect_observed(address, None).await
+    }
+
+    /// Like [`Self::connect`], with an observer of the answers to pings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::Connect`] when the connection fails or is not established in time.
+    pub async fn connect_observed(address: SocketAddr, observer: Option<PongObserver>) -> Result<Self, PeerError> {
+        let handshake = Self::handshake(address, observer);
+        let handshake = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), handshake);
         handshake.await.map_err(|_| PeerError::Connect(format!("{address}: timeout")))?
     }
 
-    async fn handshake(address: SocketAddr) -> Result<Self, PeerError> {
+    async fn handshake(address: SocketAddr, observer: Option<PongObserver>) -> Result<Self, PeerError> {
         let connect_error = |detail: String| PeerError::Connect(format!("{address}: {detail}"));
         let tcp = TcpStream::connect(address).await.map_err(|error| connect_error(error.to_string()))?;
         tcp.set_nodelay(true).map_err(|error| connect_error(error.to_string()))?;
@@ -67,10 +88,19 @@
         let closed = Arc::new(AtomicBool::new(false));
         let pinger = connection.ping_pong();
         let closed_by_task = Arc::clone(&closed);
+        let ping_due: Arc<Notify> = Arc::default();
+        let next_ping = Arc::clone(&ping_due);
         tokio::spawn(async move {
             let pinging = async {
                 match pinger {
-                    Some(pinger) => ping_until_unanswered(pinger).await,
+                    Some(pinger) => {
+                        let on_pong = || {
+                            if let Some(observer) = &observer {
+                                observer(address);
+                            }
+                        };
+                        ping_until_unanswered(pinger, &next_ping, on_pong).await;
+                    }
                     None => std::future::pending().await,
                 }
             };
@@ -80,7 +110,7 @@
             }
             closed_by_task.store(true, Ordering::Release);
         });
-        Ok(Self { sender, closed })
+        Ok(Self { sender, closed, ping_due })
     }
 
     /// Returns whether the connection is closed, so that it accepts no more streams.
@@ -88,8 +118,22 @@
         self.closed.load(Ordering::Acquire)
     }
 
-    /// Sends a head and a body, and waits for the head of the response. Dropping the future resets the
-    /// stream, which cancels the request at the peer.
+    /// Sends the next ping at once, unless one has not been answered yet.
+    pub fn ping_now(&self) {
+        self.ping_due.notify_one();
+    }
+
+    /// Opens a stream to `path`. The peer has received nothing before [`PeerStream::exchange`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::NotSent`] when the connection is closed.
+    pub async fn open(&self, path: &str) -> Result<PeerStream, PeerError> {
+        let (response, stream) = self.open_stream(path).await?;
+        Ok(PeerStream { response, stream })
+    }
+
+    /// Opens a stream and exchanges messages on it, see [`PeerStream::exchange`].
     ///
     /// # Errors
     ///
@@ -101,14 +145,7 @@
         head: &Q,
         body: ByteBody,
     ) -> Result<(A, ByteBody), PeerError> {
-        let head = encode_head(head)?;
-        let (response, mut stream) = self.open_stream(path).await?;
-        let sending = send_head_and_body(&mut stream, head, body);
-        let receiving = async {
-            let response = response.await.map_err(response_error)?;
-            receive_head::<A>(response.into_body()).await
-        };
-        join_exchange(sending, receiving).await
+        self.open(path).await?.exchange(head, body).await
     }
 
     /// Sends a message and returns the status of the response.
@@ -151,6 +188,29 @@
     }
 }
 
+impl PeerStream {
+    /// Sends a head and a body, and waits for the head of the response. Dropping the future resets the
+    /// stream, which cancels the request at the peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::NotSent`] when it is certain that the peer did not receive the head, and another
+    /// [`PeerError`] when the exchange failed later.
+    pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
+        self,
+        head: &Q,
+        body: ByteBody,
+    ) -> Result<(A, ByteBody), PeerError> {
+        let Self { response, mut stream } = self;
+        let sending = send_head_and_body(&mut stream, encode_head(head)?, body);
+        let receiving = async {
+            let response = response.await.map_err(response_error)?;
+            receive_head::<A>(response.into_body()).await
+        };
+        join_exchange(sending, receiving).await
+    }
+}
+
 /// Sends the request and receives the response concurrently. When the response arrives before the whole
 /// request body is sent, the rest of the body is not sent.
 async fn join_exchange<T>(
@@ -180,12 +240,13 @@
 }
 
 /// Sends pings until one is not answered in time. A peer can disappear without closing its connections.
-async fn ping_until_unanswered(mut pinger: h2::PingPong) {
+async fn ping_until_unanswered(mut pinger: h2::PingPong, next_ping: &Notify, on_pong: impl Fn()) {
     loop {
-        tokio::time::sleep(Duration::from_millis(PING_INTERVAL_MS)).await;
+        // The ping is due at the end of the interval, or as soon as somebody asks for it.
+        let _ = tokio::time::timeout(Duration::from_millis(PING_INTERVAL_MS), next_ping.notified()).await;
         let pong = pinger.ping(h2::Ping::opaque());
         match tokio::time::timeout(Duration::from_millis(PING_TIMEOUT_MS), pong).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(_)) => on_pong(),
             Ok(Err(_)) | Err(_) => return,
         }
     }
--- a/crates/transport/src/peer_connection_pool.rs
+++ b/crates/transport/src/peer_connection_pool.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use crate::{PeerConnection, PeerError};
+use crate::{PeerConnection, PeerError, PongObserver};
 
 /// Holds one connection per peer address, established on first use.
 #[derive(Default)]
 pub struct PeerConnectionPool {
     connections: Mutex<HashMap<SocketAddr, Arc<PooledConnection>>>,
+    observer: Option<PongObserver>,
 }
 
 /// Connection to one peer. Its lock prevents concurrent calls from connecting twice.
@@ -19,6 +20,11 @@
 }
 
 impl PeerConnectionPool {
+    /// Returns a pool that reports the answers to pings.
+    pub fn with_observer(observer: PongObserver) -> Self {
+        Self { observer: Some(observer), ..Self::default() }
+    }
+
     /// Returns the connection to `address`. Establishes a new one when there is none or it is closed.
     ///
     /// # Errors
@@ -30,7 +36,7 @@
         if let Some(connection) = current.as_ref().filter(|connection| !connection.is_closed()) {
             return Ok(connection.clone());
         }
-        let connection = PeerConnection::connect(address).await?;
+        let connection = PeerConnection::connect_observed(address, self.observer.clone()).await?;
         *current = Some(connection.clone());
         Ok(connection)
     }
--- a/crates/transport/src/replay_body.rs
+++ b/crates/transport/src/replay_body.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Returns whether the body can be sent again.
+    pub fn has_next_attempt(&self) -> bool {
+        match self {
+            Self::Buffered(_) => true,
+            Self::Streamed { rest, .. } => rest.is_some(),
+        }
+    }
+
     /// Returns the body for the next attempt, or `None` when it cannot be sent again.
     pub fn next_attempt(&mut self) -> Option<ByteBody> {
         match self {
