--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -1,7 +1,7 @@
 //! Tests load balancing over targets whose nodes report their load.
 
 use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
-use fulmartrestle_policy::{LoadBalancer, TargetReport};
+use fulmartrestle_policy::{ContactCheck, LoadBalancer, TargetReport};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -209,3 +209,42 @@
     let replay = replay_calls(150.0, 5);
     assert_that!(f64::from(replay.queued), le(f64::from(replay.calls) * 0.02), "{replay:?}");
 }
+
+/// Guards against calls that go to silent nodes while others are heard, and against a node that is cut off itself and
+/// then sends nothing anywhere.
+#[gtest]
+fn silent_nodes_are_chosen_only_if_there_are_no_others() {
+    struct Case {
+        name: &'static str,
+        zones: [&'static str; 2],
+        silent: [bool; 2],
+        chosen: [u32; 2],
+    }
+    let cases = [
+        Case { name: "own zone silent", zones: ["near", "far"], silent: [true, false], chosen: [0, 1_000] },
+        Case { name: "other zone silent", zones: ["near", "far"], silent: [false, true], chosen: [1_000, 0] },
+        Case { name: "one of two silent", zones: ["near", "near"], silent: [true, false], chosen: [0, 1_000] },
+        Case { name: "all silent", zones: ["near", "far"], silent: [true, true], chosen: [1_000, 0] },
+    ];
+    for case in cases {
+        let mut balancer = LoadBalancer::default();
+        for (node, name) in (0..).map(VmId).zip(case.zones) {
+            balancer.record_report(node, &zone(name), Some(report(0, 20_000)), NOW);
+            balancer.record_sign(node, NOW);
+        }
+        let mut now = NOW;
+        for (node, _) in (0..).map(VmId).zip(case.silent).filter(|(_, silent)| *silent) {
+            let sent_at = now;
+            while balancer.contact().check_waiting(node, sent_at, now) != ContactCheck::Lost {
+                now = now.plus_ms(10);
+            }
+        }
+        let counts = count_choices(&balancer);
+        expect_that!(counts, eq(case.chosen), "{}", case.name);
+        let heard = balancer.has_heard_target(&service(), &[], now);
+        expect_that!(heard, eq(case.silent != [true, true]), "{}", case.name);
+        // The first sign of life ends the silence.
+        balancer.record_sign(VmId(0), now);
+        expect_that!(balancer.has_heard_target(&service(), &[VmId(1)], now), eq(true), "{}", case.name);
+    }
+}
