--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod noticed_runs;
 mod parents;
 mod pause_guard;
+mod peer_contact;
 mod rank;
 mod rate_pacer;
 mod retry;
@@ -47,6 +48,7 @@
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use parents::RunningParents;
 pub use pause_guard::PauseGuard;
+pub use peer_contact::{ContactChange, ContactCheck, ContactSubject, PeerContact};
 pub use rank::Rank;
 pub use retry::{
     AttemptResult, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
