--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,4 +10,4 @@
 pub use client::{Client, Request, Response};
 pub use fleet::{Fleet, FleetSpec, TargetSpec, wait_until};
 pub use process::Process;
-pub use sidecar::{CallerRequest, SidecarFleet, SidecarVm, TargetBehaviour};
+pub use sidecar::{Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, SidecarFleet, SidecarVm, TargetBehaviour};
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -10,8 +10,10 @@
 use bytes::Bytes;
 use fulmartrestle_platform::StoreClient;
 use fulmartrestle_platform_log::{KeyedRecord, PlatformLog, StreamName};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use futures_util::stream::{self, StreamExt};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tempfile::TempDir;
@@ -38,6 +40,13 @@
 /// Time from the crash of a target to its next start.
 const CRASH_DOWN_MS: u64 = 400;
 
+/// Bounds of the settings for cold targets. They have no effect unless a configuration names a rate.
+pub const COLD_OVERAGE: f64 = 1.5;
+pub const COLD_SLACK: f64 = 8.0;
+
+/// Size of the frames of large bodies, in bytes.
+const FRAME_BYTES: usize = 16_384;
+
 /// Start of the first run of each target.
 const FIRST_START_UNIX_MS: i64 = 1_700_000_000_000;
 
@@ -54,6 +63,17 @@
     Refuse,
     /// Crashes on requests whose path contains this text, and responds after 20 ms to all others.
     CrashOn(&'static str),
+    /// Sends this many bytes of a body and then closes the connection.
+    CutResponse { sent_bytes: usize, announced: Announced },
+    /// Responds with a body of this many bytes.
+    LargeResponse(usize),
+}
+
+/// Whether a target announces the length of a body, in bytes, or sends it in chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announced {
+    Length(usize),
+    Chunks,
 }
 
 /// A request that a target has run.
@@ -76,12 +96,25 @@
     pub heartbeat_interval_ms: AtomicU64,
     /// Headers that the target adds to its responses.
     pub notices: Mutex<Vec<(&'static str, String)>>,
+    /// Until when the heartbeats report that the target is cold.
+    pub cold_until: Mutex<Instant>,
+    /// Slots that the heartbeats report.
+    pub slots: AtomicU64,
     /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
     pub crashes: AtomicUsize,
     crashing: Notify,
     is_down: Mutex<bool>,
 }
 
+impl Target {
+    /// Ends the current run. The target is down for a moment and starts again.
+    pub fn crash(&self) {
+        *self.is_down.lock().expect("not poisoned") = true;
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.crashing.notify_one();
+    }
+}
+
 /// One VM: a sidecar process and a target.
 pub struct SidecarVm {
     pub node: Process,
@@ -148,7 +181,8 @@
             "service": service, "store_address": self.store.address(""), "max_descriptors": 1_024,
             "memory_mb": 260, "first_start": true,
             "bounds": {
-                "revoke_ms": 5_000, "grace_s": 6, "quota_slack": 20, "retry_ratio": 0.2, "retry_slack": 48
+                "revoke_ms": 5_000, "grace_s": 6, "quota_slack": 20, "retry_ratio": 0.2, "retry_slack": 48,
+                "cold_overage": COLD_OVERAGE, "cold_slack": COLD_SLACK
             }
         });
         std::fs::write(&file, text.to_string()).expect("settings can be written");
@@ -160,6 +194,8 @@
             draining: Mutex::new(false),
             heartbeat_interval_ms: AtomicU64::new(HEARTBEAT_INTERVAL_MS),
             notices: Mutex::default(),
+            cold_until: Mutex::new(Instant::now()),
+            slots: AtomicU64::new(10),
             crashes: AtomicUsize::new(0),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
@@ -260,10 +296,12 @@
         }
         let started_unix_ms = FIRST_START_UNIX_MS + target.crashes.load(Ordering::Relaxed) as i64;
         let state = if *target.draining.lock().expect("not poisoned") { "draining" } else { "ready" };
+        let cold_left = target.cold_until.lock().expect("not poisoned").saturating_duration_since(Instant::now());
+        let slots = target.slots.load(Ordering::Relaxed);
         let body = serde_json::json!({
             "addr": "127.0.0.1:1", "born": started_unix_ms,
-            "info": {"service": service, "version": "v1", "zone": "milano", "slots": 10},
-            "status": {"state": state, "seq": seq, "cold_left_ms": 0}
+            "info": {"service": service, "version": "v1", "zone": "milano", "slots": slots},
+            "status": {"state": state, "seq": seq, "cold_left_ms": cold_left.as_millis() as u64}
         });
         // Heartbeats fail while the node is restarting.
         let _ = client.try_send(&Request::post(&url, body.to_string())).await;
@@ -306,7 +344,7 @@
 async fn handle_request(
     request: hyper::Request<Incoming>,
     target: Arc<Target>,
-) -> Result<hyper::Response<Full<Bytes>>, std::io::Error> {
+) -> Result<hyper::Response<TargetBody>, std::io::Error> {
     let (parts, body) = request.into_parts();
     let body_bytes = match body.collect().await {
         Ok(body) => body.to_bytes().len(),
@@ -317,7 +355,7 @@
     let behaviour = *target.behaviour.lock().expect("not poisoned");
     if behaviour == TargetBehaviour::Refuse {
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
-        return Ok(refusal.body(Full::default()).expect("a valid response"));
+        return Ok(refusal.body(small_body("")).expect("a valid response"));
     }
     target.runs.lock().expect("not poisoned").push(RecordedRun {
         request_id: request_id.clone(),
@@ -327,20 +365,51 @@
     });
     match behaviour {
         TargetBehaviour::CrashOn(text) if parts.uri.path().contains(text) => {
-            *target.is_down.lock().expect("not poisoned") = true;
-            target.crashes.fetch_add(1, Ordering::Relaxed);
-            target.crashing.notify_one();
+            target.crash();
             std::future::pending().await
         }
         TargetBehaviour::CrashOn(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         TargetBehaviour::RespondAfterMs(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
         TargetBehaviour::DropResponse => return Err(std::io::Error::other("response dropped on purpose")),
-        TargetBehaviour::Respond | TargetBehaviour::Refuse => {}
+        TargetBehaviour::Respond
+        | TargetBehaviour::Refuse
+        | TargetBehaviour::CutResponse { .. }
+        | TargetBehaviour::LargeResponse(_) => {}
     }
     let mut response = hyper::Response::builder().header("request-id", request_id).header("response-stamp", "stamp");
     for (name, value) in target.notices.lock().expect("not poisoned").iter() {
         response = response.header(*name, value);
     }
-    Ok::<_, Infallible>(response.body(Full::new(Bytes::from_static(b"whole"))).expect("a valid response"))
-        .map_err(|never| match never {})
+    let body = match behaviour {
+        TargetBehaviour::CutResponse { sent_bytes, announced } => {
+            if let Announced::Length(bytes) = announced {
+                response = response.header("content-length", bytes);
+            }
+            streamed_body(sent_bytes, true)
+        }
+        TargetBehaviour::LargeResponse(bytes) => streamed_body(bytes, false),
+        _ => small_body("whole"),
+    };
+    Ok(response.body(body).expect("a valid response"))
+}
+
+type TargetBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+fn small_body(text: &'static str) -> TargetBody {
+    Full::new(Bytes::from_static(text.as_bytes())).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// Returns a body of `bytes` bytes, which fails after them if `cut` is set.
+fn streamed_body(bytes: usize, cut: bool) -> TargetBody {
+    let frames = (0..bytes.div_ceil(FRAME_BYTES)).map(move |index| {
+        let length = (bytes - index * FRAME_BYTES).min(FRAME_BYTES);
+        Ok(Frame::data(Bytes::from(vec![b'x'; length])))
+    });
+    let cut = cut.then(|| Err(std::io::Error::other("response cut on purpose")));
+    // The pause lets what was sent before the cut leave the target.
+    let end = stream::iter(cut).then(|cut| async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        cut
+    });
+    StreamBody::new(stream::iter(frames).chain(end)).boxed_unsync()
 }
