--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -99,6 +99,8 @@
             .flag("leaving", announcement.draining);
         let slots = announcement.slots;
         let result = state.target.apply_announcement(announcement, now);
+        // Before everything that could start calls which a cold target must not receive.
+        state.update_cold_limit(now);
         match result {
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
@@ -110,8 +112,6 @@
             AnnouncementResult::Current => {}
         }
         if result != AnnouncementResult::Outdated {
-            // Before the slots, which could start calls that the cold target must not receive.
-            state.update_cold_limit(now);
             state.slots.set_limit(usable_slots(slots), now);
             state.notify_waiters(now);
         }
--- a/crates/policy/src/slot_queue.rs
+++ b/crates/policy/src/slot_queue.rs
@@ -125,7 +125,7 @@
     /// Returns whether a started call may be sent to the target now. Starts count at the moment of sending while the
     /// target is cold, so that a call that was held up, or that started while the target was warm, starts anew.
     pub fn confirm_start(&mut self, call: CallId, now: TimeUs) -> bool {
-        let Some(cold_pacer) = &mut self.cold_pacer else { return true };
+        let Some(cold_pacer) = self.cold_pacer.as_mut().filter(|cold_pacer| cold_pacer.is_cold()) else { return true };
         let Some(started_at) = self.running.get_mut(&call) else { return false };
         if cold_pacer.is_current(*started_at, now) {
             return true;
@@ -207,7 +207,9 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             hold_us: self.mean_hold_us as u32,
-            cold_slots_milli: self.cold_rate_per_s().map(|per_s| (per_s * self.mean_hold_us / US_PER_S * MILLI) as u32),
+            cold_slots_milli: self
+                .cold_rate_per_s()
+                .map(|per_s| (per_s * self.mean_hold_us / US_PER_S * MILLI).ceil() as u32),
         }
     }
 
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -1,6 +1,6 @@
 //! Tests load balancing over targets whose nodes report their load.
 
-use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
+use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, TimeUs, VmId};
 use fulmartrestle_policy::{LoadBalancer, TargetReport};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -53,6 +53,8 @@
         chosen: [u32; 2],
     }
     let not_ready = TargetReport { ready: false, ..report(0, 20_000) };
+    let cold =
+        |waiting| TargetReport { cold: true, waiting, paced_rate: Some(RateMilliPerS(11_250)), ..report(0, 50_000) };
     let cases = [
         Case {
             name: "own zone while it has free slots",
@@ -84,6 +86,18 @@
             reports: [report(2, 370_000), report(15, 160_000)],
             chosen: [970, 30],
         },
+        Case {
+            name: "rather a warm one than one that is paced because it is cold",
+            zones: ["near", "near"],
+            reports: [cold(0), report(0, 50_000)],
+            chosen: [130, 870],
+        },
+        Case {
+            name: "none that would wait for its turn at a cold one",
+            zones: ["near", "far"],
+            reports: [cold(3), report(0, 50_000)],
+            chosen: [0, 1_000],
+        },
         Case {
             name: "never a target that is not ready",
             zones: ["near", "far"],
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -34,6 +34,10 @@
 /// Maximum number of concurrent streams on the h2c connection of a caller.
 const MAX_STREAMS_PER_CALLER: u32 = 1_024;
 
+/// Largest part of a response that is buffered for an HTTP/2 caller, in bytes. The default of `hyper` is six times that,
+/// and each response that its caller does not read fills it.
+const STREAM_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Interval between pings on h2c connections of callers, in milliseconds. Connections that do not answer are
 /// closed.
 const CALLER_PING_INTERVAL_MS: u64 = 10_000;
@@ -118,7 +122,7 @@
     if is_h2 {
         let mut builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
         builder.timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
-        builder.max_concurrent_streams(MAX_STREAMS_PER_CALLER);
+        builder.max_concurrent_streams(MAX_STREAMS_PER_CALLER).max_send_buf_size(STREAM_BUFFER_BYTES);
         builder.keep_alive_interval(Duration::from_millis(CALLER_PING_INTERVAL_MS));
         let connection = builder.serve_connection(io, handler);
         tokio::pin!(connection);
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -113,20 +113,46 @@
     }
 }
 
-/// Guards against a node that forgets that its target is cold when it starts again, and counts from zero.
+/// Guards against a node that forgets that its target is cold when it starts again, and against one that sends what it
+/// held, or trusts what it knew, after it was suspended.
 #[tokio::test]
-async fn cold_target_receives_no_more_than_the_bound_while_its_node_restarts() {
+async fn cold_target_receives_no_more_than_the_bound_while_its_node_does_not_run() {
     const COLD_MS: u64 = 20_000;
-    let mut fleet = start_fleet(COLD_PER_S).await;
-    set_cold(&fleet, 1, COLD_MS);
-    sleep_ms(HEARD_AFTER_MS).await;
-    let cold = Instant::now();
-    send_until(&fleet, sleep_ms(1_500)).await;
-    fleet.restart_node(1).await;
-    send_until(&fleet, sleep_ms(2_500)).await;
-    let most = most_in_one_second(&fleet, 1, cold..Instant::now());
-    assert_that!(most, le(bound()));
-    assert_that!(most, gt(0));
+    const SUSPENDED_MS: u64 = 2_500;
+    struct Case {
+        name: &'static str,
+        cold_before: bool,
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "restarted beside a cold target", cold_before: true, restarts: true },
+        Case { name: "suspended beside a cold target", cold_before: true, restarts: false },
+        Case { name: "suspended while the target turns cold", cold_before: false, restarts: false },
+    ];
+    for case in cases {
+        let mut fleet = start_fleet(COLD_PER_S).await;
+        let mut cold = Instant::now();
+        if case.cold_before {
+            set_cold(&fleet, 1, COLD_MS);
+            sleep_ms(HEARD_AFTER_MS).await;
+            cold = Instant::now();
+        }
+        send_until(&fleet, sleep_ms(1_000)).await;
+        if case.restarts {
+            fleet.restart_node(1).await;
+        } else {
+            fleet.vms[1].node.suspend();
+            set_cold(&fleet, 1, COLD_MS);
+            if !case.cold_before {
+                cold = Instant::now();
+            }
+            send_until(&fleet, sleep_ms(SUSPENDED_MS)).await;
+            fleet.vms[1].node.resume();
+        }
+        send_until(&fleet, sleep_ms(2_500)).await;
+        let most = most_in_one_second(&fleet, 1, cold..Instant::now());
+        assert_that!(most, all!(gt(0), le(bound())), "{}", case.name);
+    }
 }
 
 /// Guards against a burst to a target that has crashed and started again, before its node has heard a heartbeat.
