--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -10,8 +10,8 @@
 use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
 use fulmartrestle_policy::{Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
-    BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, ReplayBody, TimeLimitedBody, headers_from_pairs,
-    headers_to_pairs, incoming_body,
+    BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, REPLAY_LIMIT_BYTES, ReplayBody, TimeLimitedBody,
+    headers_from_pairs, headers_to_pairs, incoming_body,
 };
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use http::{HeaderMap, StatusCode};
@@ -120,7 +120,21 @@
             headers: self.forwarded_headers(&parts.headers),
             is_child_call,
         };
-        send_request(state, &admitted, body).await
+        let response = send_request(state, &admitted, body).await?;
+        self.limit_large_response(response)
+    }
+
+    /// Returns a response that is counted until it ends if it is large. The request has run if there are too many.
+    fn limit_large_response(&self, response: TargetResponse) -> Result<TargetResponse, Refusal> {
+        let length = response.headers.iter().find(|header| header.name == CONTENT_LENGTH.as_str());
+        let length = length.and_then(|header| std::str::from_utf8(&header.value).ok()?.parse().ok());
+        match self.state.large_responses.hold(length, response.body) {
+            Some(body) => Ok(TargetResponse { body, ..response }),
+            None => {
+                self.state.metrics.increment("large_response_dropped", "memory");
+                Err(Refusal::unknown(Reason::Shed))
+            }
+        }
     }
 
     /// Returns the rank of a call that the local target makes, and the external request that the call belongs to.
@@ -204,10 +218,12 @@
         pairs
     }
 
-    /// Builds the response to a caller. A body without a length may have no end, so it must end by `body_deadline`.
+    /// Builds the response to a caller. A body that is not known to be short may have no end, so it must end by
+    /// `body_deadline`.
     fn build_response(&self, response: TargetResponse, body_deadline: TimeUs) -> CallerResponse {
-        let has_length = response.headers.iter().any(|pair| pair.name == CONTENT_LENGTH.as_str());
-        let body = match has_length {
+        let announced = response.headers.iter().find(|pair| pair.name == CONTENT_LENGTH.as_str());
+        let length = announced.and_then(|pair| std::str::from_utf8(&pair.value).ok()?.parse::<usize>().ok());
+        let body = match length.is_some_and(|length| length <= REPLAY_LIMIT_BYTES) {
             true => response.body,
             false => TimeLimitedBody::new(response.body, self.state.clock.duration_until(body_deadline)).boxed(),
         };
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -19,6 +19,7 @@
 use crate::evacuation::Evacuation;
 use crate::event_log::{EventLog, LogLine};
 use crate::gate::Gate;
+use crate::large_response_limit::LargeResponseLimit;
 use crate::metrics::Metrics;
 use crate::peer_table::PeerTable;
 use crate::platform::{ConfigDecoder, WireProtocol};
@@ -110,6 +111,8 @@
     pub fetches_config: AtomicBool,
     /// The zones that the operator has evacuated.
     pub evacuation: Mutex<Evacuation>,
+    /// Limit of the large responses that are forwarded to callers.
+    pub large_responses: LargeResponseLimit,
 }
 
 impl MeshState {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,4 +10,7 @@
 pub use client::{Client, Request, Response};
 pub use fleet::{Fleet, FleetSpec, TargetSpec, wait_until};
 pub use process::Process;
-pub use sidecar::{CallerRequest, RawResponse, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour};
+pub use sidecar::{
+    Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, RawResponse, ScriptStep, SidecarFleet, SidecarVm,
+    TargetBehaviour,
+};
