Tests of evacuated zones as scenarios in words; choice of target tested on its own

Cause: the scenarios took 330 lines, one a step, and one fault was not noticed: a state that applied old records after it had heard of a newer state.

Change: scenarios are texts, with a new one for that fault. LoadBalancer::set_evacuated has a test.

--- a/crates/policy/tests/evacuation_state.rs
+++ b/crates/policy/tests/evacuation_state.rs
@@ -8,39 +8,14 @@
 
 const START: TimeUs = TimeUs::from_s(100);
 
-/// Nodes by their index. The first two read the store, and all may hear of each other.
-const A: usize = 0;
-const B: usize = 1;
-const C: usize = 2;
-
-/// One step of a scenario.
-enum Step {
-    /// The operator evacuates a zone, or reverts its evacuation.
-    Write(&'static str, bool),
-    /// A node reads the records after its last read.
-    Read(usize),
-    /// A node reads the latest records of all keys.
-    List(usize),
-    /// A node's status message reaches another node.
-    Send(usize, usize),
-    /// A node's status message stays on its way until it is delivered.
-    Delay(usize),
-    /// The delayed message reaches a node.
-    Deliver(usize),
-    /// The store comes back from a copy with this many records.
-    Restore(usize),
-    /// The process of a node starts again.
-    Restart(usize),
-    /// The zones that are evacuated on a node.
-    Expect(usize, &'static [&'static str]),
-}
-
-use Step::{Delay, Deliver, Expect, List, Read, Restart, Restore, Send, Write};
-
+/// Nodes A, B and C, and a store that some of them read. The steps of a scenario are separated by semicolons and begin with
+/// their time in milliseconds.
 #[derive(Default)]
 struct Scenario {
     era: u64,
-    records: Vec<(&'static str, bool)>,
+    /// The operator's records: the zone, and whether it is evacuated.
+    records: Vec<(String, bool)>,
+    /// The state of each node, and the offset of its next read.
     nodes: [(EvacuationState, usize); 3],
     delayed: Option<EvacuationReport>,
 }
@@ -49,56 +24,64 @@
     name.parse().expect("a valid name")
 }
 
-fn zones(names: &[&str]) -> BTreeSet<AvailabilityZone> {
-    names.iter().map(|name| zone(name)).collect()
+fn node(name: &str) -> usize {
+    ["A", "B", "C"].iter().position(|known| *known == name).expect("a node")
 }
 
 impl Scenario {
-    fn play(&mut self, step: &Step, name: &str, now: TimeUs) {
-        let era = LogEra(self.era);
-        match step {
-            Write(zone, evacuated) => self.records.push((zone, *evacuated)),
-            Read(node) => {
-                let (state, next) = &mut self.nodes[*node];
-                for (offset, (name, evacuated)) in self.records.iter().enumerate().skip(*next) {
-                    let offset = LogOffset(offset as u64);
-                    let record = EvacuationRecord { era, offset, zone: zone(name), evacuated: *evacuated };
-                    state.apply_record(&record, now);
-                }
-                *next = self.records.len();
-            }
-            List(node) => {
-                let latest: BTreeMap<_, _> = self.records.iter().copied().collect();
-                let present: Vec<_> =
-                    latest.iter().filter(|(_, evacuated)| **evacuated).map(|(zone, _)| *zone).collect();
-                let end = LogOffset(self.records.len() as u64);
-                let (state, next) = &mut self.nodes[*node];
-                state.apply_listing(era, end, &zones(&present), now);
+    fn play(&mut self, step: &str, case: &str) {
+        let words: Vec<&str> = step.split_whitespace().collect();
+        let (at_ms, action) = words.split_first().expect("a time");
+        let now = START.plus_ms(at_ms.parse().expect("a time"));
+        match action {
+            ["write", zone] => self.records.push(((*zone).to_owned(), true)),
+            ["remove", zone] => self.records.push(((*zone).to_owned(), false)),
+            [reader, "reads"] => self.read(node(reader), self.records.len(), now),
+            [reader, "reads", "one"] => self.read(node(reader), self.nodes[node(reader)].1 + 1, now),
+            // Reads the latest records of all keys.
+            [reader, "lists"] => {
+                let latest: BTreeMap<_, _> = self.records.iter().cloned().collect();
+                let present = latest.iter().filter(|(_, evacuated)| **evacuated).map(|(name, _)| zone(name)).collect();
+                let end_offset = LogOffset(self.records.len() as u64);
+                let (state, next) = &mut self.nodes[node(reader)];
+                state.apply_listing(LogEra(self.era), end_offset, &present, now);
                 *next = self.records.len();
             }
-            Send(from, to) => {
-                if let Some(report) = self.nodes[*from].0.report(now) {
-                    expect_that!(self.nodes[*to].0.merge(&report, now), eq(false), "{name}: incomplete");
+            [from, "tells", to] => {
+                if let Some(report) = self.nodes[node(from)].0.report(now) {
+                    expect_that!(self.nodes[node(to)].0.merge(&report, now), eq(false), "{case}: {step}");
                 }
             }
-            Delay(from) => self.delayed = self.nodes[*from].0.report(now),
-            Deliver(to) => {
-                let report = self.delayed.take().expect("a delayed message");
-                self.nodes[*to].0.merge(&report, now);
+            // A message that is late, and its arrival.
+            [from, "sends"] => self.delayed = self.nodes[node(from)].0.report(now),
+            [to, "receives"] => {
+                let report = self.delayed.take().expect("a late message");
+                self.nodes[node(to)].0.merge(&report, now);
             }
-            Restore(count) => {
+            // The store comes back from a copy with this many records.
+            ["restore", count] => {
                 self.era += 1;
-                self.records.truncate(*count);
+                self.records.truncate(count.parse().expect("a number"));
             }
-            Restart(node) => self.nodes[*node] = Default::default(),
-            Expect(node, expected) => {
-                let state = &self.nodes[*node].0;
-                expect_that!(state.evacuated_zones(now), eq(&zones(expected)), "{name}, node {node}, at {now}");
-                let each = expected.iter().all(|name| state.is_evacuated(&zone(name), now));
-                expect_that!(each, eq(true), "{name}, node {node}, at {now}");
+            [restarted, "restarts"] => self.nodes[node(restarted)] = Default::default(),
+            [checked, "has", names @ ..] => {
+                let state = &self.nodes[node(checked)].0;
+                let expected: BTreeSet<_> = names.iter().map(|name| zone(name)).collect();
+                expect_that!(expected.iter().all(|zone| state.is_evacuated(zone, now)), eq(true), "{case}: {step}");
+                expect_that!(state.evacuated_zones(now), eq(&expected), "{case}: {step}");
             }
+            _ => panic!("unknown step {step:?}"),
         }
     }
+
+    fn read(&mut self, reader: usize, end: usize, now: TimeUs) {
+        let (state, next) = &mut self.nodes[reader];
+        for (offset, (name, evacuated)) in self.records.iter().enumerate().take(end).skip(*next) {
+            let (era, offset) = (LogEra(self.era), LogOffset(offset as u64));
+            state.apply_record(&EvacuationRecord { era, offset, zone: zone(name), evacuated: *evacuated }, now);
+        }
+        *next = end;
+    }
 }
 
 /// Each case guards against one way in which a node keeps to an old state or forgets a zone.
@@ -106,200 +89,80 @@
 fn nodes_know_the_evacuated_zones() {
     struct Case {
         name: &'static str,
-        /// Steps with their times in milliseconds.
-        steps: Vec<(u64, Step)>,
+        steps: &'static str,
     }
     let cases = [
         Case {
             name: "evacuated and taken back within a second, the messages overtake each other",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Delay(A)),
-                (400, Write("milano", false)),
-                (410, Read(A)),
-                (420, Send(A, C)),
-                (430, Deliver(C)),
-                (440, Expect(C, &[])),
-                (450, Write("milano", true)),
-                (460, Read(A)),
-                (470, Send(A, C)),
-                (480, Expect(C, &["milano"])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 A sends; 400 remove milano; 410 A reads; 420 A tells C; \
+                430 C receives; 440 C has; 450 write milano; 460 A reads; 470 A tells C; 480 C has milano",
         },
         Case {
             name: "two zones at once, one of them taken back",
-            steps: vec![
-                (0, Write("milano", true)),
-                (0, Write("verona", true)),
-                (10, Read(A)),
-                (20, Send(A, C)),
-                (30, Expect(C, &["milano", "verona"])),
-                (40, Write("milano", false)),
-                (50, Read(A)),
-                (60, Send(A, C)),
-                (70, Expect(C, &["verona"])),
-            ],
+            steps: "0 write milano; 0 write verona; 10 A reads; 20 A tells C; 30 C has milano verona; \
+                40 remove milano; 50 A reads; 60 A tells C; 70 C has verona",
         },
         Case {
             name: "all zones",
-            steps: vec![
-                (0, Write("milano", true)),
-                (0, Write("verona", true)),
-                (0, Write("como", true)),
-                (10, List(A)),
-                (20, Send(A, C)),
-                (30, Expect(C, &["como", "milano", "verona"])),
-            ],
+            steps: "0 write milano; 0 write verona; 0 write como; 10 A lists; 20 A tells C; \
+                30 C has como milano verona",
         },
         Case {
             name: "a partitioned zone learns of the evacuation and of its end late, each from one message",
-            steps: vec![
-                (0, List(C)),
-                (10, Write("milano", true)),
-                (20, Read(A)),
-                (9_000, Expect(C, &[])),
-                (9_010, Send(A, C)),
-                (9_020, Expect(C, &["milano"])),
-                (10_000, Write("milano", false)),
-                (10_010, Read(A)),
-                (20_000, Expect(C, &["milano"])),
-                (20_010, Send(C, B)),
-                (20_020, Send(A, B)),
-                (20_030, Send(B, C)),
-                (20_040, Expect(B, &[])),
-                (20_050, Expect(C, &[])),
-            ],
+            steps: "0 C lists; 10 write milano; 20 A reads; 9000 C has; 9010 A tells C; 9020 C has milano; \
+                10000 remove milano; 10010 A reads; 20000 C has milano; 20010 C tells B; 20020 A tells B; \
+                20030 B tells C; 20040 B has; 20050 C has",
         },
         Case {
             name: "the store is down between the evacuation and its end",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (10_000, Expect(A, &["milano"])),
-                (10_010, Send(A, C)),
-                (10_020, Expect(C, &["milano"])),
-                (20_000, Write("milano", false)),
-                (20_010, Read(B)),
-                (20_020, Send(B, A)),
-                (20_030, Expect(A, &[])),
-            ],
+            steps: "0 write milano; 10 A reads; 10000 A has milano; 10010 A tells C; 10020 C has milano; \
+                20000 remove milano; 20010 B reads; 20020 B tells A; 20030 A has",
         },
         Case {
             name: "a new era without the record, which is written again",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Send(A, C)),
-                (1_000, Restore(0)),
-                (1_010, List(A)),
-                (1_020, Send(A, C)),
-                (1_030, Expect(A, &["milano"])),
-                (1_040, Expect(C, &["milano"])),
-                (2_000, Write("milano", true)),
-                (2_010, Read(A)),
-                (2_020, Send(A, C)),
-                (9_000, Expect(A, &["milano"])),
-                (9_000, Expect(C, &["milano"])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 A tells C; 1000 restore 0; 1010 A lists; 1020 A tells C; \
+                1030 A has milano; 1040 C has milano; 2000 write milano; 2010 A reads; 2020 A tells C; \
+                9000 A has milano; 9000 C has milano",
         },
         Case {
             name: "a new era without the record, which is not written again",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Send(A, C)),
-                (1_000, Restore(0)),
-                (1_010, List(A)),
-                (1_020, Send(A, C)),
-                (3_500, Expect(A, &["milano"])),
-                (3_500, Expect(C, &["milano"])),
-                (3_530, Expect(A, &[])),
-                (3_530, Expect(C, &[])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 A tells C; 1000 restore 0; 1010 A lists; 1020 A tells C; \
+                3500 A has milano; 3500 C has milano; 3530 A has; 3530 C has",
         },
         Case {
             name: "a new era without the record, in which the evacuation is reverted",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (1_000, Restore(0)),
-                (1_010, List(A)),
-                (1_020, Delay(A)),
-                (1_100, Write("milano", false)),
-                (1_110, Read(A)),
-                (1_120, Expect(A, &[])),
-                (1_130, Deliver(A)),
-                (1_140, Expect(A, &[])),
-            ],
+            steps: "0 write milano; 10 A reads; 1000 restore 0; 1010 A lists; 1020 A sends; 1100 remove milano; \
+                1110 A reads; 1120 A has; 1130 A receives; 1140 A has",
         },
         Case {
             name: "a node that starts while the record is missing learns of it from another",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Read(B)),
-                (1_000, Restore(0)),
-                (1_010, Restart(C)),
-                (1_020, List(C)),
-                (1_030, Send(A, C)),
-                (1_040, Expect(C, &["milano"])),
-                (1_050, Send(C, B)),
-                (1_060, Expect(B, &["milano"])),
-                (4_000, Expect(C, &[])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 B reads; 1000 restore 0; 1010 C restarts; 1020 C lists; \
+                1030 A tells C; 1040 C has milano; 1050 C tells B; 1060 B has milano; 4000 C has",
         },
         Case {
             name: "compaction: the removal is seen as the key's absence only",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Write("milano", false)),
-                (30, List(B)),
-                (40, Send(A, B)),
-                (50, Expect(B, &[])),
-                (60, Send(B, A)),
-                (70, Expect(A, &[])),
-                (80, Write("verona", true)),
-                (90, Read(B)),
-                (100, Expect(B, &["verona"])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 remove milano; 30 B lists; 40 A tells B; 50 B has; \
+                60 B tells A; 70 A has; 80 write verona; 90 B reads; 100 B has verona",
         },
         Case {
             name: "a paused node: its old era and state don't spread",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (20, Send(A, C)),
-                (1_000, Write("milano", false)),
-                (1_010, Read(A)),
-                (1_020, Restore(2)),
-                (1_030, List(A)),
-                (60_000, Send(C, A)),
-                (60_010, Expect(A, &[])),
-                (60_020, Send(A, C)),
-                (60_030, Expect(C, &[])),
-            ],
+            steps: "0 write milano; 10 A reads; 20 A tells C; 1000 remove milano; 1010 A reads; 1020 restore 2; \
+                1030 A lists; 60000 C tells A; 60010 A has; 60020 A tells C; 60030 C has",
+        },
+        Case {
+            name: "a node reads old records after it has heard a newer state",
+            steps: "0 write milano; 10 remove milano; 20 A reads; 30 A tells C; 40 C reads one; 50 C has; \
+                60 C reads one; 70 C has",
         },
         Case {
             name: "a node that starts later",
-            steps: vec![
-                (0, Write("milano", true)),
-                (10, Read(A)),
-                (60_000, Restart(C)),
-                (60_010, List(C)),
-                (60_020, Expect(C, &["milano"])),
-                (60_030, Restart(B)),
-                (60_040, Send(A, B)),
-                (60_050, Expect(B, &["milano"])),
-            ],
+            steps: "0 write milano; 10 A reads; 60000 C restarts; 60010 C lists; 60020 C has milano; \
+                60030 B restarts; 60040 A tells B; 60050 B has milano",
         },
     ];
     for case in cases {
         let mut scenario = Scenario::default();
-        for (at_ms, step) in &case.steps {
-            scenario.play(step, case.name, START.plus_ms(*at_ms));
-        }
+        case.steps.split(';').for_each(|step| scenario.play(step, case.name));
     }
 }
 
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -209,3 +209,17 @@
     let replay = replay_calls(150.0, 5);
     assert_that!(f64::from(replay.queued), le(f64::from(replay.calls) * 0.02), "{replay:?}");
 }
+
+/// Calls must not reach an evacuated zone, also while no other zone has a target, and return afterwards.
+#[gtest]
+fn targets_of_evacuated_zones_are_not_chosen() {
+    let mut balancer = LoadBalancer::default();
+    balancer.record_report(VmId(0), &zone("near"), Some(report(0, 20_000)), NOW);
+    balancer.record_report(VmId(1), &zone("far"), Some(report(0, 20_000)), NOW);
+    for (evacuated, chosen) in [(&[][..], [1_000, 0]), (&["near"], [0, 1_000]), (&["near", "far"], [0, 0])] {
+        balancer.set_evacuated(evacuated.iter().map(|name| zone(name)).collect());
+        expect_that!(count_choices(&balancer), eq(chosen), "{evacuated:?}");
+    }
+    balancer.set_evacuated(Default::default());
+    expect_that!(count_choices(&balancer), eq([1_000, 0]));
+}
