--- a/crates/policy/src/evacuation_report.rs
+++ b/crates/policy/src/evacuation_report.rs
@@ -30,8 +30,8 @@
 }
 
 impl EvacuationReport {
-    /// Leaves out the zones that do not fit into a status message. Carried zones go first, because they lapse by
-    /// themselves.
+    /// Leaves out the zones that do not fit into a status message, carried ones before others, because their evacuation
+    /// ends by itself.
     #[must_use]
     pub fn shortened(mut self) -> Self {
         let mut left_bytes = MAX_ZONES_BYTES;
