--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -263,3 +263,17 @@
         expect_that!(balancer.has_heard_target(&service(), &[VmId(1)], now), eq(true), "{}", case.name);
     }
 }
+
+/// Calls must not reach an evacuated zone, also while no other zone has a target, and return afterwards.
+#[gtest]
+fn targets_of_evacuated_zones_are_not_chosen() {
+    let mut balancer = LoadBalancer::default();
+    balancer.record_report(VmId(0), &zone("near"), Some(report(0, 20_000)), NOW);
+    balancer.record_report(VmId(1), &zone("far"), Some(report(0, 20_000)), NOW);
+    for (evacuated, chosen) in [(&[][..], [1_000, 0]), (&["near"], [0, 1_000]), (&["near", "far"], [0, 0])] {
+        balancer.set_evacuated(evacuated.iter().map(|name| zone(name)).collect());
+        expect_that!(count_choices(&balancer), eq(chosen), "{evacuated:?}");
+    }
+    balancer.set_evacuated(Default::default());
+    expect_that!(count_choices(&balancer), eq([1_000, 0]));
+}
