--- a/crates/policy/src/peer_contact.rs
+++ b/crates/policy/src/peer_contact.rs
@@ -45,8 +45,9 @@
 /// process itself was paused, and signs may be waiting in its sockets.
 const MAX_OBSERVATION_GAP_MS: u64 = 350;
 
-/// Delay of a timer after which this process counts as paused, in milliseconds.
-const MAX_TIMER_DELAY_MS: u64 = 60;
+/// Delay of a timer after which this process counts as paused, in milliseconds. The limits above allow for shorter pauses,
+/// which are so frequent on a busy machine that each would delay the detection.
+const MAX_TIMER_DELAY_MS: u64 = 100;
 
 /// Shortest pause of this process that is reported as a change, in milliseconds. Shorter ones are frequent.
 const MIN_REPORTED_PAUSE_MS: u64 = 200;
