Capacity admission: routes whose calls the targets refuse are limited at ingress

Cause: all targets of the deepest service refused half of their calls for 8 s. Requests with eight calls there were all admitted, and 17 % of them were served. Change: gates measure the attempts that their target refuses or fails and report them with the calls by route, as the last fields of the status message. Targets that refuse above a rate that they don't announce make the share swing, see the design note.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -209,6 +209,7 @@
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
                 let crashed = self.has_target_crashed().await;
+                lock(&self.state).demand.record_attempt(true);
                 if crashed {
                     self.record_crash(&head, admitted.slot.call());
                 }
@@ -216,6 +217,9 @@
             }
             Ok(Ok((connection, response))) => {
                 let reply = self.handle_response(&head, admitted, connection, response, deadline).await;
+                if let Some(refused) = is_refused_by_target(&reply.0.outcome) {
+                    lock(&self.state).demand.record_attempt(refused);
+                }
                 if let CallOutcome::Answered { status, .. } = reply.0.outcome {
                     self.record_answer(head.fingerprint, status);
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
@@ -270,3 +274,12 @@
         Ok(request)
     }
 }
+
+/// Returns whether the target refused or failed a call that reached it; `None` for an outcome that does not show it.
+fn is_refused_by_target(outcome: &CallOutcome) -> Option<bool> {
+    match outcome {
+        CallOutcome::Answered { .. } => Some(false),
+        CallOutcome::NotRun { refusal, .. } => (refusal.reason == Reason::Shed).then_some(true),
+        CallOutcome::Unknown { reason, .. } => (*reason == Reason::BadAnswer).then_some(true),
+    }
+}
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -4,10 +4,10 @@
 
 use fulmartrestle_core::{TimeUs, Version, VmId};
 use fulmartrestle_mesh::{
-    CallerLimits, IndexedArrivals, IndexedDemand, MeshConfig, NodeIdentity, PeerTable, Registration, Route,
-    StatusMessage, TargetLoad, index_arrivals,
+    CallerLimits, IndexedArrivals, IndexedDemand, MeshConfig, NodeIdentity, NodeStatus, PeerTable, Registration, Route,
+    StatusMessage, TargetLoad, index_arrivals, index_calls, index_demand,
 };
-use fulmartrestle_policy::{Rank, RouteArrivals};
+use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetAttempts};
 use fulmartrestle_transport::encode;
 use googletest::prelude::*;
 
@@ -60,6 +60,22 @@
         leaving: false,
         crashes: Default::default(),
         crashes_received: 0,
+        attempts: TargetAttempts { reached_milli: 53_000, refused_milli: 0 },
+        calls_deci: vec![133; 4],
+    }
+}
+
+fn route(name: &str) -> Route {
+    Route {
+        id: name.parse().expect("a valid name"),
+        host: "a.example".to_owned(),
+        prefix: format!("/{name}/"),
+        repeatable: true,
+        backends: Vec::new(),
+        attempts: 1,
+        timeout_ms: None,
+        priority: 1,
+        public: false,
     }
 }
 
@@ -121,19 +137,33 @@
     }
 }
 
+/// Refusals and calls per request must reach the entry nodes, or a failing service is never noticed there.
 #[gtest]
-fn routes_are_named_by_their_position() {
-    let route = |name: &str| Route {
-        id: name.parse().expect("a valid name"),
-        host: "a.example".to_owned(),
-        prefix: format!("/{name}/"),
-        repeatable: true,
-        backends: Vec::new(),
-        attempts: 1,
-        timeout_ms: None,
-        priority: 1,
-        public: false,
+fn calls_and_refusals_of_a_target_survive_the_message() {
+    let config =
+        MeshConfig::new(Version(48), CallerLimits::default(), vec![route("first"), route("second")], Vec::new());
+    let demand = |name: &str, calls_milli| RouteDemand { route: route(name).id, slots_milli: 6_400, calls_milli };
+    let report = DemandReport {
+        service: "trips".parse().expect("a valid name"),
+        capacity_milli: 14_720,
+        // A route that the configuration no longer contains must not shift the others.
+        routes: vec![demand("second", 13_300), demand("removed", 7_000), demand("first", 260)],
+        attempts: TargetAttempts { reached_milli: 53_000, refused_milli: 21_000 },
+    };
+    let message = StatusMessage {
+        demand: index_demand(&report, &config),
+        calls_deci: index_calls(&report, &config),
+        attempts: report.attempts,
+        ..message(1, START, None)
     };
+    let status = NodeStatus { message, address: address(), identity: identity("milano") };
+    let received = status.demand(&config).expect("a report");
+    assert_that!(received.routes, eq(&vec![demand("second", 13_300), demand("first", 300)]));
+    assert_that!(received.attempts, eq(report.attempts));
+}
+
+#[gtest]
+fn routes_are_named_by_their_position() {
     let routes = vec![route("first"), route("second")];
     let config = MeshConfig::new(Version(48), CallerLimits::default(), routes, Vec::new());
     let arrivals = |name: &str| RouteArrivals {
--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -5,11 +5,15 @@
 //! those of the least urgent routes first, as many as exceed the capacity. The demand of a route is its
 //! request rate at the ingress nodes times the cost of one request. A partitioned zone uses only the
 //! targets and the ingress nodes that it can reach.
+//!
+//! A route whose requests would mostly fail at targets that refuse their calls is limited first, and its capacity goes
+//! to the others. See `docs/design/failing-service-admission.md`.
 
 use std::collections::HashMap;
 
 use fulmartrestle_core::{RouteId, Service, TimeUs, VmId};
 
+use crate::failing_services::{FailingServices, ServiceCalls};
 use crate::route_costs::RouteCosts;
 use crate::{DemandReport, Rank, RouteArrivals};
 
@@ -59,6 +63,7 @@
     costs: RouteCosts,
     shares: HashMap<(RouteId, Rank), f64>,
     calculated_at: Option<TimeUs>,
+    failing: FailingServices,
 }
 
 /// Request rates summed over all ingress nodes, in requests per second.
@@ -74,6 +79,12 @@
         let offered = self.offered_per_s.iter().filter(|((other, _), _)| other == route);
         admitted_per_s >= offered.map(|(_, per_s)| per_s).sum::<f64>() * MIN_MEASURED_SHARE
     }
+
+    /// Returns the admitted requests per second of the routes whose costs can be measured.
+    fn measurable(&self) -> Vec<(&RouteId, f64)> {
+        let admitted = self.admitted_per_s.iter().map(|(route, per_s)| (route, *per_s));
+        admitted.filter(|(route, per_s)| self.is_measurable(route, *per_s)).collect()
+    }
 }
 
 /// Capacity, and demand of the admitted requests by route, summed over the targets of one service, in slots.
@@ -115,15 +126,19 @@
         self.reports.retain(|_, report| now.ms_since(report.received_at) < REPORT_VALID_MS);
         let ingress = self.ingress_rates();
         let services = self.demand_by_service();
-        self.record_costs(&services, &ingress, elapsed_ms.min(REPORT_VALID_MS) as f64 / MILLI);
+        let elapsed_ms = elapsed_ms.min(REPORT_VALID_MS);
+        self.record_costs(&services, &ingress, elapsed_ms as f64 / MILLI);
+        self.failing.update(&self.calls_by_service(), &ingress.measurable(), elapsed_ms);
         self.shares.clear();
         for (service, reported) in &services {
             let correction = self.cost_correction(service, reported, &ingress);
             let demand = |((route, rank), offered_per_s): (&(RouteId, Rank), &f64)| {
-                ((route.clone(), *rank), offered_per_s * self.costs.cost(service, route) * correction)
+                let admissible_per_s = offered_per_s * self.failing.level(route);
+                ((route.clone(), *rank), admissible_per_s * self.costs.cost(service, route) * correction)
             };
             let demand: HashMap<_, _> = ingress.offered_per_s.iter().map(demand).collect();
             for (route, share) in allocate_capacity(reported.capacity_slots, &demand) {
+                let share = (share * self.failing.level(&route.0)).max(MIN_ADMITTED_SHARE);
                 let lowest = self.shares.entry(route).or_insert(1.0);
                 *lowest = lowest.min(share);
             }
@@ -153,6 +168,18 @@
         services
     }
 
+    fn calls_by_service(&self) -> HashMap<Service, ServiceCalls> {
+        let mut services: HashMap<Service, ServiceCalls> = HashMap::new();
+        for target in self.reports.values().filter_map(|report| report.target.as_ref()) {
+            let calls = services.entry(target.service.clone()).or_default();
+            calls.targets.push(target.attempts);
+            for route in &target.routes {
+                *calls.calls_per_s.entry(route.route.clone()).or_default() += f64::from(route.calls_milli) / MILLI;
+            }
+        }
+        services
+    }
+
     /// Returns the ratio of the present cost of requests at a service to their mean cost over the last
     /// seconds. Costs fall while calls fail, because the calls after a failed one are not made, and rise at
     /// once afterwards.
@@ -165,11 +192,9 @@
 
     fn record_costs(&mut self, services: &HashMap<Service, ServiceDemand>, ingress: &IngressRates, elapsed_s: f64) {
         for (service, reported) in services {
-            let measurable =
-                ingress.admitted_per_s.iter().filter(|(route, per_s)| ingress.is_measurable(route, **per_s));
-            for (route, admitted_per_s) in measurable {
+            for (route, admitted_per_s) in ingress.measurable() {
                 let slots = reported.demand_slots.get(route).copied().unwrap_or_default();
-                self.costs.record_demand(service, route, slots, *admitted_per_s, elapsed_s);
+                self.costs.record_demand(service, route, slots, admitted_per_s, elapsed_s);
             }
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,16 +13,21 @@
 pub mod checks;
 mod crash;
 mod demand;
+mod failing_services;
 mod ingress_admission;
 mod load_balancer;
 mod noticed_runs;
 mod parents;
 mod rank;
 mod rate_pacer;
+mod refusal_meter;
 mod retry;
 mod route_costs;
+mod service_refusals;
 mod slot_queue;
+mod success_level;
 mod target;
+mod target_attempts;
 mod target_notices;
 
 pub use admission_gate::{
@@ -46,4 +51,5 @@
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
+pub use target_attempts::TargetAttempts;
 pub use target_notices::TargetNotices;
