Refused callers: Retry-After follows the admitted share, and callers that return as told go first

Cause: a shed caller was told a random time, the same with 5 % and with 95 % admitted, and had the chance of a new request when it returned, early or not. Change: RefusedCallers in policy remembers up to 4,096 refused callers by method, host, path, tenant and body length. One that returns as told is admitted ahead of new requests of its route and rank; a later new request gives up its admission. Retry-After is 0.3 to 2 s by share and trend, at most a third of the caller's time left, spread over the second half.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
-use fulmartrestle_policy::{Origin, Rank, request_fingerprint};
+use fulmartrestle_policy::{ArrivedRequest, Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
     BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, ReplayBody, headers_from_pairs, headers_to_pairs,
     incoming_body,
@@ -38,10 +38,8 @@
 /// covers the time between the check of a key and the moment the request is sent on.
 const KEY_CHECK_MARGIN_MS: u64 = 300;
 
-/// Retry-After of requests that were shed for lack of capacity, in milliseconds: a minimum plus a random part, so
-/// that the callers do not retry at the same moment.
-const MIN_SHED_RETRY_AFTER_MS: u64 = 300;
-const SHED_RETRY_AFTER_SPREAD_MS: u64 = 1_200;
+/// Part of a caller's time left that it waits before it returns.
+const CALLER_WAIT_DIVISOR: u64 = 3;
 
 /// A target's response that is forwarded to the caller.
 pub struct TargetResponse {
@@ -90,7 +88,13 @@
             true => self.child_call_rank(route, metadata, arrived),
             false => {
                 let rank = Rank::for_request(tenant.and_then(|tenant| tenant.priority), route.priority);
-                self.admit_by_capacity(route, rank, tenant, metadata)?;
+                // The body is read only if the request is admitted, so its length stands for it.
+                let length = parts.headers.get(CONTENT_LENGTH).map_or(&[][..], |length| length.as_bytes());
+                let location = format!("{host}{}", parts.uri);
+                let tenant_name = tenant.map(|tenant| &tenant.tenant);
+                let fingerprint = request_fingerprint(parts.method.as_str(), &location, tenant_name, length);
+                let arrived = ArrivedRequest { fingerprint, route: &route.id, rank };
+                self.admit_by_capacity(arrived, tenant, metadata)?;
                 (rank, Some(Origin { route: route.id.clone(), rank }))
             }
         };
@@ -133,31 +137,32 @@
         (rank, origin)
     }
 
-    /// Admits the share of the route's requests that the services behind it have capacity for. A request that is
-    /// shed returns the token of its tenant.
+    /// Admits the share of the route's requests that the services behind it have capacity for, first those of callers
+    /// that were refused and return as told. A request that is shed returns the token of its tenant.
     fn admit_by_capacity(
         &self,
-        route: &Route,
-        rank: Rank,
+        request: ArrivedRequest,
         tenant: Option<&TenantConfig>,
         metadata: &CallerMetadata,
     ) -> Result<(), Refusal> {
         let state = &*self.state;
-        let share = lock(&state.capacity_admission).admitted_share(&route.id, rank, state.now());
-        let admitted = state.random_unit() < share;
-        lock(&state.arrivals).record_request(&route.id, rank, admitted);
+        let (now, draw) = (state.now(), state.random_unit());
+        let share = lock(&state.capacity_admission).admitted_share(request.route, request.rank, now);
+        let admitted = lock(&state.refused_callers).admit(request, share, draw, now);
+        lock(&state.arrivals).record_request(request.route, request.rank, admitted);
         if admitted {
             return Ok(());
         }
         if let Some(tenant) = tenant {
-            lock(&state.tokens).return_token(&tenant.tenant, state.now());
+            lock(&state.tokens).return_token(&tenant.tenant, now);
         }
-        let retry_after_ms =
-            (MIN_SHED_RETRY_AFTER_MS as f64 + state.random_unit() * SHED_RETRY_AFTER_SPREAD_MS as f64) as u64;
+        let wait_limit_ms = metadata.deadline_ms.map(|deadline_ms| deadline_ms / CALLER_WAIT_DIVISOR);
+        let draw = state.random_unit();
+        let retry_after_ms = lock(&state.refused_callers).refuse(request, wait_limit_ms, draw, now);
         let line = LogLine::new("shed")
             .optional_text("request", metadata.request_id.as_deref())
-            .text("route", &route.id)
-            .number("rank", rank.0)
+            .text("route", request.route)
+            .number("rank", request.rank.0)
             .number("share_milli", (share * 1e3) as u64)
             .number("retry_after_ms", retry_after_ms);
         state.log(line);
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -269,6 +269,7 @@
         store_due: Notify::new(),
         reaches_store: AtomicBool::new(false),
         fetches_config: AtomicBool::new(false),
+        refused_callers: Mutex::default(),
     }
 }
 
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
-use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets};
+use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RefusedCallers, RetryBudgets};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
@@ -105,6 +105,8 @@
     pub reaches_store: AtomicBool,
     /// Whether a configuration is being fetched from another node.
     pub fetches_config: AtomicBool,
+    /// Callers that were shed, and when they were told to return.
+    pub refused_callers: Mutex<RefusedCallers>,
 }
 
 impl MeshState {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,8 +21,10 @@
 mod rank;
 mod rate_pacer;
 mod refusal_meter;
+mod refused_callers;
 mod retry;
 mod route_costs;
+mod route_returns;
 mod service_refusals;
 mod slot_queue;
 mod success_level;
@@ -44,6 +46,7 @@
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use parents::RunningParents;
 pub use rank::Rank;
+pub use refused_callers::{ArrivedRequest, RefusedCallers};
 pub use retry::{
     AttemptResult, FailedAttempt, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext, RetryDecision,
     RetryReservation, decide_retry,
