--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -80,6 +80,8 @@
     pub crashes: AtomicUsize,
     crashing: Notify,
     is_down: Mutex<bool>,
+    /// How many requests the target has refused.
+    pub refusals: AtomicUsize,
 }
 
 /// One VM: a sidecar process and a target.
@@ -163,6 +165,7 @@
             crashes: AtomicUsize::new(0),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
+            refusals: AtomicUsize::new(0),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), Arc::clone(&target)));
@@ -316,6 +319,7 @@
     let request_id = header_text("request-id").to_owned();
     let behaviour = *target.behaviour.lock().expect("not poisoned");
     if behaviour == TargetBehaviour::Refuse {
+        target.refusals.fetch_add(1, Ordering::Relaxed);
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
         return Ok(refusal.body(Full::default()).expect("a valid response"));
     }
