--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
-use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets};
+use fulmartrestle_policy::{
+    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RefusedCallers, RetryBudgets,
+};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
@@ -113,6 +115,8 @@
     pub evacuation: Mutex<Evacuation>,
     /// Limit of the large responses that are forwarded to callers.
     pub large_responses: LargeResponseLimit,
+    /// Callers that were shed, and when they were told to return.
+    pub refused_callers: Mutex<RefusedCallers>,
 }
 
 impl MeshState {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod demand;
 mod evacuation_report;
 mod evacuation_state;
+mod failing_services;
 mod ingress_admission;
 mod load_balancer;
 mod noticed_runs;
@@ -25,10 +26,16 @@
 mod peer_contact;
 mod rank;
 mod rate_pacer;
+mod refusal_meter;
+mod refused_callers;
 mod retry;
 mod route_costs;
+mod route_returns;
+mod service_refusals;
 mod slot_queue;
+mod success_level;
 mod target;
+mod target_attempts;
 mod target_notices;
 
 pub use admission_gate::{
@@ -50,6 +57,7 @@
 pub use pause_guard::PauseGuard;
 pub use peer_contact::{ContactChange, ContactCheck, ContactSubject, PeerContact};
 pub use rank::Rank;
+pub use refused_callers::{ArrivedRequest, RefusedCallers};
 pub use retry::{
     AttemptResult, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
     RetryDecision, RetryReservation, decide_retry,
@@ -57,4 +65,5 @@
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
+pub use target_attempts::TargetAttempts;
 pub use target_notices::TargetNotices;
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -148,6 +148,8 @@
     closing: Notify,
     crashing: Notify,
     is_down: Mutex<bool>,
+    /// How many requests the target has refused.
+    pub refusals: AtomicUsize,
 }
 
 impl Target {
@@ -266,6 +268,7 @@
             closing: Notify::new(),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
+            refusals: AtomicUsize::new(0),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), zone.to_owned(), Arc::clone(&target)));
@@ -499,6 +502,7 @@
     let request_id = header_text("request-id").to_owned();
     let behaviour = *target.behaviour.lock().expect("not poisoned");
     if behaviour == TargetBehaviour::Refuse {
+        target.refusals.fetch_add(1, Ordering::Relaxed);
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
         return Ok(refusal.body(small_body("")).expect("a valid response"));
     }
