Cold targets: no effect without a limit; replay of stalled connections

Without a limit, an unknown state would still have been reported to senders as cold.

Change: a replay in which calls start but get no connection for 3 s; without a limit a pause of the node is ignored and an unknown state is not reported.

--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -122,7 +122,7 @@
             running: load.running,
             waiting: load.waiting,
             hold_us: load.hold_us,
-            cold: self.target.is_cold(now),
+            cold: self.reports_cold(now),
             paced_rate: self.slots.paced_rate(),
         })
     }
--- a/crates/mesh/src/gate/cold.rs
+++ b/crates/mesh/src/gate/cold.rs
@@ -17,12 +17,22 @@
     /// know whether its target is still warm.
     pub fn update_cold_limit(&mut self, now: TimeUs) {
         let last_update = std::mem::replace(&mut self.cold_limit_updated, now);
-        if last_update > TimeUs::default() && now.ms_since(last_update) > PAUSE_MS {
+        let paused = last_update > TimeUs::default() && now.ms_since(last_update) > PAUSE_MS;
+        if paused && self.cold_limit.is_some() {
             self.target.mark_cold_state_unknown();
         }
         self.slots.set_cold_limit(self.cold_limit, self.target.is_cold(now), now);
         self.notify_waiters(now);
     }
+
+    /// Returns whether the target is reported as cold. An unknown state matters only if there is a limit.
+    pub fn reports_cold(&self, now: TimeUs) -> bool {
+        match self.target.cold_state(now) {
+            ColdState::Warm => false,
+            ColdState::Cold(_) => true,
+            ColdState::Unknown => self.cold_limit.is_some(),
+        }
+    }
 }
 
 impl Gate {
--- a/crates/policy/tests/cold_pacing.rs
+++ b/crates/policy/tests/cold_pacing.rs
@@ -27,6 +27,8 @@
     cold_at: TimeUs,
     /// Time in which the node does not run, in milliseconds from the start.
     paused_ms: std::ops::Range<u64>,
+    /// Time in which the node runs, but no call gets a connection to the target.
+    stalled_ms: std::ops::Range<u64>,
 }
 
 /// Returns the times at which the target received calls, those before it turned cold included.
@@ -63,7 +65,8 @@
             }
         }
         started.retain(|&(ready_at, call)| {
-            let sends = ready_at <= now && queue.confirm_start(call, now);
+            let has_connection = ready_at <= now && !replay.stalled_ms.contains(&(now.0 / 1_000));
+            let sends = has_connection && queue.confirm_start(call, now);
             if sends {
                 received.push(now.plus_us(rng.random_range(0..MAX_DELAY_US)));
                 running.push_back((now.plus_us(HOLD_US), call));
@@ -98,6 +101,7 @@
         max_rate: None,
         cold_at: TimeUs::default(),
         paused_ms: 0..0,
+        stalled_ms: 0..0,
     };
     let replays = [
         usual(),
@@ -110,7 +114,7 @@
             paused_ms: 6_990..7_800,
             ..usual()
         },
-        Replay { name: "short pauses", paused_ms: 6_000..6_100, ..usual() },
+        Replay { name: "connections stall", stalled_ms: 6_000..9_000, ..usual() },
         Replay { name: "names a lower rate", max_rate: Some(RateMilliPerS(3_000)), ..usual() },
         Replay { name: "names a higher rate", max_rate: Some(RateMilliPerS(90_000)), ..usual() },
         Replay { name: "fast", cold_per_s: 60.0, overage: 1.2, ..usual() },
@@ -124,9 +128,8 @@
             let most = most_in_one_second(&received, replay.cold_at) as f64;
             expect_that!(most, le(bound - 2.0), "{}, seed {seed}", replay.name);
             // The rate is used, or no target would ever become warm.
-            let cold_s = RUN_S as f64
-                - replay.cold_at.0 as f64 / 1e6
-                - (replay.paused_ms.end - replay.paused_ms.start) as f64 / 1e3;
+            let idle_ms = replay.paused_ms.clone().count() + replay.stalled_ms.clone().count();
+            let cold_s = RUN_S as f64 - replay.cold_at.0 as f64 / 1e6 - idle_ms as f64 / 1e3;
             let rate = (replay.cold_per_s * replay.overage).min(bound - 2.0).min(replay.offered_per_s);
             let rate = replay.max_rate.map_or(rate, |max_rate| rate.min(max_rate.0 as f64 / 1e3));
             let while_cold = received.iter().filter(|time| **time >= replay.cold_at).count() as f64;
