A call waits for a connection to the local target for half of its time left at most

Cause: a target with a full accept queue lets a connection hang. The gate reported the call as unknown at its deadline, although it had certainly not been sent.

Change: after half of the time left, 50 ms at least and 1,500 ms at most, the gate refuses the call as not run, and the sender goes elsewhere. The target counts as unreachable only after 1,500 ms, as before.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -202,10 +202,12 @@
         let started = self.clock.now();
         let origin = head.origin.clone();
         lock(&self.state).parents.insert(deadline, admitted.slot.call(), head.route.clone(), origin, started);
-        let sending = self.pool.send(self.address, request, head.repeatable, started);
+        let left_ms = deadline.ms_since(started);
+        let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started);
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
             Err(_) => self.report_unknown(&head, Reason::Deadline, false),
             Ok(Err(TargetError::NotSent(detail))) => self.target_unreachable(&head, &detail),
+            Ok(Err(error @ TargetError::NotConnected(_))) => self.target_not_connected(&head, &error.to_string()),
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
                 let crashed = self.has_target_crashed().await;
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -113,6 +113,13 @@
         self.refuse(head, Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)), false)
     }
 
+    /// Refuses a call for which no connection was open in time. The target stays reachable: its accept queue may be full
+    /// for a moment.
+    pub(super) fn target_not_connected(&self, head: &CallRequestHead, detail: &str) -> (CallResponseHead, ByteBody) {
+        self.log_target_event(head, "target_unreachable", detail);
+        self.refuse(head, Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS)), false)
+    }
+
     pub(super) fn refuse(
         &self,
         head: &CallRequestHead,
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -17,6 +17,11 @@
 /// packet, which is retransmitted after a second.
 const CONNECT_TIMEOUT_MS: u64 = 1_500;
 
+/// Share of the time left within which a connection must be open, and its lower bound in milliseconds. A call that waits
+/// for a connection has certainly not run, and another target may still answer it.
+const CONNECT_TIME_SHARE: u64 = 2;
+const MIN_CONNECT_TIME_MS: u64 = 50;
+
 /// Time for the target to acknowledge sent bytes, in milliseconds.
 const SEND_TIMEOUT_MS: u64 = 3_000;
 
@@ -44,6 +49,10 @@
         NotSent(detail: String) {
             display("not sent: {}", detail)
         }
+        /// No connection was open in time, so the target did not receive the request. It may be reachable.
+        NotConnected(waited_ms: u64) {
+            display("not connected after {} ms", waited_ms)
+        }
         /// The connection failed after the request was sent.
         Lost(detail: String) {
             display("lost: {}", detail)
@@ -67,17 +76,18 @@
 impl TargetConnectionPool {
     /// Sends a request and waits for the head of the response. Reuses an idle connection if there is one, unless
     /// the target is suspect and the request is not `repeatable`. Dropping the future closes the connection,
-    /// which cancels the request at the target.
+    /// which cancels the request at the target. `left_ms` is the time left until the deadline.
     ///
     /// # Errors
     ///
-    /// Returns [`TargetError::NotSent`] if the target certainly did not receive the request, otherwise
-    /// [`TargetError::Lost`].
+    /// Returns [`TargetError::NotSent`] or [`TargetError::NotConnected`] if the target certainly did not receive the
+    /// request, otherwise [`TargetError::Lost`].
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<ByteBody>,
         repeatable: bool,
+        left_ms: u64,
         now: TimeUs,
     ) -> Result<(TargetConnection, Response<Incoming>), TargetError> {
         let mut request = request;
@@ -95,7 +105,7 @@
                 },
             }
         }
-        let mut connection = connect(address).await?;
+        let mut connection = connect(address, left_ms).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((connection, response)),
             Err(mut error) => match error.take_message() {
@@ -154,12 +164,13 @@
     matches!(ready.await, Ok(Ok(())))
 }
 
-async fn connect(address: SocketAddr) -> Result<TargetConnection, TargetError> {
-    let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+async fn connect(address: SocketAddr, left_ms: u64) -> Result<TargetConnection, TargetError> {
+    let limit_ms = (left_ms / CONNECT_TIME_SHARE).clamp(MIN_CONNECT_TIME_MS, CONNECT_TIMEOUT_MS);
+    let connected = tokio::time::timeout(Duration::from_millis(limit_ms), TcpStream::connect(address)).await;
     let tcp = match connected {
         Ok(Ok(tcp)) => tcp,
         Ok(Err(error)) => return Err(TargetError::NotSent(error.to_string())),
+        Err(_) if limit_ms < CONNECT_TIMEOUT_MS => return Err(TargetError::NotConnected(limit_ms)),
         Err(_) => return Err(TargetError::NotSent("connecting timed out".to_owned())),
     };
     let options = tcp.set_nodelay(true).and_then(|()| set_tcp_timeouts(&tcp, SEND_TIMEOUT_MS));
