Tests: fleets of test programs that run at the same time use different ports

Cause: every test program takes its ports from 15,000 on. Between the check that a port is free and the start of the node, another program can take it, and the fleets then answer each other's requests.

Change: the first port depends on the process id.

--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -29,6 +29,10 @@
 const FIRST_PORT: u16 = 15_000;
 const PORT_COUNT: u16 = 15_000;
 
+/// Distance between the first ports of two test programs whose process ids follow each other. Programs that run at the
+/// same time would otherwise start with the same ports, and their fleets would answer each other's requests.
+const PORTS_PER_PROGRAM: u32 = 251;
+
 /// Offset of the next port to try, so that no two nodes of a test program get the same port.
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
@@ -253,8 +257,10 @@
 /// Returns a loopback address with a port that is free and outside the system's range of ephemeral ports, so
 /// that no outgoing connection can take it before the node listens on it.
 async fn free_address() -> SocketAddr {
+    let first_offset = (std::process::id() * PORTS_PER_PROGRAM % u32::from(PORT_COUNT)) as u16;
     loop {
-        let port = FIRST_PORT + NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let offset = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed).wrapping_add(first_offset);
+        let port = FIRST_PORT + offset % PORT_COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).await.is_ok() {
             return address;
