Tenants: admissions of a route are divided by max-min fairness while capacity is short

Cause: with one share for all, a tenant that sends ten times what the others send has most requests of the others refused. Change: TenantDivision measures the tenants' rates at each entry node and admits each up to a level; the total stays the share of the route. Returns of refused callers are tracked for each tenant. Conclusion: the division is local to an entry node; a tenant that enters alone at its node gets the share of the route.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -93,7 +93,7 @@
                 let location = format!("{host}{}", parts.uri);
                 let tenant_name = tenant.map(|tenant| &tenant.tenant);
                 let fingerprint = request_fingerprint(parts.method.as_str(), &location, tenant_name, length);
-                let arrived = ArrivedRequest { fingerprint, route: &route.id, rank };
+                let arrived = ArrivedRequest { fingerprint, route: &route.id, rank, tenant: tenant_name };
                 self.admit_by_capacity(arrived, tenant, metadata)?;
                 (rank, Some(Origin { route: route.id.clone(), rank }))
             }
@@ -137,8 +137,8 @@
         (rank, origin)
     }
 
-    /// Admits the share of the route's requests that the services behind it have capacity for, first those of callers
-    /// that were refused and return as told. A request that is shed returns the token of its tenant.
+    /// Admits the share of the route's requests that the services behind it have capacity for, divided among tenants, and
+    /// first those of callers that were refused and return as told. A request that is shed returns the token of its tenant.
     fn admit_by_capacity(
         &self,
         request: ArrivedRequest,
@@ -148,6 +148,7 @@
         let state = &*self.state;
         let (now, draw) = (state.now(), state.random_unit());
         let share = lock(&state.capacity_admission).admitted_share(request.route, request.rank, now);
+        let share = lock(&state.tenant_division).admitted_share(request, share, now);
         let admitted = lock(&state.refused_callers).admit(request, share, draw, now);
         lock(&state.arrivals).record_request(request.route, request.rank, admitted);
         if admitted {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -270,6 +270,7 @@
         reaches_store: AtomicBool::new(false),
         fetches_config: AtomicBool::new(false),
         refused_callers: Mutex::default(),
+        tenant_division: Mutex::default(),
     }
 }
 
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
-use fulmartrestle_policy::{ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RefusedCallers, RetryBudgets};
+use fulmartrestle_policy::{
+    ArrivalMeter, CapacityAdmission, CrashTable, LoadBalancer, RefusedCallers, RetryBudgets, TenantDivision,
+};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
 use rand::RngExt;
@@ -107,6 +109,8 @@
     pub fetches_config: AtomicBool,
     /// Callers that were shed, and when they were told to return.
     pub refused_callers: Mutex<RefusedCallers>,
+    /// Divides admissions among tenants while capacity is short.
+    pub tenant_division: Mutex<TenantDivision>,
 }
 
 impl MeshState {
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -4,10 +4,12 @@
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use fulmartrestle_core::{AvailabilityZone, CallId, Class, Service, Tenant, TimeUs, VmId};
+use fulmartrestle_core::{AvailabilityZone, CallId, Class, Fingerprint, RouteId, Service, Tenant, TimeUs, VmId};
 use fulmartrestle_policy::{
-    AdmissionGate, AdmissionGateSettings, AnnouncedTarget, CallResult, CompletedCall, Completion, IngressAdmission,
-    IngressAdmissionSettings, IngressRequest, OfferedCall, TargetRequirements, TargetSettings, TargetTable,
+    AdmissionGate, AdmissionGateSettings, AnnouncedTarget, ArrivedRequest, CallResult, CapacityAdmission,
+    CompletedCall, Completion, DemandReport, IngressAdmission, IngressAdmissionSettings, IngressRequest, OfferedCall,
+    Rank, RefusedCallers, RouteArrivals, RouteDemand, TargetAttempts, TargetRequirements, TargetSettings, TargetTable,
+    TenantDivision,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -103,5 +105,94 @@
     group.finish();
 }
 
-criterion_group!(benches, decision);
+/// Admission state of an entry node of the mesh, with reports of other nodes about their targets and tenants' requests.
+struct EntryNode {
+    admission: CapacityAdmission,
+    division: TenantDivision,
+    callers: RefusedCallers,
+    rng: ChaCha8Rng,
+    service: Service,
+    routes: Vec<RouteId>,
+    tenants: Vec<Tenant>,
+    targets: u64,
+    decisions: u64,
+}
+
+impl EntryNode {
+    fn new(targets: u64, tenants: usize) -> Self {
+        let name = |kind: &str, number: usize| format!("{kind}-{number}");
+        Self {
+            admission: CapacityAdmission::default(),
+            division: TenantDivision::default(),
+            callers: RefusedCallers::default(),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            service: "archive".parse().expect("the name is valid"),
+            routes: (0..8).map(|number| name("route", number).parse().expect("the name is valid")).collect(),
+            tenants: (0..tenants).map(|number| name("team", number).parse().expect("the name is valid")).collect(),
+            targets,
+            decisions: 0,
+        }
+    }
+
+    /// Records the report of one node; each reports once a second. Demand is twice the capacity, and targets refuse.
+    fn record_report(&mut self, now: TimeUs) {
+        let report = DemandReport {
+            service: self.service.clone(),
+            capacity_milli: 8_000,
+            routes: self
+                .routes
+                .iter()
+                .map(|route| RouteDemand { route: route.clone(), slots_milli: 2_000, calls_milli: 40_000 })
+                .collect(),
+            attempts: TargetAttempts { reached_milli: 320_000, refused_milli: 160_000 },
+        };
+        let arrivals = self.routes.iter().map(|route| RouteArrivals {
+            route: route.clone(),
+            rank: Rank(6),
+            offered_milli: 20_000,
+            admitted_milli: 10_000,
+        });
+        let node = VmId(self.decisions % self.targets);
+        self.admission.record_report(node, Some(report), arrivals.collect(), now);
+    }
+
+    fn admitted_share(&mut self) -> f64 {
+        self.decisions += 1;
+        let now = TimeUs(self.decisions * DECISION_INTERVAL_US);
+        if self.decisions.is_multiple_of(1_000_000 / DECISION_INTERVAL_US / self.targets) {
+            self.record_report(now);
+        }
+        self.admission.admitted_share(&self.routes[self.decisions as usize % self.routes.len()], Rank(6), now)
+    }
+
+    /// Decides on a request with its tenant and its caller.
+    fn admit(&mut self) -> bool {
+        let share = self.admitted_share().min(0.5);
+        let now = TimeUs(self.decisions * DECISION_INTERVAL_US);
+        let request = ArrivedRequest {
+            fingerprint: Fingerprint(self.rng.random_range(0..10_000)),
+            route: &self.routes[self.decisions as usize % self.routes.len()],
+            rank: Rank(6),
+            tenant: Some(&self.tenants[self.rng.random_range(0..self.tenants.len())]),
+        };
+        let share = self.division.admitted_share(request, share, now);
+        let admitted = self.callers.admit(request, share, self.rng.random(), now);
+        if !admitted {
+            black_box(self.callers.refuse(request, None, self.rng.random(), now));
+        }
+        admitted
+    }
+}
+
+fn capacity_admission(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("capacity_admission");
+    group.sample_size(30);
+    let mut node = EntryNode::new(100, 100);
+    group.bench_function("admitted_share, 100 targets", |bencher| bencher.iter(|| node.admitted_share()));
+    let mut node = EntryNode::new(100, 100);
+    group.bench_function("whole decision, 100 targets, 100 tenants", |bencher| bencher.iter(|| node.admit()));
+    group.finish();
+}
+
+criterion_group!(benches, decision, capacity_admission);
 criterion_main!(benches);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,8 @@
 mod target;
 mod target_attempts;
 mod target_notices;
+mod tenant_demand;
+mod tenant_division;
 
 pub use admission_gate::{
     Admission, AdmissionGate, AdmissionGateSettings, Completion, OfferedCall, QueueEvent, TargetHints,
@@ -56,3 +58,4 @@
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
 pub use target_attempts::TargetAttempts;
 pub use target_notices::TargetNotices;
+pub use tenant_division::TenantDivision;
--- a/crates/policy/src/refused_callers.rs
+++ b/crates/policy/src/refused_callers.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use fulmartrestle_core::{Fingerprint, RouteId, TimeUs};
+use fulmartrestle_core::{Fingerprint, RouteId, Tenant, TimeUs};
 
 use crate::Rank;
 use crate::route_returns::RouteReturns;
@@ -23,9 +23,9 @@
 /// How much later than told a caller may return, in milliseconds. Callers that wait longer have given up.
 const PLACE_VALID_MS: u64 = 3_000;
 
-/// Maximum number of routes and ranks whose returns are tracked. A further one replaces all, which loses only their trends
-/// and advances.
-const MAX_ROUTES: usize = 1_024;
+/// Maximum number of routes, ranks and tenants whose returns are tracked. A further one replaces all, which loses only
+/// their trends and advances.
+const MAX_RETURNS: usize = 4_096;
 
 /// A request as it is known before its body is read.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +36,8 @@
     pub route: &'r RouteId,
     /// Rank of the request.
     pub rank: Rank,
+    /// Tenant of the caller; `None` on a public route.
+    pub tenant: Option<&'r Tenant>,
 }
 
 /// Refused callers of equal requests.
@@ -54,14 +56,18 @@
     places: HashMap<Fingerprint, RequestPlaces>,
     /// All places in the order of the refusals. Places that were taken remain until they expire.
     insertion_order: VecDeque<(Fingerprint, TimeUs)>,
-    routes: HashMap<(RouteId, Rank), RouteReturns>,
+    /// Tenants have shares of their own, so that none gives up admissions for the returns of another.
+    returns: HashMap<(RouteId, Rank, Option<Tenant>), RouteReturns>,
 }
 
 impl RefusedCallers {
-    /// Returns whether a request is admitted while the admitted share of its route is `share`. `draw` is a random
+    /// Returns whether a request is admitted while the admitted share of its route and tenant is `share`. `draw` is a random
     /// number from 0 to 1. Admissions of callers that return replace those of new requests.
     pub fn admit(&mut self, request: ArrivedRequest, share: f64, draw: f64, now: TimeUs) -> bool {
         let returns_as_told = self.take_place(request.fingerprint, now);
+        if share >= 1.0 {
+            return true;
+        }
         let returns = self.returns(request);
         returns.record_share(share, now);
         (returns_as_told && returns.admit_return()) || returns.admit_new(draw)
@@ -122,10 +128,10 @@
     }
 
     fn returns(&mut self, request: ArrivedRequest) -> &mut RouteReturns {
-        let key = (request.route.clone(), request.rank);
-        if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(&key) {
-            self.routes.clear();
+        let key = (request.route.clone(), request.rank, request.tenant.cloned());
+        if self.returns.len() >= MAX_RETURNS && !self.returns.contains_key(&key) {
+            self.returns.clear();
         }
-        self.routes.entry(key).or_default()
+        self.returns.entry(key).or_default()
     }
 }
--- a/crates/policy/src/route_returns.rs
+++ b/crates/policy/src/route_returns.rs
@@ -1,4 +1,4 @@
-//! Returns of refused callers on one route. See `docs/design/refused-callers.md`.
+//! Returns of a tenant's refused callers on one route. See `docs/design/refused-callers.md`.
 //!
 //! Load pattern: for many seconds a route is admitted only in part, and callers that were refused come back beside new
 //! requests.
@@ -17,12 +17,16 @@
 /// Shortest time between measurements of the trend, in milliseconds: that of the calculations of the share.
 const TREND_INTERVAL_MS: u64 = 100;
 
+/// Time without a measurement after which a new shortage begins, in milliseconds. The share is not recorded while
+/// everything is admitted.
+const SHORTAGE_GAP_MS: u64 = 1_000;
+
 /// Weight of a new measurement in the trend.
 const TREND_WEIGHT: f64 = 0.3;
 
 const MS_PER_S: f64 = 1e3;
 
-/// Admitted share of one route and rank, its trend, and the admissions that returning callers took in advance.
+/// Admitted share of one tenant on a route, its trend, and the admissions that returning callers took in advance.
 #[derive(Debug, Default)]
 pub struct RouteReturns {
     share: f64,
@@ -42,8 +46,8 @@
         self.trend_per_s += (trend_per_s - self.trend_per_s) * TREND_WEIGHT;
         self.share = share;
         self.measured_at = Some(now);
-        if share >= 1.0 {
-            self.advance = 0.0;
+        if elapsed_ms.is_some_and(|elapsed_ms| elapsed_ms > SHORTAGE_GAP_MS) {
+            (self.trend_per_s, self.advance) = (0.0, 0.0);
         }
     }
 
--- a/crates/policy/tests/refused_callers.rs
+++ b/crates/policy/tests/refused_callers.rs
@@ -14,7 +14,7 @@
 }
 
 fn request(route: &RouteId, fingerprint: u64) -> ArrivedRequest<'_> {
-    ArrivedRequest { fingerprint: Fingerprint(fingerprint), route, rank: Rank(6) }
+    ArrivedRequest { fingerprint: Fingerprint(fingerprint), route, rank: Rank(6), tenant: None }
 }
 
 /// A place must help only the request that was refused, and only in its time; a caller that comes early must not keep it.
