Merge division among tenants, off unless the settings ask for it; time limit of connections to targets

The division of scarce capacity among tenants changes whom an entry node refuses, so it takes effect only with the setting tenant_fairness.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -280,6 +280,7 @@
         evacuation: Mutex::default(),
         large_responses,
         refused_callers: Mutex::default(),
+        tenant_division: Mutex::default(),
     }
 }
 
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -58,6 +58,9 @@
     pub memory_mb: u64,
     /// Whether the whole deployment is starting for the first time.
     pub first_start: bool,
+    /// Whether scarce capacity is divided among tenants by max-min fairness. `None` counts as false: all requests of a
+    /// route and rank are then admitted with the same probability.
+    pub tenant_fairness: Option<bool>,
     /// Bounds of the whole deployment.
     pub bounds: DeploymentBounds,
 }
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -126,22 +126,13 @@
 impl TargetConnectionPool {
     /// Sends a request and waits for the head of the response. Reuses an idle connection if there is one, unless
     /// the target is suspect and the request is not `repeatable`. Dropping the future closes the connection,
-<<<<<<< HEAD
-    /// which cancels the request at the target. `may_send` is asked each time before the request is handed to a
+    /// which cancels the request at the target. `left_ms` is the time left until the deadline. `may_send` is asked each time before the request is handed to a
     /// connection.
     ///
     /// # Errors
     ///
-    /// Returns [`TargetError::NotSent`] or [`TargetError::TooLate`] if the target certainly did not receive the request,
-    /// otherwise [`TargetError::Lost`] or [`TargetError::Invalid`].
-=======
-    /// which cancels the request at the target. `left_ms` is the time left until the deadline.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`TargetError::NotSent`] or [`TargetError::NotConnected`] if the target certainly did not receive the
-    /// request, otherwise [`TargetError::Lost`].
->>>>>>> part-d/part-d
+    /// Returns [`TargetError::NotSent`], [`TargetError::NotConnected`] or [`TargetError::TooLate`] if the target certainly
+    /// did not receive the request, otherwise [`TargetError::Lost`] or [`TargetError::Invalid`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -168,16 +159,11 @@
                 Err(ExchangeError::Failed(error)) => return Err(error),
             }
         }
-<<<<<<< HEAD
-        let mut connection = connect(address).await?;
+        let mut connection = connect(address, left_ms).await?;
         if !may_send() {
             return Err(TargetError::TooLate);
         }
         match exchange(&mut connection, request, &interim_responses).await {
-=======
-        let mut connection = connect(address, left_ms).await?;
-        match connection.sender.try_send_request(request).await {
->>>>>>> part-d/part-d
             Ok(response) => Ok((connection, response)),
             Err(ExchangeError::Unsent(_)) => {
                 Err(TargetError::NotSent("the connection was closed before the request was sent".to_owned()))
