The load that targets state in their responses is decoded

Cause: targets of some services state in each response how long work takes at present; no code reads it, so that the choice of a target can't follow a target that is slow for half a second.

An unreadable value is told from an absent one. No decision reads the figures yet.

--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -2,7 +2,7 @@
 
 use fulmartrestle_core::{Refusal, Service, Tenant};
 use fulmartrestle_platform_log::StreamName;
-use fulmartrestle_policy::TargetNotices;
+use fulmartrestle_policy::{LoadMetrics, TargetNotices};
 use fulmartrestle_transport::ByteBody;
 use http::{HeaderMap, HeaderName, Response, StatusCode};
 use quick_error::quick_error;
@@ -96,6 +96,13 @@
     /// Returns a text with the name and the value of a header that cannot be read.
     fn parse_target_notices(&self, headers: &HeaderMap) -> Result<TargetNotices, String>;
 
+    /// Parses what the response of a target says about the load of the target; `None` if it says nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text with the name and the value of a header that cannot be read.
+    fn parse_load_metrics(&self, headers: &HeaderMap) -> Result<Option<LoadMetrics>, String>;
+
     /// Returns the response that reports a refusal to a caller.
     fn refusal_response(&self, refusal: &Refusal, request_id: Option<&str>) -> Response<ByteBody>;
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod demand;
 mod ingress_admission;
 mod load_balancer;
+mod load_metrics;
 mod noticed_runs;
 mod parents;
 mod rank;
@@ -37,6 +38,7 @@
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
+pub use load_metrics::LoadMetrics;
 pub use parents::RunningParents;
 pub use rank::Rank;
 pub use retry::{
