Calls avoid targets that are slow at present, by the pace that they state

Cause: a target is slower by 2.5 for 600 ms at a time, 15 % of the time. Its mean hold time follows late and stays high after the slow period. Besides, all senders that hear a report at the same moment take its load for the present one for up to a second, and fill the target that was empty then.

Change: the gate smooths the pace over 150 ms and reports it relative to its mean over the calls that make up the mean hold time, so that it does not count twice. Senders scale the expected time by it, within 0.5 to 4 and with a weight that falls to zero in 600 ms. The load of targets that state a pace is averaged over 3 s, and their latest report counts beyond the mean until it is 100 ms old. Other targets are served as before. Figures of another run of the target, unreadable, false or old ones are bounded or ignored.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crashes;
+mod load_metrics;
 mod notices;
 mod responses;
 mod slot_guard;
@@ -103,6 +104,7 @@
                 self.pool.close_idle();
                 state.answered_requests.clear();
                 state.set_notices(None, now);
+                state.pace.discard_present();
                 self.event_log.write(line.text("as", "new run"), now);
             }
             AnnouncementResult::Outdated => self.event_log.write(line.text("as", "outdated"), now),
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,8 +4,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, AnsweredRequests, DemandMeter, QueueEvent, RunningParents, SlotQueue, SlotRequest, TargetNotices,
-    TargetReport,
+    Admission, AnsweredRequests, DemandMeter, PaceEstimate, QueueEvent, RunningParents, SlotQueue, SlotRequest,
+    TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -44,6 +44,8 @@
     pub closed: bool,
     waiters: AdmissionWaiters,
     next_call: u64,
+    /// Pace of the target's work.
+    pub pace: PaceEstimate,
 }
 
 /// A call that was admitted, and the target instance that runs it.
@@ -52,6 +54,8 @@
     pub instance: String,
     /// Start of the run, in milliseconds since the Unix epoch.
     pub started_unix_ms: i64,
+    /// Pace of the target when the call started, if known.
+    pub pace_percent: Option<u32>,
 }
 
 /// The slot of a call, or its place in the queue.
@@ -75,6 +79,7 @@
             closed: false,
             waiters: AdmissionWaiters::default(),
             next_call: 0,
+            pace: PaceEstimate::default(),
         }
     }
 }
@@ -114,6 +119,7 @@
             waiting: load.waiting,
             hold_us: load.hold_us,
             cold: self.target.is_cold(now),
+            pace_percent: self.pace.relative_percent(now),
         })
     }
 
@@ -126,6 +132,14 @@
         }
     }
 
+    /// Returns whether a call was admitted to the run of the target that has last announced itself.
+    pub fn is_current_run(&self, admitted: &AdmittedCall) -> bool {
+        let target = self.target.last_announcement();
+        target.is_some_and(|target| {
+            target.instance == admitted.instance && target.started_unix_ms == admitted.started_unix_ms
+        })
+    }
+
     /// Replaces what the current run of the target has said about itself.
     pub fn set_notices(&mut self, notices: Option<TargetNotices>, now: TimeUs) {
         self.notices = notices;
@@ -176,8 +190,11 @@
             self.check_crash_marks(head.fingerprint)?;
         }
         let state = lock(&self.state);
-        let target = state.target_for(&head.service, self.clock.now())?;
-        Ok(AdmittedCall { slot, instance: target.instance.clone(), started_unix_ms: target.started_unix_ms })
+        let now = self.clock.now();
+        let pace_percent = state.pace.present_percent(now);
+        let target = state.target_for(&head.service, now)?;
+        let (instance, started_unix_ms) = (target.instance.clone(), target.started_unix_ms);
+        Ok(AdmittedCall { slot, instance, started_unix_ms, pace_percent })
     }
 
     async fn wait_for_slot(
--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -17,10 +17,7 @@
         };
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        let is_current = state.target.last_announcement().is_some_and(|target| {
-            target.instance == admitted.instance && target.started_unix_ms == admitted.started_unix_ms
-        });
-        if !is_current || state.notices == Some(notices) {
+        if !state.is_current_run(admitted) || state.notices == Some(notices) {
             return;
         }
         let before = state.notices.unwrap_or_default();
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -40,6 +40,7 @@
         // A response of another instance says nothing about the expected one.
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             self.record_notices(head, &admitted, &parts.headers);
+            self.record_load_metrics(head, &admitted, &parts.headers, class == ResponseClass::Valid);
         }
         let body = incoming_body(body);
         let read = tokio::time::timeout(self.clock.duration_until(deadline), ReplayBody::read(body, u64::MAX));
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -46,6 +46,8 @@
     pub hold_us: u32,
     /// What the target has said about itself.
     pub notices: Option<TargetNotices>,
+    /// How long its work takes at present, in percent of the mean that `hold_us` contains.
+    pub pace_percent: Option<u32>,
 }
 
 /// Demand of one route, by the route's position in the configuration.
@@ -141,6 +143,7 @@
             waiting: report.waiting,
             hold_us: report.hold_us,
             notices: report.notices,
+            pace_percent: report.pace_percent,
         }
     }
 }
@@ -160,6 +163,7 @@
             waiting: load.waiting,
             hold_us: load.hold_us,
             cold: load.cold,
+            pace_percent: load.pace_percent,
         })
     }
 
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -40,6 +40,7 @@
         waiting: 3,
         hold_us: 480_000,
         notices: Some(Default::default()),
+        pace_percent: Some(240),
     };
     let demand = |route: u32| IndexedDemand { route, slots_milli: 6_400 };
     let arrivals = |route: u32| IndexedArrivals { route, rank: Rank(518), offered_milli: 5_600, admitted_milli: 4_900 };
@@ -80,7 +81,8 @@
     assert_that!((effect.is_new, effect.replaced), eq((true, None)));
     let later = peers.complete_status(message(1, stamp.plus_ms(1_000), None), address()).expect("known names");
     assert_that!(later.identity, eq(&identity("milano")));
-    assert_that!(later.target_report().map(|report| report.instance), some(eq("i-7f3a91c2")));
+    let report = later.target_report().expect("a target");
+    assert_that!((report.instance.as_str(), report.pace_percent), eq(("i-7f3a91c2", Some(240))));
     // Another run at the same address may have other names.
     assert_that!(peers.complete_status(message(2, stamp.plus_ms(2_000), None), address()).is_none(), eq(true));
 }
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -14,6 +14,7 @@
 
 use crate::TargetNotices;
 use crate::noticed_runs::NoticedRuns;
+use crate::reported_load::ReportedLoad;
 
 /// Default hold time until the first report, in microseconds.
 const DEFAULT_HOLD_US: f64 = 50_000.0;
@@ -46,6 +47,15 @@
 /// Factor of the expected time at a target that refused a call within the last [`REFUSAL_PAUSE_MS`].
 const REFUSAL_FACTOR: f64 = 3.0;
 
+/// Age of a report at which its pace says nothing about the present, in milliseconds: the duration of a usual slow
+/// period. Its weight falls evenly until then, because a slow period may end at any time.
+const MAX_PACE_AGE_MS: f64 = 600.0;
+
+/// Range of the factor by which the pace changes the expected time, so that a false pace neither takes a healthy target
+/// out of rotation nor draws all calls to one.
+const MIN_PACE_FACTOR: f64 = 0.5;
+const MAX_PACE_FACTOR: f64 = 4.0;
+
 /// Number of random targets among which one is drawn.
 const DRAW_SAMPLE: usize = 8;
 
@@ -79,6 +89,9 @@
     pub hold_us: u32,
     /// Whether the target is still warming up and slow.
     pub cold: bool,
+    /// How long work takes at present, in percent of the mean that `hold_us` contains; `None` if the target has not
+    /// stated it within the last second.
+    pub pace_percent: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -90,9 +103,30 @@
     consecutive_failures: u32,
     backoff_until: TimeUs,
     refusal_pause_until: TimeUs,
+    load: ReportedLoad,
+    /// Whether the target has stated its pace. Only then its load is averaged over reports; other targets are served as
+    /// before.
+    states_pace: bool,
 }
 
 impl ReportedTarget {
+    /// Returns the factor by which the reported pace of the target changes its expected time.
+    fn pace_factor(&self, now: TimeUs) -> f64 {
+        let Some(pace_percent) = self.report.pace_percent else { return 1.0 };
+        let factor = (f64::from(pace_percent) / 100.0).clamp(MIN_PACE_FACTOR, MAX_PACE_FACTOR);
+        let weight = (1.0 - self.load.age_ms(now) / MAX_PACE_AGE_MS).max(0.0);
+        1.0 + (factor - 1.0) * weight
+    }
+
+    /// Returns the calls that are expected to run and to wait at the target, those sent since its report included.
+    fn expected_calls(&self, now: TimeUs) -> f64 {
+        let reported = match self.states_pace {
+            true => self.load.expected_calls(now),
+            false => f64::from(self.report.running + self.report.waiting),
+        };
+        reported + f64::from(self.sent_since_report)
+    }
+
     /// Returns how long a call waits for its turn at a target that names a maximum rate, in microseconds.
     fn paced_wait_us(&self) -> f64 {
         let Some(max_rate) = self.report.notices.and_then(|notices| notices.max_rate) else { return 0.0 };
@@ -118,11 +152,14 @@
         if report.hold_us > 0 {
             self.service_hold_us.insert(report.service.clone(), f64::from(report.hold_us));
         }
+        let (calls, states_pace) = (report.running + report.waiting, report.pace_percent.is_some());
         match self.targets.get_mut(&node) {
             Some(target) if target.report.service == report.service => {
                 target.report = report;
                 target.sent_since_report = 0;
                 target.last_contact = now;
+                target.load.record_report(calls, now);
+                target.states_pace |= states_pace;
             }
             _ => {
                 self.remove(node);
@@ -135,6 +172,8 @@
                     consecutive_failures: 0,
                     backoff_until: now,
                     refusal_pause_until: now,
+                    load: ReportedLoad::new(calls, now),
+                    states_pace,
                 };
                 self.targets.insert(node, target);
             }
@@ -234,14 +273,13 @@
             && !self.noticed_runs.notices(&target.report).is_some_and(|notices| notices.leaving)
     }
 
-    fn occupancy(&self, node: VmId) -> f64 {
+    fn occupancy(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
-        let load = target.report.running + target.report.waiting + target.sent_since_report;
-        f64::from(load) / f64::from(target.report.limit.max(1))
+        target.expected_calls(now) / f64::from(target.report.limit.max(1))
     }
 
-    /// Returns the expected time of a call at a target: its usual time there, longer the fuller the target is, in
-    /// proportion to the queue once all slots are in use, and with the wait for the target's maximum rate.
+    /// Returns the expected time of a call at a target: its usual time there at the present pace, longer the fuller the
+    /// target is, in proportion to the queue once all slots are in use, and with the wait for the target's maximum rate.
     fn expected_time_us(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
         let service_us = self.service_hold_us.get(&target.report.service).copied().unwrap_or(DEFAULT_HOLD_US);
@@ -250,10 +288,10 @@
             0 => service_us,
             hold_us => f64::from(hold_us),
         };
-        let occupancy = self.occupancy(node) + f64::from(target.report.limit.max(1)).recip();
+        let occupancy = self.occupancy(node, now) + f64::from(target.report.limit.max(1)).recip();
         let slowdown = 1.0 + FULL_SLOWDOWN * occupancy.min(1.0).powi(FULLNESS_POWER);
         let refusal_factor = if now < target.refusal_pause_until { REFUSAL_FACTOR } else { 1.0 };
-        hold_us * slowdown * occupancy.max(1.0) * refusal_factor + target.paced_wait_us()
+        hold_us * target.pace_factor(now) * slowdown * occupancy.max(1.0) * refusal_factor + target.paced_wait_us()
     }
 
     /// Draws one of several random nodes, with a probability that falls with the expected time.
--- a/crates/policy/src/slot_queue.rs
+++ b/crates/policy/src/slot_queue.rs
@@ -13,7 +13,7 @@
 use crate::{Admission, QueueEvent, Rank};
 
 /// Weight of a new hold time in the running mean.
-const HOLD_TIME_WEIGHT: f64 = 0.06;
+pub(crate) const HOLD_TIME_WEIGHT: f64 = 0.06;
 
 /// Maximum expected wait, as a share of the time left until the deadline. A call that waits longer is
 /// unlikely to be answered in time and is better refused while its caller can still try another target.
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -28,6 +28,7 @@
         waiting: 0,
         hold_us,
         cold: false,
+        pace_percent: None,
     }
 }
 
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -89,6 +89,7 @@
     pub caller_address: SocketAddr,
     ready_address: SocketAddr,
     control_address: SocketAddr,
+    metrics_address: SocketAddr,
     settings_file: String,
 }
 
@@ -167,8 +168,18 @@
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), Arc::clone(&target)));
         let settings_file = file.display().to_string();
-        let [caller_address, ready_address, control_address, ..] = addresses[..] else { panic!("five addresses") };
-        self.vms.push(SidecarVm { node, target, caller_address, ready_address, control_address, settings_file });
+        let [caller_address, ready_address, control_address, _, metrics_address] = addresses[..] else {
+            panic!("five addresses")
+        };
+        self.vms.push(SidecarVm {
+            node,
+            target,
+            caller_address,
+            ready_address,
+            control_address,
+            metrics_address,
+            settings_file,
+        });
     }
 
     /// Deregisters the target of a VM. It goes on to serve, and late heartbeats still call it ready.
@@ -180,6 +191,13 @@
         assert_eq!(response.status, 200);
     }
 
+    /// Returns the value of a metric without a label on the node of a VM.
+    pub async fn metric(&self, vm: usize, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.vms[vm].metrics_address);
+        let response = self.client.try_send(&Request::get(&url)).await.expect("a response of the node");
+        response.body.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// Kills the node of a VM and starts it again, while its target goes on.
     pub async fn restart_node(&mut self, vm: usize) {
         let vm = &mut self.vms[vm];
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -136,6 +136,22 @@
     runs.iter().filter(|run| run.started >= from).count()
 }
 
+/// A target that states a pace without a meaning, or something that cannot be read, keeps its calls.
+#[tokio::test]
+async fn false_load_takes_a_target_out_of_rotation() {
+    let fleet = start_fleet(&["front", "trips", "trips", "trips"]).await;
+    for (vm, load) in [(1, "0,0,9,140"), (2, "0,0,9,99999999999"), (3, "much")] {
+        set_notices(&fleet, vm, vec![("server-load", load.to_owned())]);
+    }
+    let from = Instant::now();
+    let (served, sent) = send_for(&fleet, &[0], 3_000).await;
+    assert_that!(served, eq(sent));
+    for (vm, pace_percent) in [(1, Some(140.0)), (2, Some(2_000.0)), (3, None)] {
+        assert_that!(runs_since(&fleet, vm, from), ge(sent / 10), "target {vm} of {sent} requests");
+        assert_that!(fleet.metric(vm, "fulmartrestle_target_pace_percent ").await, eq(pace_percent), "target {vm}");
+    }
+}
+
 /// A target says that it leaves in its responses only, while its announcements still call it ready. After its node has
 /// started again, nodes that have forwarded such a response are still bound by it.
 #[tokio::test]
