--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod cold;
 mod crashes;
+mod load_metrics;
 mod notices;
 mod responses;
 mod slot_guard;
@@ -106,6 +107,7 @@
                 self.pool.close_idle();
                 state.answered_requests.clear();
                 state.set_notices(None, now);
+                state.pace.discard_present();
                 self.event_log.write(line.text("as", "new run"), now);
             }
             AnnouncementResult::Outdated => self.event_log.write(line.text("as", "outdated"), now),
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -40,6 +40,7 @@
         // A response of another instance says nothing about the expected one.
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             self.record_notices(head, &admitted, &parts.headers);
+            self.record_load_metrics(head, &admitted, &parts.headers, class == ResponseClass::Valid);
         }
         let is_identified = self.wire_protocol.bears_request_id(&parts.headers);
         let announced_bytes = body.size_hint().exact();
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -53,6 +53,8 @@
     pub notices: Option<TargetNotices>,
     /// Rate at which its node starts calls; `None` if it is not limited.
     pub paced_rate: Option<RateMilliPerS>,
+    /// How long its work takes at present, in percent of the mean that `hold_us` contains.
+    pub pace_percent: Option<u32>,
 }
 
 /// Demand of one route, by the route's position in the configuration.
@@ -156,6 +158,7 @@
             hold_us: report.hold_us,
             notices: report.notices,
             paced_rate: report.paced_rate,
+            pace_percent: report.pace_percent,
         }
     }
 }
@@ -176,6 +179,7 @@
             hold_us: load.hold_us,
             cold: load.cold,
             paced_rate: load.paced_rate,
+            pace_percent: load.pace_percent,
         })
     }
 
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -29,6 +29,7 @@
         hold_us,
         cold: false,
         paced_rate: None,
+        pace_percent: None,
     }
 }
 
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -173,6 +173,7 @@
     pub caller_address: SocketAddr,
     ready_address: SocketAddr,
     control_address: SocketAddr,
+    metrics_address: SocketAddr,
     settings_file: String,
     /// Address at which the other nodes reach the node.
     pub peer_address: SocketAddr,
@@ -273,7 +274,7 @@
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), zone.to_owned(), Arc::clone(&target)));
         let settings_file = file.display().to_string();
-        let [caller_address, ready_address, control_address, peer_address, _] = addresses[..] else {
+        let [caller_address, ready_address, control_address, peer_address, metrics_address] = addresses[..] else {
             panic!("five addresses")
         };
         self.vms.push(SidecarVm {
@@ -282,6 +283,7 @@
             caller_address,
             ready_address,
             control_address,
+            metrics_address,
             settings_file,
             peer_address,
         });
@@ -296,6 +298,13 @@
         assert_eq!(response.status, 200);
     }
 
+    /// Returns the value of a metric without a label on the node of a VM.
+    pub async fn metric(&self, vm: usize, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.vms[vm].metrics_address);
+        let response = self.client.try_send(&Request::get(&url)).await.expect("a response of the node");
+        response.body.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// Kills the node of a VM and starts it again, while its target goes on.
     pub async fn restart_node(&mut self, vm: usize) {
         let vm = &mut self.vms[vm];
