The share of calls that leaves a zone is weighed by what callers save and what crossing costs

Cause: a call leaves its zone when that takes half of the time or less, whatever its bytes cost and whoever needs the other zone's capacity, and all nodes of a zone turn to another one with the same report.

Change: policy::ZoneTraffic plans the calls of a service over all zones together, from the cost of one more call to the callers of each zone, the crossing and the price of the bytes, and follows the plan with a time constant of 3 s. LoadBalancer draws the zone by the shares if settings are given, and chooses as before without them. Targets that were usable at the last calculation are kept by zone, so that a choice does not ask each target.

--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -1,5 +1,6 @@
 //! Benchmarks one complete decision: ingress admission, choice of target, gate admission, completion and
-//! the admission level of the response.
+//! the admission level of the response. Besides, the choice of a target on a platform, with and without shares by zone,
+//! and the calculation of these shares.
 
 use std::hint::black_box;
 
@@ -7,7 +8,8 @@
 use fulmartrestle_core::{AvailabilityZone, CallId, Class, Service, Tenant, TimeUs, VmId};
 use fulmartrestle_policy::{
     AdmissionGate, AdmissionGateSettings, AnnouncedTarget, CallResult, CompletedCall, Completion, IngressAdmission,
-    IngressAdmissionSettings, IngressRequest, OfferedCall, TargetRequirements, TargetSettings, TargetTable,
+    IngressAdmissionSettings, IngressRequest, LoadBalancer, OfferedCall, TargetReport, TargetRequirements,
+    TargetSettings, TargetTable, ZoneLoad, ZoneTraffic, ZoneTrafficSettings,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -103,5 +105,67 @@
     group.finish();
 }
 
-criterion_group!(benches, decision);
+/// Returns a balancer with targets in all zones, the first zone nearly full.
+fn platform_balancer(targets: u64, service: &Service, zones: &[AvailabilityZone]) -> LoadBalancer {
+    let mut balancer = LoadBalancer::default();
+    for id in 0..targets {
+        let zone = id as usize % ZONES;
+        let report = TargetReport {
+            service: service.clone(),
+            instance: format!("i-{id}"),
+            started_unix_ms: 0,
+            notices: None,
+            ready: true,
+            limit: 35,
+            running: if zone == 0 { 33 } else { 10 },
+            waiting: 0,
+            hold_us: 200_000 + 1_000 * id as u32,
+            cold: false,
+            pace_percent: Some(120),
+        };
+        balancer.record_report(VmId(id), &zones[zone], Some(report), TimeUs::default());
+    }
+    balancer
+}
+
+fn platform_choice(criterion: &mut Criterion) {
+    let service: Service = "archive".parse().expect("the name is valid");
+    let zone = |zone| format!("zone-{zone}").parse().expect("the name is valid");
+    let zones: Vec<AvailabilityZone> = (0..ZONES).map(zone).collect();
+    let now = TimeUs::from_ms(2_400);
+    let mut group = criterion.benchmark_group("platform_choice");
+    group.sample_size(30);
+    for targets in [10, 100] {
+        for (name, settings) in [("factor", None), ("zone_traffic", Some(ZoneTrafficSettings::default()))] {
+            let mut balancer = platform_balancer(targets, &service, &zones);
+            balancer.set_zone_traffic(settings);
+            for update in 1..=12 {
+                balancer.update_zone_traffic(&zones[0], TimeUs::from_ms(update * 200));
+            }
+            let mut rng = ChaCha8Rng::seed_from_u64(1);
+            let id = BenchmarkId::from_parameter(format!("{name}, {targets} targets"));
+            group.bench_function(id, |bencher| {
+                bencher.iter(|| balancer.choose_target(&service, &zones[0], &[], &mut rng, now));
+            });
+        }
+    }
+    group.finish();
+    let load = |index: usize| ZoneLoad {
+        zone: zones[index].clone(),
+        slots: 1_200.0,
+        calls: if index == 0 { 1_150.0 } else { 300.0 },
+        hold_us: 200_000.0,
+    };
+    let loads: Vec<ZoneLoad> = (0..ZONES).map(load).collect();
+    let mut traffic = ZoneTraffic::new(ZoneTrafficSettings::default());
+    let mut updates = 0;
+    criterion.bench_function("zone_traffic update", |bencher| {
+        bencher.iter(|| {
+            updates += 1;
+            traffic.update(&service, &zones[0], &loads, TimeUs::from_ms(updates * 200))
+        });
+    });
+}
+
+criterion_group!(benches, decision, platform_choice);
 criterion_main!(benches);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod slot_queue;
 mod target;
 mod target_notices;
+mod zone_traffic;
 
 pub use admission_gate::{
     Admission, AdmissionGate, AdmissionGateSettings, Completion, OfferedCall, QueueEvent, TargetHints,
@@ -52,3 +53,4 @@
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
 pub use target_notices::TargetNotices;
+pub use zone_traffic::{ZoneLoad, ZoneShare, ZoneTraffic, ZoneTrafficReason, ZoneTrafficSettings};
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -7,14 +7,15 @@
 
 use std::collections::HashMap;
 
-use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
+use fulmartrestle_core::{AvailabilityZone, RouteId, Service, TimeUs, VmId};
 use fulmartrestle_derive::record;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
-use crate::TargetNotices;
 use crate::noticed_runs::NoticedRuns;
 use crate::reported_load::ReportedLoad;
+use crate::zone_traffic::UsableTargets;
+use crate::{TargetNotices, ZoneLoad, ZoneShare, ZoneTraffic, ZoneTrafficSettings};
 
 /// Default hold time until the first report, in microseconds.
 const DEFAULT_HOLD_US: f64 = 50_000.0;
@@ -118,13 +119,12 @@
         1.0 + (factor - 1.0) * weight
     }
 
-    /// Returns the calls that are expected to run and to wait at the target, those sent since its report included.
-    fn expected_calls(&self, now: TimeUs) -> f64 {
-        let reported = match self.states_pace {
+    /// Returns the calls that are expected to run and to wait at the target, according to its reports.
+    fn reported_calls(&self, now: TimeUs) -> f64 {
+        match self.states_pace {
             true => self.load.expected_calls(now),
             false => f64::from(self.report.running + self.report.waiting),
-        };
-        reported + f64::from(self.sent_since_report)
+        }
     }
 
     /// Returns how long a call waits for its turn at a target that names a maximum rate, in microseconds.
@@ -142,6 +142,10 @@
     services: HashMap<Service, Vec<VmId>>,
     service_hold_us: HashMap<Service, f64>,
     noticed_runs: NoticedRuns,
+    /// Decides which calls leave their zone; without it, [`ZONE_SPILL_FACTOR`] does.
+    zone_traffic: Option<ZoneTraffic>,
+    /// Targets that were usable at the last calculation of the shares by zone.
+    usable_targets: HashMap<Service, UsableTargets>,
 }
 
 impl LoadBalancer {
@@ -197,6 +201,12 @@
         rng: &mut impl Rng,
         now: TimeUs,
     ) -> Option<VmId> {
+        // A call that was refused elsewhere is not bound to the shares: it goes where it is expected to end first.
+        if tried.is_empty()
+            && let Some(node) = self.choose_by_share(service, own_zone, rng, now)
+        {
+            return Some(node);
+        }
         let nodes = self.services.get(service)?;
         let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now);
         let (local, remote): (Vec<VmId>, Vec<VmId>) =
@@ -213,6 +223,77 @@
         }
     }
 
+    /// Sets what traffic between zones may cost; `None` if the settings do not say.
+    pub fn set_zone_traffic(&mut self, settings: Option<ZoneTrafficSettings>) {
+        match (&mut self.zone_traffic, settings) {
+            (Some(zone_traffic), Some(settings)) => zone_traffic.set_settings(settings),
+            (zone_traffic, settings) => *zone_traffic = settings.map(ZoneTraffic::new),
+        }
+    }
+
+    /// Recalculates the shares of all services' calls that leave `own_zone`. Returns those that should be logged.
+    pub fn update_zone_traffic(&mut self, own_zone: &AvailabilityZone, now: TimeUs) -> Vec<(Service, ZoneShare)> {
+        let Some(mut zone_traffic) = self.zone_traffic.take() else { return Vec::new() };
+        let mut changed = Vec::new();
+        let mut usable_targets = HashMap::new();
+        for (service, nodes) in &self.services {
+            let nodes = nodes.iter().filter(|node| self.is_usable(**node, now));
+            let usable = UsableTargets::new(nodes.map(|node| (&self.targets[node].zone, *node)).collect());
+            let shares = zone_traffic.update(service, own_zone, &self.zone_loads(&usable, now), now);
+            changed.extend(shares.into_iter().flatten().map(|share| (service.clone(), share)));
+            usable_targets.insert(service.clone(), usable);
+        }
+        self.usable_targets = usable_targets;
+        self.zone_traffic = Some(zone_traffic);
+        changed
+    }
+
+    /// Records the bytes of a request and its response.
+    pub fn record_transfer(&mut self, route: &RouteId, service: &Service, bytes: u64) {
+        if let Some(zone_traffic) = &mut self.zone_traffic {
+            zone_traffic.record_transfer(route, service, bytes);
+        }
+    }
+
+    /// Returns the load of a service in each zone that has usable targets of it. Calls that only this node knows of do not
+    /// count, so that all nodes of a zone decide alike.
+    fn zone_loads(&self, usable: &UsableTargets, now: TimeUs) -> Vec<ZoneLoad> {
+        let to_load = |(zone, nodes): (&AvailabilityZone, &[VmId])| {
+            let mut load = ZoneLoad { zone: zone.clone(), slots: 0.0, calls: 0.0, hold_us: 0.0 };
+            for target in nodes.iter().map(|node| &self.targets[node]) {
+                let slots = f64::from(target.report.limit.max(1));
+                load.slots += slots;
+                load.calls += target.reported_calls(now);
+                load.hold_us += (self.hold_us(target) - load.hold_us) * slots / load.slots;
+            }
+            load
+        };
+        usable.by_zone().map(to_load).collect()
+    }
+
+    /// Chooses a target by the shares of the zones, among those that were usable when the shares were calculated. Returns
+    /// `None` without settings for the traffic between zones, and if none of the drawn targets is usable any more.
+    fn choose_by_share(
+        &self,
+        service: &Service,
+        own_zone: &AvailabilityZone,
+        rng: &mut impl Rng,
+        now: TimeUs,
+    ) -> Option<VmId> {
+        let zone_traffic = self.zone_traffic.as_ref()?;
+        let usable = self.usable_targets.get(service)?;
+        let zone = zone_traffic.choose_zone(service, rng.random());
+        let mut draw = |nodes: &[VmId]| {
+            let sampled = nodes.sample(rng, DRAW_SAMPLE).copied();
+            let sample: Vec<VmId> = sampled.filter(|node| self.is_usable(*node, now)).collect();
+            self.draw(&sample, rng, now)
+        };
+        match usable.in_zone(own_zone) {
+            [] => draw(usable.all()),
+            own => zone.and_then(|zone| draw(usable.in_zone(zone))).or_else(|| draw(own)),
+        }
+    }
+
     /// Returns the latest report of a node's target.
     pub fn target_report(&self, node: VmId) -> Option<&TargetReport> {
         self.targets.get(&node).map(|target| &target.report)
@@ -275,19 +356,24 @@
 
     fn occupancy(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
-        target.expected_calls(now) / f64::from(target.report.limit.max(1))
+        (target.reported_calls(now) + f64::from(target.sent_since_report)) / f64::from(target.report.limit.max(1))
+    }
+
+    /// Returns the usual time of a call at a target, in microseconds.
+    fn hold_us(&self, target: &ReportedTarget) -> f64 {
+        let service_us = || self.service_hold_us.get(&target.report.service).copied().unwrap_or(DEFAULT_HOLD_US);
+        match target.report.hold_us {
+            0 if target.report.cold => service_us() * COLD_HOLD_FACTOR,
+            0 => service_us(),
+            hold_us => f64::from(hold_us),
+        }
     }
 
     /// Returns the expected time of a call at a target: its usual time there at the present pace, longer the fuller the
     /// target is, in proportion to the queue once all slots are in use, and with the wait for the target's maximum rate.
     fn expected_time_us(&self, node: VmId, now: TimeUs) -> f64 {
         let target = &self.targets[&node];
-        let service_us = self.service_hold_us.get(&target.report.service).copied().unwrap_or(DEFAULT_HOLD_US);
-        let hold_us = match target.report.hold_us {
-            0 if target.report.cold => service_us * COLD_HOLD_FACTOR,
-            0 => service_us,
-            hold_us => f64::from(hold_us),
-        };
+        let hold_us = self.hold_us(target);
         let occupancy = self.occupancy(node, now) + f64::from(target.report.limit.max(1)).recip();
         let slowdown = 1.0 + FULL_SLOWDOWN * occupancy.min(1.0).powi(FULLNESS_POWER);
         let refusal_factor = if now < target.refusal_pause_until { REFUSAL_FACTOR } else { 1.0 };
