Settings, log lines and metrics of the traffic between zones

Change: the optional settings zone_traffic (price_per_mb, max_share) are checked when they are read and applied while a node runs. The shares are recalculated every 200 ms; the entry measures the bytes of requests and responses by route. zone_traffic is logged by pair of zones with the reason and the inputs, zone_calls counts the calls by pair of zones. Without the settings nothing is measured or logged, and targets are chosen as before. deploy/sidecar.jsonc does not contain the settings.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
 use crate::state::MeshState;
+use crate::zone_traffic::count_zone_call;
 
 /// Maximum number of nodes that one request is sent to. Each refusal costs a millisecond or two, and after several
 /// of them the service is unlikely to have capacity.
@@ -179,6 +180,7 @@
     };
     let is_retry = tried_nodes.len() > 1;
     let started = state.now();
+    count_zone_call(state, node);
     let (instance, noticed) = {
         let mut load_balancer = lock(&state.load_balancer);
         load_balancer.record_sent_call(node);
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -23,6 +23,7 @@
 use crate::platform::CallerMetadata;
 use crate::state::{MeshState, NodePhase};
 use crate::tokens::take_token;
+use crate::zone_traffic::watch_transfer;
 use crate::{MeshConfig, Route, TenantConfig};
 
 pub use admitted_request::AdmittedRequest;
@@ -119,7 +120,9 @@
             path,
             headers: self.forwarded_headers(&parts.headers),
         };
-        send_request(state, &admitted, body).await
+        let request_bytes = request_body_bytes(&parts.headers, &body);
+        let response = send_request(state, &admitted, body).await?;
+        Ok(watch_transfer(&self.state, &admitted, request_bytes, response))
     }
 
     /// Returns the rank of a call that the local target makes, and the external request that the call belongs to.
@@ -266,6 +269,12 @@
     config.has_tenants() && !public
 }
 
+/// Returns the size of a request body. Of a long one without a stated length only the first part counts.
+fn request_body_bytes(headers: &HeaderMap, body: &ReplayBody) -> u64 {
+    let stated = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    stated.unwrap_or(body.leading_bytes().len() as u64)
+}
+
 /// Returns the host of the request without its port, in lower case.
 fn request_host(headers: &HeaderMap, uri_host: Option<&str>) -> String {
     let header = headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -31,6 +31,7 @@
 mod store_polling;
 mod target_connection_pool;
 mod tokens;
+mod zone_traffic;
 
 pub use call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport, NoticedRun};
 pub use caller_connection_limit::CallerConnectionLimit;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -33,9 +33,10 @@
 use crate::settings::MeshSettings;
 use crate::state::{ActiveConfig, MeshState, NodePhase};
 use crate::status_exchange::{receive_status, send_status};
+use crate::zone_traffic::update_zone_traffic;
 
-/// Interval of the periodic maintenance, in milliseconds. It measures demand, flushes the event log and closes
-/// idle connections.
+/// Interval of the periodic maintenance, in milliseconds. It measures demand, decides on the traffic between zones,
+/// flushes the event log and closes idle connections.
 const MAINTENANCE_INTERVAL_MS: u64 = 200;
 
 /// Load of the local target above which every significant change is sent to the other nodes at once.
@@ -279,6 +280,7 @@
         state.gate.close_expired();
         state.gate.start_waiting_calls();
         notify_changes(&state, &mut last_notified);
+        update_zone_traffic(&state);
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(ROUNDS_PER_SETTINGS_CHECK)
             && let Some(path) = &settings_path
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -7,6 +7,7 @@
 use fulmartrestle_config::jsonc::parse_document;
 use fulmartrestle_core::{AvailabilityZone, Service};
 use fulmartrestle_derive::record;
+use fulmartrestle_policy::ZoneTrafficSettings;
 
 /// Bounds that the operator sets for the whole deployment.
 #[record]
@@ -55,6 +56,9 @@
     pub first_start: bool,
     /// Bounds of the whole deployment.
     pub bounds: DeploymentBounds,
+    /// What traffic between zones may cost. Without it, a call leaves its zone when that takes half of the time or less.
+    #[serde(default)]
+    pub zone_traffic: Option<ZoneTrafficSettings>,
 }
 
 impl MeshSettings {
@@ -83,6 +87,14 @@
         if quota_slack < 0.0 {
             return Err(invalid_value(file_name, "bounds.quota_slack", quota_slack, "expected 0 or more"));
         }
+        if let Some(ZoneTrafficSettings { price_per_mb, max_share }) = settings.zone_traffic {
+            if price_per_mb < 0.0 {
+                return Err(invalid_value(file_name, "zone_traffic.price_per_mb", price_per_mb, "expected 0 or more"));
+            }
+            if !(0.0..=1.0).contains(&max_share) {
+                return Err(invalid_value(file_name, "zone_traffic.max_share", max_share, "expected 0 to 1"));
+            }
+        }
         Ok(settings)
     }
 }
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -198,6 +198,15 @@
         response.body.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
     }
 
+    /// Changes a setting of the node of a VM, which notices that its file has changed.
+    pub fn change_setting(&self, vm: usize, name: &str, value: serde_json::Value) {
+        let file = &self.vms[vm].settings_file;
+        let text = std::fs::read_to_string(file).expect("settings can be read");
+        let mut settings: serde_json::Value = serde_json::from_str(&text).expect("settings in JSON");
+        settings[name] = value;
+        std::fs::write(file, settings.to_string()).expect("settings can be written");
+    }
+
     /// Kills the node of a VM and starts it again, while its target goes on.
     pub async fn restart_node(&mut self, vm: usize) {
         let vm = &mut self.vms[vm];
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -1,4 +1,4 @@
-//! Targets that say in their responses how many requests they take.
+//! Targets that say in their responses how many requests they take, and what else decides which target gets a request.
 
 mod support;
 
@@ -152,6 +152,23 @@
     }
 }
 
+/// The node must apply the settings of the traffic between zones while it runs, and count the calls that leave its zone.
+#[tokio::test]
+async fn calls_to_another_zone_are_not_counted() {
+    let mut fleet = start_fleet(&["front", "trips"]).await;
+    fleet.change_setting(1, "availability_zone", json!("verona"));
+    fleet.restart_node(1).await;
+    let calls = || fleet.metric(0, "fulmartrestle_zone_calls_total{label=\"milano>verona\"}");
+    assert_that!(calls().await, none());
+    fleet.change_setting(0, "zone_traffic", json!({"price_per_mb": 500, "max_share": 0.4}));
+    wait_until("calls are counted", || async {
+        let response = fleet.try_send(0, &request("r".to_owned())).await;
+        assert_eq!(response.map(|response| response.status), Ok(200));
+        calls().await.filter(|calls| *calls >= 3.0).map(|_| ())
+    })
+    .await;
+}
+
 /// A target says that it leaves in its responses only, while its announcements still call it ready. After its node has
 /// started again, nodes that have forwarded such a response are still bound by it.
 #[tokio::test]
