An infinite price of bytes between zones is rejected

Cause: price_per_mb was checked for negative values only. An infinite one times no bytes is not a number, for which every comparison of the plan is false, so that it would move calls at any cost.

Change: the price must be finite.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -88,7 +88,8 @@
             return Err(invalid_value(file_name, "bounds.quota_slack", quota_slack, "expected 0 or more"));
         }
         if let Some(ZoneTrafficSettings { price_per_mb, max_share }) = settings.zone_traffic {
-            if price_per_mb < 0.0 {
+            // An infinite price of no bytes would not be a number.
+            if !(0.0..f64::INFINITY).contains(&price_per_mb) {
                 return Err(invalid_value(file_name, "zone_traffic.price_per_mb", price_per_mb, "expected 0 or more"));
             }
             if !(0.0..=1.0).contains(&max_share) {
--- a/crates/mesh/tests/settings.rs
+++ b/crates/mesh/tests/settings.rs
@@ -29,6 +29,7 @@
     assert_that!(parse(Some(r#"{"price_per_mb": 150.5}"#)), ok(some(eq(&priced))));
     for (text, field, value) in [
         (r#"{"price_per_mb": -1}"#, "zone_traffic.price_per_mb", "-1"),
+        (r#"{"price_per_mb": 1e999}"#, "zone_traffic.price_per_mb", ""),
         (r#"{"max_share": 1.5}"#, "zone_traffic.max_share", "1.5"),
         (r#"{"max_share": -0.1}"#, "zone_traffic.max_share", "-0.1"),
         (r#"{"max_share": "much"}"#, "zone_traffic.max_share", "much"),
--- a/crates/policy/tests/load_metrics.rs
+++ b/crates/policy/tests/load_metrics.rs
@@ -149,8 +149,8 @@
 }
 
 /// Replays calls from [`SENDERS`] nodes to targets of which one at a time is slow, for 600 ms of each second. Reports
-/// reach all senders once a second, and the one that sent the call with each response.
-fn replay_slow_periods(calls_per_ms: f64, with_pace: bool, seed: u64) -> Replay {
+/// reach all senders once a second, and the one that sent the call with each response. The result is added to `replay`.
+fn replay_slow_periods(calls_per_ms: f64, with_pace: bool, seed: u64, replay: &mut Replay) {
     const DURATION_MS: u64 = 30_000;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut balancers: Vec<LoadBalancer> = (0..SENDERS).map(|_| LoadBalancer::default()).collect();
@@ -158,7 +158,6 @@
     let mut targets: Vec<ReplayTarget> = (0..TARGETS).map(target).collect();
     // The sender and the start of each call.
     let mut calls: Vec<(usize, u64)> = Vec::new();
-    let mut replay = Replay::default();
     let mut slow = TARGETS;
     for ms in 0..DURATION_MS {
         let now = TimeUs::from_ms(ms);
@@ -223,7 +222,6 @@
             Admission::Refused(_) => replay.refused += 1,
         }
     }
-    replay
 }
 
 /// Targets that are slow for 600 ms at a time must receive fewer calls while they are slow, although most reports are
@@ -243,13 +241,9 @@
     ];
     for case in cases {
         let replay = |with_pace| {
-            let replays = (0..4).map(|seed| replay_slow_periods(case.calls_per_ms, with_pace, seed));
-            replays.fold(Replay::default(), |sum, replay| Replay {
-                calls: sum.calls + replay.calls,
-                in_time: sum.in_time + replay.in_time,
-                refused: sum.refused + replay.refused,
-                max_load: sum.max_load.max(replay.max_load),
-            })
+            let mut replay = Replay::default();
+            (0..4).for_each(|seed| replay_slow_periods(case.calls_per_ms, with_pace, seed, &mut replay));
+            replay
         };
         let late_share = |replay: &Replay| 1.0 - f64::from(replay.in_time) / f64::from(replay.calls);
         let (with, without) = (replay(true), replay(false));
