--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
 use crate::state::MeshState;
+use crate::zone_traffic::count_zone_call;
 
 /// Maximum number of nodes that one request is sent to. Each refusal costs a millisecond or two, and after several
 /// of them the service is unlikely to have capacity.
@@ -212,6 +213,7 @@
     };
     let is_retry = progress.tried_nodes.len() > 1;
     let started = state.now();
+    count_zone_call(state, node);
     let (instance, noticed) = {
         let mut load_balancer = lock(&state.load_balancer);
         load_balancer.record_sent_call(node);
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -23,6 +23,7 @@
 use crate::platform::CallerMetadata;
 use crate::state::{MeshState, NodePhase};
 use crate::tokens::take_token;
+use crate::zone_traffic::watch_transfer;
 use crate::{MeshConfig, Route, TenantConfig};
 
 pub use admitted_request::AdmittedRequest;
@@ -124,8 +125,9 @@
             headers: self.forwarded_headers(&parts.headers),
             is_child_call,
         };
+        let request_bytes = request_body_bytes(&parts.headers, &body);
         let response = send_request(state, &admitted, body).await?;
-        self.limit_large_response(response)
+        self.limit_large_response(watch_transfer(&self.state, &admitted, request_bytes, response))
     }
 
     /// Returns a response that is counted until it ends if it is large. The request has run if there are too many.
@@ -298,6 +300,12 @@
     config.has_tenants() && !public
 }
 
+/// Returns the size of a request body. Of a long one without a stated length only the first part counts.
+fn request_body_bytes(headers: &HeaderMap, body: &ReplayBody) -> u64 {
+    let stated = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    stated.unwrap_or(body.leading_bytes().len() as u64)
+}
+
 /// Returns the host of the request without its port, in lower case.
 fn request_host(headers: &HeaderMap, uri_host: Option<&str>) -> String {
     let header = headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -7,6 +7,7 @@
 use fulmartrestle_config::jsonc::parse_document;
 use fulmartrestle_core::{AvailabilityZone, Service};
 use fulmartrestle_derive::record;
+use fulmartrestle_policy::ZoneTrafficSettings;
 
 /// Bounds that the operator sets for the whole deployment.
 #[record]
@@ -63,6 +64,9 @@
     pub tenant_fairness: Option<bool>,
     /// Bounds of the whole deployment.
     pub bounds: DeploymentBounds,
+    /// What traffic between zones may cost. Without it, a call leaves its zone when that takes half of the time or less.
+    #[serde(default)]
+    pub zone_traffic: Option<ZoneTrafficSettings>,
 }
 
 impl MeshSettings {
@@ -98,6 +102,15 @@
                 return Err(invalid_value(file_name, field, value, "expected 0 or more"));
             }
         }
+        if let Some(ZoneTrafficSettings { price_per_mb, max_share }) = settings.zone_traffic {
+            // An infinite price of no bytes would not be a number.
+            if !(0.0..f64::INFINITY).contains(&price_per_mb) {
+                return Err(invalid_value(file_name, "zone_traffic.price_per_mb", price_per_mb, "expected 0 or more"));
+            }
+            if !(0.0..=1.0).contains(&max_share) {
+                return Err(invalid_value(file_name, "zone_traffic.max_share", max_share, "expected 0 to 1"));
+            }
+        }
         Ok(settings)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 mod target_notices;
 mod tenant_demand;
 mod tenant_division;
+mod zone_traffic;
 
 pub use admission_gate::{
     Admission, AdmissionGate, AdmissionGateSettings, Completion, OfferedCall, QueueEvent, TargetHints,
@@ -75,3 +76,4 @@
 pub use target_attempts::TargetAttempts;
 pub use target_notices::TargetNotices;
 pub use tenant_division::TenantDivision;
+pub use zone_traffic::{ZoneLoad, ZoneShare, ZoneTraffic, ZoneTrafficReason, ZoneTrafficSettings};
