Choice of target: silent nodes are left out without another list

Cause: the choice collected all candidates into a list before it divided them by zone.

Change: the filter of usable targets leaves out the silent ones, if a heard one can be chosen.

Conclusion: the cost of a decision was not measured.

--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -160,14 +160,12 @@
         now: TimeUs,
     ) -> Option<VmId> {
         let nodes = self.services.get(service)?;
-        let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now);
-        let mut candidates: Vec<VmId> = nodes.iter().copied().filter(usable).collect();
         // A node without contact to any other goes on choosing among all of them.
-        if self.contact.is_any_silent() && candidates.iter().any(|node| !self.contact.is_silent(*node)) {
-            candidates.retain(|node| !self.contact.is_silent(*node));
-        }
+        let avoids_silent = self.contact.is_any_silent() && self.has_heard_target(service, tried, now);
+        let is_avoided = |node: &VmId| avoids_silent && self.contact.is_silent(*node);
+        let usable = |node: &VmId| !tried.contains(node) && self.is_usable(*node, now) && !is_avoided(node);
         let (local, remote): (Vec<VmId>, Vec<VmId>) =
-            candidates.into_iter().partition(|node| self.targets[node].zone == *own_zone);
+            nodes.iter().copied().filter(usable).partition(|node| self.targets[node].zone == *own_zone);
         let drawn_local = self.draw(&local, rng, now);
         let drawn_remote = self.draw(&remote, rng, now);
         match (drawn_local, drawn_remote) {
