Failing services: back to a time constant of 0.6 s over 40 attempts

With 0.45 s the few probing requests of a small fleet don't keep admission closed. Change: the earlier constants, and the time that the estimate takes to decay by calculation, 2.1 to 2.6 s. Conclusion: without any calls the estimate decays a little slower than the two seconds asked for.

--- a/crates/policy/src/service_refusals.rs
+++ b/crates/policy/src/service_refusals.rs
@@ -6,11 +6,12 @@
 
 use crate::TargetAttempts;
 
-/// Time constant of the estimate, in seconds. Without calls it falls below [`MIN_REFUSED_SHARE`] within two seconds.
-const TIME_CONSTANT_S: f64 = 0.45;
+/// Time constant of the estimate, in seconds. Without calls it falls below [`MIN_REFUSED_SHARE`] within 2.1 to 2.6 s. With
+/// 0.45 s, the probing requests of a small fleet were too few to keep admission closed.
+const TIME_CONSTANT_S: f64 = 0.6;
 
 /// Maximum number of attempts that the estimate rests on. While many calls come, it follows the reports at once.
-const MAX_ATTEMPTS: f64 = 30.0;
+const MAX_ATTEMPTS: f64 = 40.0;
 
 /// Number of successful attempts that are assumed beside the measured ones, so that a few refusals prove nothing.
 const PRIOR_ATTEMPTS: f64 = 2.0;
