Requests that wait in the kernel when a node stops are answered

Cause: when a node stopped, its listener was dropped with the connections in its queue, which the kernel then reset. A connection that had sent nothing yet, or only bytes that the node had not read, was closed as idle without a response. Change: `serve_callers` takes the connections that wait when it stops, and each connection has 200 ms for a last request before it is told to close. Both kinds of nodes use it.

--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -45,6 +45,10 @@
 /// Smallest HTTP/1.1 read buffer that `hyper` accepts, in bytes.
 const HYPER_MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time that connections have to send a first request when the server stops, in milliseconds. It covers what waits unread
+/// in the kernel, and requests that callers send before they learn that the connection closes.
+const LAST_REQUEST_MS: u64 = 200;
+
 /// Limits that bound the memory which callers can make the node allocate.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenerLimits {
@@ -64,7 +68,7 @@
 }
 
 /// Accepts connections of callers until `stopping` becomes true, then lets open connections finish their
-/// requests. Each connection holds one of `connection_permits`. `limits` is evaluated for each connection,
+/// requests. Connections that the kernel has already accepted by then are served too. Each connection holds one of `connection_permits`. `limits` is evaluated for each connection,
 /// because a new configuration may change it.
 pub async fn serve_callers(
     listener: TcpListener,
@@ -73,36 +77,63 @@
     connection_permits: Arc<Semaphore>,
     mut stopping: watch::Receiver<bool>,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|stopping| *stopping) => return,
-        };
-        let Ok((tcp, caller)) = accepted else {
-            // Usually out of file descriptors; closing connections release some.
-            tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
-            continue;
-        };
+    let stopped = stopping.clone();
+    let start = |tcp: TcpStream, caller: SocketAddr| {
         let Ok(permit) = Arc::clone(&connection_permits).try_acquire_owned() else {
             // Closes the connection without a response, because any response would need memory.
-            continue;
+            return;
         };
         let service = Arc::clone(&service);
-        let stopping = stopping.clone();
+        let stopping = stopped.clone();
         let limits = limits();
         tokio::spawn(async move {
             serve_connection(tcp, caller, service, limits, stopping).await;
             drop(permit);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping) => break,
+        };
+        let Ok((tcp, caller)) = accepted else {
+            // Usually out of file descriptors; closing connections release some.
+            tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
+            continue;
+        };
+        start(tcp, caller);
+    }
+    for (tcp, caller) in take_waiting_connections(listener) {
+        start(tcp, caller);
     }
 }
 
+/// Closes a listener and returns the connections that wait in its queue. The kernel would reset them, although their
+/// callers may have sent requests already.
+fn take_waiting_connections(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut waiting = Vec::new();
+    // The runtime may not have noticed yet that connections wait, so the system is asked directly.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("callers: cannot take the waiting connections of the listener: {error}");
+            return waiting;
+        }
+    };
+    while let Ok((tcp, caller)) = listener.accept() {
+        if let Ok(tcp) = tcp.set_nonblocking(true).and_then(|()| TcpStream::from_std(tcp)) {
+            waiting.push((tcp, caller));
+        }
+    }
+    waiting
+}
+
 async fn serve_connection(
     tcp: TcpStream,
     caller: SocketAddr,
     service: Arc<dyn CallerService>,
     limits: ListenerLimits,
-    mut stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<bool>,
 ) {
     // Without TCP_NODELAY, small responses wait for the delayed acknowledgement of the caller. A failure to set
     // it only adds latency.
@@ -111,9 +142,11 @@
         log::warn!("callers: cannot set the TCP timeouts of a connection: {error}");
     }
     let head_timeout = Duration::from_millis(limits.head_timeout_ms);
-    let Ok(Ok(is_h2)) = tokio::time::timeout(head_timeout, has_h2_preface(&tcp)).await else {
-        return;
+    let is_h2 = tokio::select! {
+        is_h2 = tokio::time::timeout(head_timeout, has_h2_preface(&tcp)) => is_h2,
+        () = wait_for_last_request(stopping.clone()) => return,
     };
+    let Ok(Ok(is_h2)) = is_h2 else { return };
     let io = TokioIo::new(tcp);
     let handler = service_fn(move |request| {
         let service = Arc::clone(&service);
@@ -128,7 +161,7 @@
         tokio::pin!(connection);
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = stopping.wait_for(|stopping| *stopping) => connection.as_mut().graceful_shutdown(),
+            () = wait_for_last_request(stopping) => connection.as_mut().graceful_shutdown(),
         }
         // An error means that the caller closed the connection or violated the protocol.
         let _ = connection.await;
@@ -140,13 +173,21 @@
         tokio::pin!(connection);
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = stopping.wait_for(|stopping| *stopping) => connection.as_mut().graceful_shutdown(),
+            () = wait_for_last_request(stopping) => connection.as_mut().graceful_shutdown(),
         }
         // An error means that the caller closed the connection or violated the protocol.
         let _ = connection.await;
     }
 }
 
+/// Waits until the server stops, and then for [`LAST_REQUEST_MS`]. A connection that is told to close while its request
+/// is still unread closes without a response.
+async fn wait_for_last_request(mut stopping: watch::Receiver<bool>) {
+    // Waiting fails only if the sender is gone, which means that the server has stopped.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+    tokio::time::sleep(Duration::from_millis(LAST_REQUEST_MS)).await;
+}
+
 /// Returns whether a connection starts with the HTTP/2 preface, without consuming any bytes. The caller of
 /// this function applies a timeout, because a connection may never send anything.
 async fn has_h2_preface(tcp: &TcpStream) -> std::io::Result<bool> {
--- /dev/null
+++ b/tests/planned_stop.rs
@@ -0,0 +1,209 @@
+//! Planned stops of sidecar processes while callers send: no request that a node has received may be cut off.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{CallerRequest, SidecarFleet, TargetBehaviour};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Time from SIGTERM to shortly before the listener closes, which is 2,600 ms after it.
+const BEFORE_CLOSE_MS: u64 = 2_300;
+
+/// Time for which the node is suspended, so that what arrives meanwhile waits in the kernel when the listener closes.
+const SUSPENDED_MS: u64 = 600;
+
+/// Time in which a response must be complete.
+const RESPONSE_LIMIT_MS: u64 = 4_000;
+
+/// Connections of each case.
+const CONNECTIONS: usize = 12;
+
+/// Callers that send without a pause during a stop.
+const CALLERS: usize = 40;
+
+fn config() -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": kind, "timeout_ms": 5_000,
+            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true})
+    };
+    json!({"version": "00000001",
+        "routes": [route("view", "/view/", "safe"), route("book", "/book/", "unsafe")],
+        "services": [{"name": "trips", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+        "tenants": []})
+}
+
+async fn start_fleet() -> SidecarFleet {
+    let fleet = SidecarFleet::start(&["front", "trips"], &config()).await;
+    for vm in 0..2 {
+        fleet.wait_for_status(vm, &booking("first", 5_000), 200).await;
+    }
+    fleet
+}
+
+fn booking(request_id: &str, deadline_ms: u64) -> CallerRequest {
+    CallerRequest { method: "POST", path: "/book/1", request_id: request_id.to_owned(), api_key: "", deadline_ms }
+}
+
+fn view_request(request_id: &str) -> Vec<u8> {
+    let head = "GET /view/1 HTTP/1.1\r\nhost: trips.example\r\ndeadline: 3000\r\nrequest-id: ";
+    format!("{head}{request_id}\r\n\r\n").into_bytes()
+}
+
+/// Reads one response of a target, or what arrives of it until the connection ends.
+async fn read_response(caller: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut buffer = vec![0; 4_096];
+    let reading = async {
+        while !text.ends_with("whole") {
+            match caller.read(&mut buffer).await {
+                Ok(bytes_read) if bytes_read > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..bytes_read])),
+                _ => break,
+            }
+        }
+    };
+    // A response that is late is reported as incomplete.
+    let _ = tokio::time::timeout(Duration::from_millis(RESPONSE_LIMIT_MS), reading).await;
+    text
+}
+
+/// Guards against requests that are lost with the queue of the closing listener, or unread on a connection that is
+/// closed as idle.
+#[googletest::test]
+#[tokio::test]
+async fn requests_that_wait_in_the_kernel_when_the_listener_closes_are_answered() {
+    struct Case {
+        name: &'static str,
+        /// Whether the connection is opened before the node is suspended.
+        opened_early: bool,
+        /// Sent while the node is suspended.
+        sent: Vec<u8>,
+        /// Sent after the listener has closed.
+        sent_later: &'static [u8],
+    }
+    let upload = b"POST /book/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: u\r\ndeadline: 3000\r\n\
+        content-length: 10\r\n\r\nhalf-";
+    let cases = [
+        Case { name: "not accepted", opened_early: false, sent: view_request("a"), sent_later: b"" },
+        Case { name: "accepted without a byte", opened_early: true, sent: view_request("b"), sent_later: b"" },
+        Case {
+            name: "pipelined",
+            opened_early: false,
+            sent: [view_request("c"), view_request("d")].concat(),
+            sent_later: b"",
+        },
+        Case { name: "body still arriving", opened_early: false, sent: upload.to_vec(), sent_later: b"other" },
+    ];
+    let fleet = start_fleet().await;
+    let node = &fleet.vms[0];
+    node.node.send_sigterm();
+    tokio::time::sleep(Duration::from_millis(BEFORE_CLOSE_MS)).await;
+    let connect = || async { TcpStream::connect(node.caller_address).await.expect("the node listens") };
+    let mut callers = Vec::new();
+    for case in &cases {
+        for _ in 0..CONNECTIONS {
+            callers.push((case, if case.opened_early { Some(connect().await) } else { None }));
+        }
+    }
+    // Lets the node accept them.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    node.node.suspend();
+    let mut connections = Vec::new();
+    for (case, opened) in callers {
+        let mut caller = match opened {
+            Some(caller) => caller,
+            None => connect().await,
+        };
+        caller.write_all(&case.sent).await.expect("the kernel takes the request");
+        connections.push((case, caller));
+    }
+    tokio::time::sleep(Duration::from_millis(SUSPENDED_MS)).await;
+    node.node.resume();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let responses = connections.into_iter().map(|(case, mut caller)| async move {
+        // The write fails if the connection was cut, which the missing response shows.
+        let _ = caller.write_all(case.sent_later).await;
+        (case.name, read_response(&mut caller).await)
+    });
+    for (name, response) in join_all(responses).await {
+        let is_whole = response.starts_with("HTTP/1.1 200") && response.ends_with("whole");
+        expect_that!(is_whole, eq(true), "{name}: {response:?}");
+    }
+}
+
+/// Sends requests until the node no longer accepts connections, and returns how many received no whole response. A
+/// connection is used again unless its last response said that it closes.
+async fn send_until_closed(address: SocketAddr, caller: usize, answered: &AtomicUsize) -> usize {
+    let mut cut = 0;
+    let mut connection = None;
+    for number in 0.. {
+        let mut tcp = match connection.take() {
+            Some(tcp) => tcp,
+            None => match TcpStream::connect(address).await {
+                Ok(tcp) => tcp,
+                Err(_) => break,
+            },
+        };
+        let sent = tcp.write_all(&view_request(&format!("load-{caller}-{number}"))).await;
+        let response = read_response(&mut tcp).await;
+        match sent.is_ok() && response.ends_with("whole") {
+            true => answered.fetch_add(1, Ordering::Relaxed),
+            false => {
+                cut += 1;
+                continue;
+            }
+        };
+        if !response.to_lowercase().contains("connection: close") {
+            connection = Some(tcp);
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    cut
+}
+
+/// Guards against requests that are accepted and then cut off, while all callers send as before.
+#[tokio::test]
+async fn no_request_is_cut_off_by_a_stop_under_load() {
+    let mut fleet = start_fleet().await;
+    *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(20);
+    fleet.vms[1].target.slots.store(100, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let address = fleet.vms[0].caller_address;
+    let answered = AtomicUsize::new(0);
+    let load = join_all((0..CALLERS).map(|caller| send_until_closed(address, caller, &answered)));
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.vms[0].node.send_sigterm();
+    };
+    let (cut, ()) = tokio::join!(load, stop);
+    let answered = answered.into_inner();
+    assert_that!(answered, gt(CALLERS * 20));
+    assert_that!(cut.iter().sum::<usize>(), eq(0), "of {answered}");
+    assert_that!(fleet.vms[0].node.terminate(), some(eq(0)));
+}
+
+/// Guards against a node that ends between the end of its last call and the moment at which the response has left.
+#[tokio::test]
+async fn responses_to_other_nodes_leave_before_the_process_ends() {
+    let mut fleet = start_fleet().await;
+    *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(3_300);
+    let bookings: Vec<_> = (0..8).map(|number| booking(&format!("long-{number}"), 5_000)).collect();
+    let sending = join_all(bookings.iter().map(|request| fleet.send(0, request)));
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        fleet.vms[1].node.send_sigterm();
+    };
+    let (responses, ()) = tokio::join!(sending, stop);
+    for response in responses {
+        assert_that!((response.status, response.body.as_str()), eq((200, "whole")));
+    }
+    assert_that!(fleet.vms[1].node.terminate(), some(eq(0)));
+}
