Node: a stopping node waits until its own callers are answered

Cause: `NodeHandle::stop` waited only for the calls of the local target. Calls of this node's callers to targets of other nodes were cut off when the process ended. Change: after the gate is drained, the node waits until all connections of callers are closed, for 15 s at most.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -58,6 +58,10 @@
 /// takes about a second to reach all nodes.
 const LEAVE_PROPAGATION_MS: u64 = 1_500;
 
+/// Time for callers to receive their last responses while the node stops, in milliseconds: the usual deadline of a call.
+/// Callers that read more slowly do not keep the process.
+const CALLER_CLOSE_TIMEOUT_MS: u64 = 15_000;
+
 /// Dependencies of a node that are not part of its settings.
 pub struct NodeOptions {
     /// Client of the platform log.
@@ -93,6 +97,7 @@
     admin_address: SocketAddr,
     stopping: watch::Sender<bool>,
     tasks: JoinSet<()>,
+    connection_slots: Arc<Semaphore>,
 }
 
 impl Node {
@@ -121,7 +126,7 @@
             listeners.callers,
             Arc::clone(&service) as _,
             move || limits,
-            connection_slots,
+            Arc::clone(&connection_slots),
             stopped,
         ));
         tasks.spawn(serve_peers(listeners.peers, service));
@@ -139,7 +144,7 @@
         };
         tasks.spawn(run_admin(listeners.admin, Arc::new(admin)));
         log::info!("node: {} in zone {} is listening for callers on {caller_address}", state.local_vm, state.zone);
-        Ok(NodeHandle { state, caller_address, admin_address, stopping, tasks })
+        Ok(NodeHandle { state, caller_address, admin_address, stopping, tasks, connection_slots })
     }
 }
 
@@ -181,9 +186,20 @@
             tokio::time::sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
         }
         log::info!("node: all running calls have finished");
+        // Callers of this node wait for targets of other nodes too.
+        let closing = self.wait_until_callers_closed();
+        if tokio::time::timeout(Duration::from_millis(CALLER_CLOSE_TIMEOUT_MS), closing).await.is_err() {
+            log::warn!("node: callers still had open connections after {CALLER_CLOSE_TIMEOUT_MS} ms");
+        }
         self.tasks.shutdown().await;
     }
 
+    async fn wait_until_callers_closed(&self) {
+        while self.connection_slots.available_permits() < self.state.settings.limits.max_connections {
+            tokio::time::sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
+        }
+    }
+
     /// Stops immediately without draining, which simulates a crash.
     pub fn kill(mut self) {
         self.tasks.abort_all();
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet, TargetBehaviour};
+use support::{CallerRequest, Fleet, FleetSpec, Request, SidecarFleet, TargetBehaviour, TargetSpec};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -207,3 +207,39 @@
     }
     assert_that!(fleet.vms[1].node.terminate(), some(eq(0)));
 }
+
+/// Guards against a node that ends while its callers still wait for targets of other nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_node_answers_callers_that_wait_for_other_targets() {
+    let target = |zone| TargetSpec { service: "search", zone, child_path: None };
+    let spec = FleetSpec {
+        zones: vec!["milano", "verona", "brescia"],
+        targets: vec![target("milano"), target("verona"), target("brescia")],
+        changes: json!([
+            {"set_tenant": {"tenant": "laghi", "rate_per_s": 5000, "burst": 5000, "weight": 1}},
+            {"grant_key": "laghi"},
+            {"set_route": {"route": "search", "path_prefix": "/search", "service": "search", "class": "lookup",
+                "timeout_ms": 4000, "retryable": true}},
+        ]),
+    };
+    let mut fleet = Fleet::start(&spec).await;
+    let key = fleet.configure(&spec).await.remove(0);
+    fleet.wait_until_admitted("/search/warm", &key).await;
+    for vm in 0..fleet.vms.len() {
+        fleet.set_behaviour(vm, &json!({"late_ms": 1_900})).await;
+    }
+    fleet.vms[2].node.send_sigterm();
+    // The node tells the others that it leaves, and closes its listener 1,500 ms later.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // No more than the slots of the other two targets.
+    let requests = (0..6).map(|index| {
+        let url = fleet.caller_url(2, &format!("/search/{index}"));
+        let request = Request::get(url).bearer_auth(&key);
+        let client = fleet.client.clone();
+        async move { client.try_send(&request).await.map(|response| response.status) }
+    });
+    let statuses = join_all(requests).await;
+    assert_that!(statuses, each(ok(eq(&200))));
+    let exit_code = tokio::task::block_in_place(|| fleet.vms[2].node.terminate());
+    assert_that!(exit_code, some(eq(0)));
+}
