Keys are checked again when the body of a request has arrived

Cause: a key was checked when the head of its request had arrived. The request was sent to a target after its body had arrived, seconds later or after a pause of the process, although the key had been revoked for longer than `revoke_ms`. Change: requests with a key are checked again, against the configuration in force, before they are sent.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -100,6 +100,11 @@
         };
         let deadline = response_deadline(arrived, metadata.deadline_ms, route.timeout_ms);
         let body = self.read_body(incoming_body(body), &config).await?;
+        if tenant.is_some() {
+            // The key may have been revoked while the body arrived or while the process was paused.
+            let config = state.config().ok_or(not_ready)?;
+            self.authenticate(&config, metadata)?;
+        }
         let method = parts.method.as_str().to_owned();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let tenant = tenant.map(|tenant| tenant.tenant.clone());
