Gate: the target is checked again before a call is sent

Cause: before a call was sent, the gate only looked whether its zone was evacuated. Calls that had waited while the process was paused, or whose body arrived slowly, reached a target that had been withdrawn in the meantime. Change: the run of the target for which the call was admitted must still be usable; otherwise the call is refused as not run.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -239,9 +239,9 @@
         if let Err(refusal) = self.wait_until_sendable(call, deadline).await {
             return self.refuse(&head, refusal, false);
         }
-        // The zone may have been evacuated while the body was read or while the process was paused.
+        // While the body was read or the process was paused, the zone may have been evacuated or the target have left.
         self.wait_after_pause().await;
-        let checked = lock(&self.state).check_evacuation();
+        let checked = lock(&self.state).check_target(&head.service, &admitted, self.clock.now());
         if let Err(refusal) = checked {
             return self.refuse(&head, refusal, false);
         }
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -180,6 +180,15 @@
         if self.evacuated { Err(EVACUATED) } else { Ok(()) }
     }
 
+    /// Checks that the run of the target that a call was admitted for still accepts calls.
+    pub fn check_target(&self, service: &Service, admitted: &AdmittedCall, now: TimeUs) -> Result<(), Refusal> {
+        let target = self.target_for(service, now)?;
+        match target.instance == admitted.instance && target.started_unix_ms == admitted.started_unix_ms {
+            true => Ok(()),
+            false => Err(Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS))),
+        }
+    }
+
     /// Returns the announcement of the target that accepts calls for `service`.
     fn target_for(&self, service: &Service, now: TimeUs) -> Result<&Announcement, Refusal> {
         self.check_evacuation()?;
