A node that has just started hears of others before it confirms its configuration

Cause: a node that started while the store was back from an older copy took the version there for the newest one until the first status message of another node arrived. A key that the newer version had revoked was accepted. Change: a read of the store confirms the configuration only once another node has been heard, or 1.5 s after the start. Price: a node that is alone refuses requests with keys for 1.5 s after its start.

--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -219,11 +219,14 @@
             return false;
         }
         let now = self.state.now();
-        let versions = KnownVersions {
-            own: self.state.config().map_or(Version(0), |config| config.version()),
-            peers: lock(&self.state.peers).highest_version(now),
+        let (peers, knows_versions) = {
+            let peers = lock(&self.state.peers);
+            (peers.highest_version(now), peers.knows_versions(self.state.started_at, now))
         };
-        if all_valid && at_end && self.position.proves_newest(versions, now) {
+        let own = self.state.config().map_or(Version(0), |config| config.version());
+        let versions = KnownVersions { own, peers };
+        // A node that has just started can't tell whether the store came back from an older copy before.
+        if all_valid && at_end && knows_versions && self.position.proves_newest(versions, now) {
             lock(&self.state.freshness).record_confirmation(started);
             // The others rely on recent confirmations.
             if StoreRole::of(self.state.node_id, &lock(&self.state.peers).live_store_readers(now))
--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -80,6 +80,10 @@
     pub is_outdated: bool,
 }
 
+/// Time from the start of a node by which it has heard of the others, in milliseconds: one interval of status messages and
+/// the time to read the registrations.
+const FIRST_STATUS_MS: u64 = 1_500;
+
 /// The other nodes by their peer addresses.
 #[derive(Debug, Default)]
 pub struct PeerTable {
@@ -209,6 +213,12 @@
         live.map(|peer| peer.version).max().unwrap_or_default()
     }
 
+    /// Returns whether this node, which runs since `started_at`, has heard of another node, or for so long of none that there
+    /// is none. Before that, [`PeerTable::highest_version`] says nothing.
+    pub fn knows_versions(&self, started_at: TimeUs, now: TimeUs) -> bool {
+        now.ms_since(started_at) >= FIRST_STATUS_MS || self.peers.values().any(|peer| peer.node.is_some())
+    }
+
     /// Returns the number of nodes that share the tenants' rates, this one included, or 0 while this node has no
     /// share yet.
     pub fn quota_sharers(&self, now: TimeUs) -> usize {
--- /dev/null
+++ b/tests/restarts.rs
@@ -0,0 +1,113 @@
+//! Sidecar processes that start again: a key that was revoked, or a target that had left, must not be in use again.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{CallerRequest, SidecarFleet};
+
+/// Time for which requests are sent after a restart, in milliseconds. It covers the first status messages of all nodes.
+const WATCH_MS: u64 = 3_000;
+
+/// Time from a deregistration to the moment from which no request may reach the target, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
+
+fn config(version: u32, api_keys: &[&str]) -> Value {
+    let route = json!({"name": "view", "host": "trips.example", "prefix": "/view/", "kind": "safe", "timeout_ms": 1_000,
+        "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": false});
+    json!({"version": format!("{version:08x}"), "routes": [route], "services": [{"name": "trips", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "agency", "api_keys": api_keys, "rate_per_s": 1_000, "burst": 1_000}]})
+}
+
+fn request(api_key: &'static str, request_id: String) -> CallerRequest {
+    CallerRequest { method: "GET", path: "/view/1", request_id, api_key, deadline_ms: 2_000 }
+}
+
+async fn start_fleet() -> SidecarFleet {
+    let fleet = SidecarFleet::start(&["front", "trips", "trips"], &config(1, &["key-1"])).await;
+    for vm in 0..3 {
+        fleet.wait_for_status(vm, &request("key-1", format!("first-{vm}")), 200).await;
+    }
+    fleet
+}
+
+/// Which nodes start again.
+#[derive(Clone, Copy, Debug)]
+enum Restart {
+    One,
+    All,
+}
+
+async fn restart(fleet: &mut SidecarFleet, nodes: Restart) {
+    match nodes {
+        Restart::One => fleet.restart_node(1).await,
+        Restart::All => fleet.restart_all_nodes().await,
+    }
+}
+
+/// Guards against a node that starts while the store is back from an older copy, and takes the version there for the
+/// newest one although other nodes have a newer one. The store has no newer one if all nodes start again.
+#[googletest::test]
+#[tokio::test]
+async fn revoked_key_is_refused_after_a_restart() {
+    struct Case {
+        name: &'static str,
+        older_store: bool,
+        nodes: Restart,
+    }
+    let cases = [
+        Case { name: "one node", older_store: false, nodes: Restart::One },
+        Case { name: "all nodes", older_store: false, nodes: Restart::All },
+        Case { name: "one node, older store", older_store: true, nodes: Restart::One },
+    ];
+    for case in cases {
+        let mut fleet = start_fleet().await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let published = Instant::now();
+        fleet.publish_config(&config(2, &["key-2"])).await;
+        for vm in 0..3 {
+            fleet.wait_for_status(vm, &request("key-1", format!("revoked-{vm}")), 401).await;
+        }
+        if case.older_store {
+            fleet.restore_store_copy(published.elapsed().as_millis() as u64 + 500).await;
+        }
+        restart(&mut fleet, case.nodes).await;
+        let until = Instant::now() + Duration::from_millis(WATCH_MS);
+        let mut statuses = Vec::new();
+        while Instant::now() < until {
+            let response = fleet.try_send(1, &request("key-1", format!("old-{}", statuses.len()))).await;
+            statuses.extend(response.map(|response| response.status));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        expect_that!(served, eq(0), "{}: of {}", case.name, statuses.len());
+    }
+}
+
+/// Guards against a target that had left and is chosen again because its heartbeats, sent before, still call it ready.
+#[googletest::test]
+#[tokio::test]
+async fn target_that_had_left_is_not_used_after_a_restart() {
+    for nodes in [Restart::One, Restart::All] {
+        let mut fleet = start_fleet().await;
+        fleet.deregister_target(1).await;
+        tokio::time::sleep(Duration::from_millis(DRAIN_MS)).await;
+        let bound = Instant::now();
+        restart(&mut fleet, nodes).await;
+        let until = Instant::now() + Duration::from_millis(WATCH_MS);
+        for number in 0.. {
+            if Instant::now() > until {
+                break;
+            }
+            let _ = fleet.try_send(number % 3, &request("key-1", format!("after-{number}"))).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let runs = fleet.vms[1].target.runs.lock().expect("not poisoned").clone();
+        let late = runs.iter().filter(|run| run.started >= bound).count();
+        expect_that!(late, eq(0), "{nodes:?}");
+    }
+}
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -304,6 +304,17 @@
         self.wait_until_ready().await;
     }
 
+    /// Kills all nodes and starts them again, while their targets go on.
+    pub async fn restart_all_nodes(&mut self) {
+        for vm in &mut self.vms {
+            vm.node.kill();
+        }
+        for vm in &mut self.vms {
+            vm.node = Process::start(SIDECAR_PROGRAM, &[&vm.settings_file]);
+        }
+        self.wait_until_ready().await;
+    }
+
     /// Waits until every node reports that it is ready.
     async fn wait_until_ready(&self) {
         for vm in &self.vms {
