Requests that run on a node that is silent for seconds are not given up

Cause: a connection between nodes was dropped when a ping was not answered for 1 s. Requests that must not be repeated were answered 502 (outcome unknown), although their target had run them and its node sent the responses when it went on. Change: on connections whose pings are observed (`mesh`), streams that are open go on for 5 s more; new ones use another connection. Requests that may be repeated leave a silent node by `ContactWatch` as before. `node` is unchanged: its requests leave a silent node only when the connection is dropped.

--- a/crates/transport/src/peer_connection.rs
+++ b/crates/transport/src/peer_connection.rs
@@ -30,6 +30,10 @@
 /// but a timeout of 250 ms closed connections to peers that paused under load.
 const PING_TIMEOUT_MS: u64 = 1_000;
 
+/// Time for which the streams of an observed connection go on after a ping was not answered, in milliseconds. A VM that was
+/// paused for 3 s has completed its work, and its response was given up after 1 s.
+const SILENT_STREAMS_MS: u64 = 5_000;
+
 /// Flow-control window of a stream, in bytes. Smaller windows stalled responses of 64 KiB; larger ones hold more of each
 /// response that its caller does not read.
 const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
@@ -38,7 +42,8 @@
 /// read their downloads stopped all calls between two nodes. Memory is bounded by the number of callers' connections.
 const CONNECTION_WINDOW_BYTES: u32 = 64 * 1024 * 1024;
 
-/// Is told the address of a peer whenever it answers a ping, also when the answer comes late.
+/// Is told the address of a peer whenever it answers a ping, also when the answer comes late. The streams of an observed
+/// connection go on for a while after a ping was not answered, because the observer decides which requests leave a peer.
 pub type PongObserver = Arc<dyn Fn(SocketAddr) + Send + Sync>;
 
 /// An HTTP/2 connection to a node. It counts as closed once the peer closes it or stops answering pings.
@@ -106,11 +111,18 @@
                     None => std::future::pending().await,
                 }
             };
-            tokio::select! {
-                _ = &mut connection => {}
-                () = pinging => log::warn!("peer: connection to {address} did not answer a ping; closing it"),
-            }
+            let is_silent = tokio::select! {
+                _ = &mut connection => false,
+                () = pinging => true,
+            };
             closed_by_task.store(true, Ordering::Release);
+            if is_silent {
+                log::warn!("peer: connection to {address} did not answer a ping; closing it");
+            }
+            if is_silent && observer.is_some() {
+                // Ends early if no stream is left.
+                let _ = tokio::time::timeout(Duration::from_millis(SILENT_STREAMS_MS), &mut connection).await;
+            }
         });
         Ok(Self { sender, closed, ping_due })
     }
--- a/tests/paused_nodes.rs
+++ b/tests/paused_nodes.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet, wait_until};
+use support::{CallerRequest, SidecarFleet, TargetBehaviour, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -178,3 +178,31 @@
     })
     .await;
 }
+
+/// Guards against work that is abandoned because its node was silent for a while, and against work that is done twice.
+#[googletest::test]
+#[tokio::test]
+async fn work_that_runs_while_its_node_is_paused_is_answered_and_runs_once() {
+    const RUN_MS: u64 = 500;
+    const BOOKINGS: usize = 8;
+    let fleet = start_fleet(&["front", "trips", "trips"], 1_000.0).await;
+    for vm in &fleet.vms {
+        *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(RUN_MS);
+    }
+    for pause_ms in [1_000, 2_000, 3_000] {
+        let bookings: Vec<_> =
+            (0..BOOKINGS).map(|number| request("POST", "/pay/1", format!("run-{pause_ms}-{number}"))).collect();
+        let sending = join_all(bookings.iter().map(|booking| fleet.send(0, booking)));
+        let pause = async {
+            tokio::time::sleep(Duration::from_millis(RUN_MS / 2)).await;
+            fleet.vms[1].node.suspend();
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            fleet.vms[1].node.resume();
+        };
+        let (responses, ()) = tokio::join!(sending, pause);
+        for (booking, response) in bookings.iter().zip(responses) {
+            let runs = count_runs(&fleet, |id| id == booking.request_id);
+            expect_that!((response.status, runs), eq((200, 1)), "{}", booking.request_id);
+        }
+    }
+}
