Registrations of other nodes outlive a pause of this process

Cause: a node that goes on after a pause of 60 s has not heard of any other for that long. It took all of them for gone and removed their registrations from the store. Found by reading the code; not reproduced with processes. Change: silence counts from the end of the last pause, which the timer between two checks shows.

--- a/crates/mesh/src/peer_table.rs
+++ b/crates/mesh/src/peer_table.rs
@@ -80,6 +80,9 @@
     pub is_outdated: bool,
 }
 
+/// Delay of a timer from which on this process was paused, in milliseconds.
+const MIN_PAUSE_MS: u64 = 2_000;
+
 /// Time from the start of a node by which it has heard of the others, in milliseconds: one interval of status messages and
 /// the time to read the registrations.
 const FIRST_STATUS_MS: u64 = 1_500;
@@ -89,6 +92,8 @@
 pub struct PeerTable {
     peers: HashMap<SocketAddr, Peer>,
     quota_start: Option<TimeUs>,
+    /// When this process last went on after a pause, in which it heard of nobody.
+    resumed_at: TimeUs,
 }
 
 impl PeerTable {
@@ -228,10 +233,17 @@
         1 + self.peers.values().filter(|peer| now.ms_since(peer.last_seen) < SHARER_TIMEOUT_MS).count()
     }
 
+    /// Observes that this process runs, which was due at `due`. After a pause all others look silent.
+    pub fn observe_timer(&mut self, due: TimeUs, now: TimeUs) {
+        if now.ms_since(due) >= MIN_PAUSE_MS {
+            self.resumed_at = now;
+        }
+    }
+
     /// Returns the addresses of nodes that have sent no status message for so long that they are considered gone.
     pub fn expired_registrations(&self, now: TimeUs) -> Vec<SocketAddr> {
         let timeout_ms = |peer: &Peer| if peer.leaving { LEAVING_TIMEOUT_MS } else { REGISTRATION_TIMEOUT_MS };
-        let is_expired = |peer: &Peer| now.ms_since(peer.last_seen) >= timeout_ms(peer);
+        let is_expired = |peer: &Peer| now.ms_since(peer.last_seen.max(self.resumed_at)) >= timeout_ms(peer);
         self.peers.iter().filter(|(_, peer)| is_expired(peer)).map(|(address, _)| *address).collect()
     }
 
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -1,7 +1,6 @@
 //! Discovers the other nodes through the store.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use fulmartrestle_platform_log::{KeyedRecord, LogError, PlatformLog, StreamName};
 
@@ -46,8 +45,9 @@
     let era = store.era();
     // In a new era the registrations that were written last are gone.
     while state.now() < end && store.era() == era {
-        let left = state.clock.duration_until(end);
-        tokio::time::sleep(left.min(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS))).await;
+        let due = end.min(state.now().plus_ms(EXPIRY_CHECK_INTERVAL_MS));
+        tokio::time::sleep(state.clock.duration_until(due)).await;
+        lock(&state.peers).observe_timer(due, state.now());
         if let Err(error) = remove_expired(state, store, stream).await {
             state.log(LogLine::new("registry_failed").text("detail", error));
             return;
