Admission for failing services is off unless the settings ask for it

The targets of the deepest service refuse half of their calls at random there; refusing requests at the entry makes none of the others succeed. Change: the setting failing_service_admission; without it, shares are calculated as before the part.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -126,6 +126,7 @@
         let datagrams = listen_for_datagrams(settings.peer_address).await?;
         let state = Arc::new(build_state(settings, &options));
         state.apply_cold_limit();
+        state.apply_admission_settings();
         let (stopping, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let limits = {
@@ -372,6 +373,7 @@
             *current = Arc::new(MeshSettings { first_start, ..settings });
             drop(current);
             state.apply_cold_limit();
+            state.apply_admission_settings();
             state.log(LogLine::new("settings_reloaded").flag("changed", changed));
         }
         Err(error) => state.log(LogLine::new("settings_rejected").text("detail", error)),
--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -63,7 +63,8 @@
     costs: RouteCosts,
     shares: HashMap<(RouteId, Rank), f64>,
     calculated_at: Option<TimeUs>,
-    failing: FailingServices,
+    /// Limits routes whose requests would mostly fail; `None` unless the deployment asks for it.
+    failing: Option<FailingServices>,
 }
 
 /// Request rates summed over all ingress nodes, in requests per second.
@@ -95,6 +96,15 @@
 }
 
 impl CapacityAdmission {
+    /// Sets whether routes are limited whose requests would mostly fail at targets that refuse their calls. Where no other
+    /// route needs the capacity that this frees, fewer requests succeed with it.
+    pub fn set_failing_service_admission(&mut self, enabled: bool) {
+        match enabled {
+            true => drop(self.failing.get_or_insert_default()),
+            false => self.failing = None,
+        }
+    }
+
     /// Stores the latest report of a node. `target` is `None` if the node has no target that accepts calls.
     pub fn record_report(
         &mut self,
@@ -128,17 +138,21 @@
         let services = self.demand_by_service();
         let elapsed_ms = elapsed_ms.min(REPORT_VALID_MS);
         self.record_costs(&services, &ingress, elapsed_ms as f64 / MILLI);
-        self.failing.update(&self.calls_by_service(), &ingress.measurable(), elapsed_ms);
+        let calls = self.calls_by_service();
+        if let Some(failing) = &mut self.failing {
+            failing.update(&calls, &ingress.measurable(), elapsed_ms);
+        }
+        let level = |route: &RouteId| self.failing.as_ref().map_or(1.0, |failing| failing.level(route));
         self.shares.clear();
         for (service, reported) in &services {
             let correction = self.cost_correction(service, reported, &ingress);
             let demand = |((route, rank), offered_per_s): (&(RouteId, Rank), &f64)| {
-                let admissible_per_s = offered_per_s * self.failing.level(route);
+                let admissible_per_s = offered_per_s * level(route);
                 ((route.clone(), *rank), admissible_per_s * self.costs.cost(service, route) * correction)
             };
             let demand: HashMap<_, _> = ingress.offered_per_s.iter().map(demand).collect();
             for (route, share) in allocate_capacity(reported.capacity_slots, &demand) {
-                let share = (share * self.failing.level(&route.0)).max(MIN_ADMITTED_SHARE);
+                let share = (share * level(&route.0)).max(MIN_ADMITTED_SHARE);
                 let lowest = self.shares.entry(route).or_insert(1.0);
                 *lowest = lowest.min(share);
             }
--- a/crates/policy/tests/failing_service.rs
+++ b/crates/policy/tests/failing_service.rs
@@ -166,6 +166,7 @@
     let mut free_middle_ms = 0.0;
     let mut arrivals = ArrivalMeter::default();
     let mut admission = CapacityAdmission::default();
+    admission.set_failing_service_admission(true);
     let mut outcome = Outcome::default();
     let mut last_refused_shares = vec![0.0; failure.targets];
     for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
