--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -126,8 +126,8 @@
 impl TargetConnectionPool {
     /// Sends a request and waits for the head of the response. Reuses an idle connection if there is one, unless
     /// the target is suspect and the request is not `repeatable`. Dropping the future closes the connection,
-    /// which cancels the request at the target. `left_ms` is the time left until the deadline. `may_send` is asked each time before the request is handed to a
-    /// connection.
+    /// which cancels the request at the target. `left_ms` is the time left until the deadline. `may_send` is asked
+    /// each time before the request is handed to a connection.
     ///
     /// # Errors
     ///
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -68,8 +68,8 @@
 }
 
 /// Accepts connections of callers until `stopping` becomes true, then lets open connections finish their
-/// requests. Connections that the kernel has already accepted by then are served too. Each connection holds one of `connection_permits`. `limits` is evaluated for each connection,
-/// because a new configuration may change it.
+/// requests. Connections that the kernel has already accepted by then are served too. Each connection holds one
+/// of `connection_permits`. `limits` is evaluated for each connection, because a new configuration may change it.
 pub async fn serve_callers(
     listener: TcpListener,
     service: Arc<dyn CallerService>,
