--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -115,7 +115,6 @@
         }
         if result != AnnouncementResult::Outdated {
             state.slots.set_limit(usable_slots(slots), now);
-            state.parents.set_slots(usable_slots(slots));
             state.notify_waiters(now);
         }
         let changed = was_usable != state.target.usable(now).is_some() || result == AnnouncementResult::NewRun;
--- a/crates/policy/src/parents.rs
+++ b/crates/policy/src/parents.rs
@@ -42,11 +42,6 @@
 }
 
 impl RunningParents {
-    /// Sets the number of slots of the target.
-    pub fn set_slots(&mut self, slots: usize) {
-        self.call_rates.set_slots(slots);
-    }
-
     /// Adds a request when it is sent to the target.
     pub fn insert(&mut self, deadline: TimeUs, call: CallId, route: RouteId, origin: Option<Origin>, now: TimeUs) {
         self.call_rates.record_start(&route, now);
--- a/crates/policy/src/parents/call_rates.rs
+++ b/crates/policy/src/parents/call_rates.rs
@@ -1,8 +1,4 @@
 //! Estimated rates at which running requests of each route make calls.
-//!
-//! Load pattern: an overload downstream keeps the slots of the target full for seconds. The number of running requests
-//! of the routes that make calls is constant then, and calls would be attributed to whichever other route varies with
-//! them by chance. Rates are therefore learned while slots are free.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -32,13 +28,6 @@
 const INITIAL_RATE_PER_S: f64 = 1.0;
 const MIN_RATE_PER_S: f64 = 1e-4;
 
-/// Share of the slots in use from which on a target counts as full.
-const FULL_SHARE: f64 = 0.9;
-
-/// Sampled calls from which on nothing is learned while the target is full. A node that starts during an overload has to
-/// learn something.
-const MIN_SAMPLES: usize = 200;
-
 const US_PER_S: f64 = 1e6;
 
 /// Number of running requests by route index.
@@ -78,23 +67,9 @@
     running_s: [f64; MAX_PARENT_ROUTES],
     updated_at: TimeUs,
     calls: HashMap<RouteId, RouteCalls>,
-    /// Slots of the target; `None` until they are known.
-    slots: Option<usize>,
 }
 
 impl CallRates {
-    /// Sets the number of slots of the target.
-    pub fn set_slots(&mut self, slots: usize) {
-        self.slots = Some(slots);
-    }
-
-    /// Returns whether the running requests say too little about the calls to learn from them.
-    fn is_paused(&self) -> bool {
-        let running: f32 = self.running.iter().sum();
-        let is_full = self.slots.is_some_and(|slots| f64::from(running) >= slots as f64 * FULL_SHARE);
-        is_full && self.calls.values().all(|calls| calls.samples.len() >= MIN_SAMPLES)
-    }
-
     pub fn record_start(&mut self, route: &RouteId, now: TimeUs) {
         self.update_running_time(now);
         if !self.route_indexes.contains_key(route) && self.route_indexes.len() < MAX_PARENT_ROUTES {
@@ -114,9 +89,6 @@
 
     pub fn record_call(&mut self, route: &RouteId, now: TimeUs) {
         self.update_running_time(now);
-        if self.is_paused() {
-            return;
-        }
         let sample = CallSample { at: now, running: self.running, running_s: self.running_s };
         let calls = self.calls.entry(route.clone()).or_default();
         if !calls.add_sample(sample) {
@@ -138,7 +110,7 @@
 
     fn update_running_time(&mut self, now: TimeUs) {
         let elapsed_s = now.us_since(self.updated_at) as f64 / US_PER_S;
-        if self.updated_at > TimeUs(0) && !self.is_paused() {
+        if self.updated_at > TimeUs(0) {
             for (running_s, running) in self.running_s.iter_mut().zip(self.running) {
                 *running_s += f64::from(running) * elapsed_s;
             }
