Precedence of refused callers is off unless the settings ask for it

Why it admits more than the share was not traced. Change: the setting refused_caller_precedence; without it, requests are admitted and told to return as before the part.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -39,6 +39,11 @@
 /// covers the time between the check of a key and the moment the request is sent on.
 const KEY_CHECK_MARGIN_MS: u64 = 300;
 
+/// Retry-After of requests that were shed for lack of capacity, in milliseconds: a minimum plus a random part, so
+/// that the callers do not retry at the same moment.
+const MIN_SHED_RETRY_AFTER_MS: u64 = 300;
+const SHED_RETRY_AFTER_SPREAD_MS: u64 = 1_200;
+
 /// Part of a caller's time left that it waits before it returns.
 const CALLER_WAIT_DIVISOR: u64 = 3;
 
@@ -174,7 +179,11 @@
             Some(true) => lock(&state.tenant_division).admitted_share(request, share, now),
             None | Some(false) => share,
         };
-        let admitted = lock(&state.refused_callers).admit(request, share, draw, now);
+        let has_precedence = state.settings().refused_caller_precedence == Some(true);
+        let admitted = match has_precedence {
+            true => lock(&state.refused_callers).admit(request, share, draw, now),
+            false => draw < share,
+        };
         lock(&state.arrivals).record_request(request.route, request.rank, admitted);
         if admitted {
             return Ok(());
@@ -184,7 +193,10 @@
         }
         let wait_limit_ms = metadata.deadline_ms.map(|deadline_ms| deadline_ms / CALLER_WAIT_DIVISOR);
         let draw = state.random_unit();
-        let retry_after_ms = lock(&state.refused_callers).refuse(request, wait_limit_ms, draw, now);
+        let retry_after_ms = match has_precedence {
+            true => lock(&state.refused_callers).refuse(request, wait_limit_ms, draw, now),
+            false => (MIN_SHED_RETRY_AFTER_MS as f64 + draw * SHED_RETRY_AFTER_SPREAD_MS as f64) as u64,
+        };
         let line = LogLine::new("shed")
             .optional_text("request", metadata.request_id.as_deref())
             .text("route", request.route)
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -62,6 +62,9 @@
     /// Whether scarce capacity is divided among tenants by max-min fairness. `None` counts as false: all requests of a
     /// route and rank are then admitted with the same probability.
     pub tenant_fairness: Option<bool>,
+    /// Whether callers that were refused are admitted before others when they return as told, and told to return by the
+    /// admitted share. `None` counts as false.
+    pub refused_caller_precedence: Option<bool>,
     /// Whether routes are limited whose requests would mostly fail at targets that refuse their calls. `None` counts as
     /// false.
     pub failing_service_admission: Option<bool>,
