--- a/crates/mesh/src/event_log.rs
+++ b/crates/mesh/src/event_log.rs
@@ -11,7 +11,7 @@
 use fulmartrestle_core::{TimeUs, lock};
 
 pub use log_line::LogLine;
-use writer::run_writer;
+pub use writer::write_blocks;
 
 /// Maximum number of lines of one event that are written per second; further lines are only counted. In an overload,
 /// thousands of requests per second are refused for the same reason.
@@ -56,7 +56,9 @@
     /// Returns the system's error if the thread cannot be started.
     pub fn start() -> std::io::Result<Self> {
         let (blocks, received) = sync_channel(MAX_PENDING_BLOCKS);
-        std::thread::Builder::new().name("journal".to_owned()).spawn(move || run_writer(&received))?;
+        std::thread::Builder::new()
+            .name("journal".to_owned())
+            .spawn(move || write_blocks(&received, std::io::stdout()))?;
         Ok(Self { pending: Arc::default(), blocks })
     }
 
--- a/crates/mesh/src/gate/crashes.rs
+++ b/crates/mesh/src/gate/crashes.rs
@@ -37,11 +37,17 @@
         if is_recent(self.clock.now()) {
             return true;
         }
+        let asked_at = self.clock.now();
         let connecting = TcpStream::connect(self.address);
-        let refused = match tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
-            Ok(Ok(_)) | Err(_) => false,
-            Ok(Err(_)) => true,
+        let connected = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await;
+        let (refused, answer) = match &connected {
+            Ok(Ok(_)) => (false, "accepted".to_owned()),
+            Ok(Err(error)) => (true, error.to_string()),
+            Err(_) => (false, "no answer".to_owned()),
         };
+        let now = self.clock.now();
+        let line = LogLine::new("target_probed").text("answer", answer).number("took_us", now.us_since(asked_at));
+        self.event_log.write(line, now);
         if refused {
             self.set_cold_state_unknown("crashed");
             lock(&self.state).last_crash = Some(self.clock.now());
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -43,7 +43,7 @@
 pub use config_freshness::ConfigFreshness;
 pub use config_position::{ConfigPosition, KnownVersions};
 pub use crash_marks::{CrashMarkLog, CrashNotice, CrashNotices};
-pub use event_log::{EventLog, LogLine};
+pub use event_log::{EventLog, LogLine, write_blocks};
 pub use large_response_limit::LargeResponseLimit;
 pub use local_target::{Announcement, AnnouncementResult, ColdState, LocalTarget};
 pub use metrics::Metrics;
