--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -47,9 +47,6 @@
 /// Interval between heartbeats of a target unless a test changes it.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
-/// Time from the crash of a target to its next start.
-const CRASH_DOWN_MS: u64 = 400;
-
 /// Bounds of the settings for cold targets. They have no effect unless a configuration names a rate.
 pub const COLD_OVERAGE: f64 = 1.5;
 pub const COLD_SLACK: f64 = 8.0;
@@ -79,6 +76,70 @@
     LargeResponse(usize),
 }
 
+/// How a target ends on a request that crashes it, and how its next run starts.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    /// Time from the arrival of the request to the end, in milliseconds.
+    pub after_ms: u64,
+    /// What the target sends on the connection of the request before it ends.
+    pub last_words: LastWords,
+    /// What becomes of the target's connections.
+    pub connections: EndOfConnections,
+    /// What becomes of its port.
+    pub port: EndOfPort,
+    /// Time from the end to the next start, in milliseconds.
+    pub down_ms: u64,
+    /// Whether heartbeats of the ended run are sent until the next one starts.
+    pub late_heartbeats: bool,
+    /// Whether the next run has another name.
+    pub renamed: bool,
+}
+
+impl Ending {
+    /// All connections close, then the port, and the target is back under its name after a moment.
+    pub const PLAIN: Self = Self {
+        after_ms: 0,
+        last_words: LastWords::None,
+        connections: EndOfConnections::Closed,
+        port: EndOfPort::ClosedAfterMs(0),
+        down_ms: 400,
+        late_heartbeats: false,
+        renamed: false,
+    };
+}
+
+/// What a target sends before it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastWords {
+    None,
+    /// The head of a response and a part of its body.
+    PartOfBody,
+    /// A response that doesn't bear the marks of one.
+    InvalidResponse,
+}
+
+/// What becomes of the connections of a target that ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndOfConnections {
+    Closed,
+    Reset,
+    /// They stay open, and nothing is sent on them any more.
+    Silent,
+}
+
+/// What becomes of the port of a target that ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndOfPort {
+    /// It closes this long before the connections, in milliseconds.
+    ClosedBeforeMs(u64),
+    /// It closes this long after the connections, in milliseconds.
+    ClosedAfterMs(u64),
+    /// Connections are accepted and wait for the next run.
+    Kept,
+    /// Connections are accepted and closed until the next run.
+    KeptAndClosing,
+}
+
 /// Whether a target announces the length of a body, in bytes, or sends it in chunks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Announced {
@@ -138,8 +199,11 @@
     pub cold_until: Mutex<Instant>,
     /// Slots that the heartbeats report.
     pub slots: AtomicU64,
-    /// How often the target has crashed. Each time it is down for a moment and starts again under the same name.
+    /// How often the target has crashed. Each time it is down for a moment and starts again.
     pub crashes: AtomicUsize,
+    /// When it crashed.
+    pub crash_times: Mutex<Vec<Instant>>,
+    pub ending: Mutex<Ending>,
     /// Written to each new connection in place of responses, if it is set.
     pub raw_response: Mutex<Option<RawResponse>>,
     pub raw_connections: RawConnections,
@@ -160,8 +224,12 @@
 
     /// Ends the current run. The target is down for a moment and starts again.
     pub fn crash(&self) {
-        *self.is_down.lock().expect("not poisoned") = true;
+        let was_down = std::mem::replace(&mut *self.is_down.lock().expect("not poisoned"), true);
+        if was_down {
+            return;
+        }
         self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.crash_times.lock().expect("not poisoned").push(Instant::now());
         self.crashing.notify_one();
     }
 }
@@ -263,6 +331,8 @@
             cold_until: Mutex::new(Instant::now()),
             slots: AtomicU64::new(10),
             crashes: AtomicUsize::new(0),
+            crash_times: Mutex::default(),
+            ending: Mutex::new(Ending::PLAIN),
             raw_response: Mutex::default(),
             raw_connections: RawConnections::default(),
             script: Mutex::default(),
@@ -402,12 +472,16 @@
 /// Sends heartbeats of a target to its node until the test ends.
 async fn send_heartbeats(control_address: SocketAddr, service: String, zone: String, target: Arc<Target>) {
     let client = Client::new();
-    let url = format!("http://{control_address}/fulmartrestle/Instances.Heartbeat/{}", target.instance_id);
+    let is_down = || *target.is_down.lock().expect("not poisoned");
     for seq in 1_u64.. {
-        while *target.is_down.lock().expect("not poisoned") {
+        let ending = *target.ending.lock().expect("not poisoned");
+        while is_down() && !ending.late_heartbeats {
             tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
         }
-        let started_unix_ms = FIRST_START_UNIX_MS + target.crashes.load(Ordering::Relaxed) as i64;
+        let run = target.crashes.load(Ordering::Relaxed) - usize::from(is_down());
+        let started_unix_ms = FIRST_START_UNIX_MS + run as i64;
+        let name = if ending.renamed { format!("{}-{run}", target.instance_id) } else { target.instance_id.clone() };
+        let url = format!("http://{control_address}/fulmartrestle/Instances.Heartbeat/{name}");
         let state = if *target.draining.lock().expect("not poisoned") { "draining" } else { "ready" };
         let cold_left = target.cold_until.lock().expect("not poisoned").saturating_duration_since(Instant::now());
         let slots = target.slots.load(Ordering::Relaxed);
@@ -425,27 +499,58 @@
 /// Serves a target, and starts it again after each crash.
 async fn serve_target(listener: TcpListener, target: Arc<Target>) {
     let address = listener.local_addr().expect("an address");
-    let mut listener = listener;
+    let mut listener = Some(listener);
+    let mut silent_connections = Vec::new();
     loop {
-        serve_run(listener, &target).await;
-        tokio::time::sleep(Duration::from_millis(CRASH_DOWN_MS)).await;
-        listener = TcpListener::bind(address).await.expect("the address is still free");
+        let run_listener = match listener.take() {
+            Some(kept) => kept,
+            None => TcpListener::bind(address).await.expect("the address is still free"),
+        };
         *target.is_down.lock().expect("not poisoned") = false;
+        let mut connections = serve_run(&run_listener, &target).await;
+        let ending = *target.ending.lock().expect("not poisoned");
+        listener = Some(run_listener);
+        if let EndOfPort::ClosedBeforeMs(ms) = ending.port {
+            listener = None;
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        match ending.connections {
+            EndOfConnections::Closed | EndOfConnections::Reset => connections.shutdown().await,
+            EndOfConnections::Silent => silent_connections.push(connections),
+        }
+        let down = tokio::time::sleep(Duration::from_millis(ending.down_ms));
+        match ending.port {
+            EndOfPort::ClosedAfterMs(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                listener = None;
+                down.await;
+            }
+            EndOfPort::ClosedBeforeMs(_) | EndOfPort::Kept => down.await,
+            EndOfPort::KeptAndClosing => {
+                let kept = listener.as_ref().expect("the port is kept");
+                let closing = async { while kept.accept().await.is_ok() {} };
+                tokio::select! { () = down => {}, () = closing => {} }
+            }
+        }
     }
 }
 
-/// Serves one run of a target until it crashes, which closes its listener and all its connections.
-async fn serve_run(listener: TcpListener, target: &Arc<Target>) {
+/// Serves one run of a target until it crashes, and returns its connections.
+async fn serve_run(listener: &TcpListener, target: &Arc<Target>) -> JoinSet<()> {
     let mut connections = JoinSet::new();
+    let run = target.crashes.load(Ordering::Relaxed);
     loop {
         let tcp = tokio::select! {
             accepted = listener.accept() => accepted.expect("the listener works").0,
-            () = target.crashing.notified() => break,
+            () = target.crashing.notified() => return connections,
             () = target.closing.notified() => {
                 connections.shutdown().await;
                 continue;
             }
         };
+        if target.ending.lock().expect("not poisoned").connections == EndOfConnections::Reset {
+            tcp.set_zero_linger().expect("a TCP socket");
+        }
         let target = Arc::clone(target);
         let script = target.script.lock().expect("not poisoned").take();
         if let Some(script) = script {
@@ -468,13 +573,34 @@
             continue;
         }
         connections.spawn(async move {
-            let service = service_fn(move |request| handle_request(request, Arc::clone(&target)));
+            let service = service_fn(move |request| handle_request(request, run, Arc::clone(&target)));
             // Dropped responses end the connection with an error.
             let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(tcp), service).await;
         });
     }
-    drop(listener);
-    connections.shutdown().await;
+}
+
+/// Ends the target on a request, and sends its last words.
+async fn crash_on_request(request_id: String, target: Arc<Target>) -> hyper::Response<TargetBody> {
+    let ending = *target.ending.lock().expect("not poisoned");
+    // The target ends also if the request is cancelled before.
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(ending.after_ms)).await;
+        target.crash();
+    });
+    let response = hyper::Response::builder().header("request-id", request_id);
+    let response = match ending.last_words {
+        LastWords::None => std::future::pending().await,
+        LastWords::InvalidResponse => response.body(small_body("no stamp")),
+        LastWords::PartOfBody => {
+            let part = stream::iter([Ok(Frame::data(Bytes::from_static(b"part")))]).chain(stream::pending());
+            response
+                .header("response-stamp", "stamp")
+                .header("content-length", 100)
+                .body(StreamBody::new(part).boxed_unsync())
+        }
+    };
+    response.expect("a valid response")
 }
 
 /// Reads the head of one request without a body, and returns the ID of the request.
@@ -520,6 +646,7 @@
 /// Handles one request according to the target's behaviour, and records it if it runs.
 async fn handle_request(
     request: hyper::Request<Incoming>,
+    run: usize,
     target: Arc<Target>,
 ) -> Result<hyper::Response<TargetBody>, std::io::Error> {
     let (parts, body) = request.into_parts();
@@ -530,6 +657,10 @@
     let header_text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let request_id = header_text("request-id").to_owned();
     let behaviour = *target.behaviour.lock().expect("not poisoned");
+    let has_ended = || target.crashes.load(Ordering::Relaxed) != run;
+    if has_ended() {
+        return std::future::pending().await;
+    }
     if behaviour == TargetBehaviour::Refuse {
         target.refusals.fetch_add(1, Ordering::Relaxed);
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
@@ -543,10 +674,14 @@
     });
     match behaviour {
         TargetBehaviour::CrashOn(text) if parts.uri.path().contains(text) => {
-            target.crash();
-            std::future::pending().await
+            return Ok(crash_on_request(request_id, target).await);
+        }
+        TargetBehaviour::CrashOn(_) => {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            if has_ended() {
+                return std::future::pending().await;
+            }
         }
-        TargetBehaviour::CrashOn(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         TargetBehaviour::RespondAfterMs(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
         TargetBehaviour::DropResponse => return Err(std::io::Error::other("response dropped on purpose")),
         TargetBehaviour::Respond
