Ends of targets are told by evidence that stays, also afterwards

Callers saw a request end every target of a service again and again, and all others fail with it: the node beside a target took its end for a lost response.

Cause: the gate asked once, right after the loss, whether the target accepts a connection. A port that closes a moment later, is kept for the next run, or a next run that listens at once answer yes; a response sent in part, an invalid one, silence and a caller that left asked nothing. Such ends were never counted.

policy::RunWatch follows the calls of a target and decides from what stays: another run announces itself, connections are refused (asked again for a second, also by calls), or announcements stop. Then all losses that the run has not survived count, whenever they happened. Until then a further try of a request that the run never answered waits there, and a request is not sent on after two lost attempts.

Requests that only ran beside: an end is conclusive only for the one that is suspected most. Two inconclusive ends make a request suspected, not blocked; it runs alone, on one target of the fleet at a time, and an answer clears it on all nodes.

Status messages and heads of marks change, a fleet of both builds was not run.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -49,6 +49,9 @@
 /// Crashes after which a request is not sent to another target, as in `fulmartrestle_policy::CrashTable`.
 const MAX_CRASHES: u32 = 2;
 
+/// Lost attempts after which a request is not sent to another target, because it may have ended them.
+const MAX_LOST_ATTEMPTS: u32 = 2;
+
 /// Result of one attempt.
 enum AttemptOutcome {
     Answered(TargetResponse),
@@ -74,6 +77,8 @@
     unknown: Option<Reason>,
     /// Crashes that this request is known to have been part of, those of earlier tries included.
     crashes: u32,
+    /// Attempts of this try whose response was lost. Whether their targets have ended may be known later only.
+    lost_attempts: u32,
 }
 
 /// Sends a request to targets until one responds, retries are not allowed any more, or the deadline has passed.
@@ -89,7 +94,7 @@
     let mut progress = RequestProgress::default();
     match lock(&state.crashes).check(request.fingerprint, state.now()) {
         CrashVerdict::Clear => {}
-        CrashVerdict::Marked => progress.crashes = 1,
+        CrashVerdict::Marked | CrashVerdict::Suspected => progress.crashes = 1,
         CrashVerdict::Blocked { until } => {
             return Err(Refusal::not_run(Reason::Blocked, Some(until.ms_since(state.now()))));
         }
@@ -135,9 +140,13 @@
                 progress.reached_targets += 1;
                 progress.unknown = Some(reason);
                 progress.crashes += u32::from(crashed);
+                progress.lost_attempts += 1;
                 if progress.crashes >= MAX_CRASHES {
                     return Err(Refusal::unknown(Reason::Blocked));
                 }
+                if progress.lost_attempts >= MAX_LOST_ATTEMPTS {
+                    return Err(Refusal::unknown(reason));
+                }
                 let can_repeat = request.repeatable && body.has_next_attempt() && state.now() < request.deadline;
                 if !can_repeat || !may_retry(state, request, progress.reached_targets, false) {
                     return Err(Refusal::unknown(reason));
--- a/crates/mesh/src/crash_marks.rs
+++ b/crates/mesh/src/crash_marks.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId, lock};
 use fulmartrestle_derive::record;
-use fulmartrestle_policy::CrashMark;
+use fulmartrestle_policy::{CrashEvidence, CrashMark};
 
 use crate::event_log::LogLine;
 use crate::peer_streams::CRASH_MARKS_PATH;
@@ -51,6 +51,8 @@
     pub attempt: CallId,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
+    /// What the attempt says about the request.
+    pub evidence: CrashEvidence,
 }
 
 /// A part of a node's own marks, numbered in the order in which its run recorded them.
@@ -76,7 +78,7 @@
 #[derive(Debug, Default)]
 pub struct CrashMarkLog {
     first: u32,
-    crashes: VecDeque<(Fingerprint, CallId, TimeUs)>,
+    crashes: VecDeque<(CrashMark, TimeUs)>,
 }
 
 impl CrashMarkLog {
@@ -84,7 +86,7 @@
     pub fn append(&mut self, node: VmId, marks: Vec<CrashMark>, now: TimeUs) {
         for mark in marks.into_iter().filter(|mark| mark.target == node) {
             let occurred_at = TimeUs(now.0.saturating_sub(mark.age_ms.saturating_mul(1_000)));
-            self.crashes.push_back((mark.fingerprint, mark.attempt, occurred_at));
+            self.crashes.push_back((mark, occurred_at));
         }
         while self.crashes.len() > MAX_KEPT_MARKS {
             self.crashes.pop_front();
@@ -95,10 +97,11 @@
     /// Returns the next notices for a node that has received those below number `received`.
     pub fn notices_from(&self, received: u32, now: TimeUs) -> CrashNotices {
         let first = received.max(self.first);
-        let to_notice = |(fingerprint, attempt, occurred_at): &(Fingerprint, CallId, TimeUs)| CrashNotice {
-            fingerprint: *fingerprint,
-            attempt: *attempt,
+        let to_notice = |(mark, occurred_at): &(CrashMark, TimeUs)| CrashNotice {
+            fingerprint: mark.fingerprint,
+            attempt: mark.attempt,
             age_ms: now.ms_since(*occurred_at),
+            evidence: mark.evidence,
         };
         let missing = self.crashes.iter().skip((first - self.first) as usize);
         CrashNotices { first, notices: missing.take(MAX_MARKS_PER_MESSAGE).map(to_notice).collect() }
@@ -118,6 +121,7 @@
             target: node,
             attempt: notice.attempt,
             age_ms: notice.age_ms,
+            evidence: notice.evidence,
         })
     }
 }
@@ -126,7 +130,8 @@
 pub fn merge_crash_marks(state: &MeshState, marks: impl Iterator<Item = CrashMark>, now: TimeUs) {
     let mut crashes = lock(&state.crashes);
     for mark in marks {
-        if crashes.merge_mark(mark, now) && crashes.check(mark.fingerprint, now).is_blocked() {
+        let is_crash = matches!(mark.evidence, CrashEvidence::Shared | CrashEvidence::Conclusive);
+        if crashes.merge_mark(mark, now) && is_crash && crashes.check(mark.fingerprint, now).is_blocked() {
             state.log(LogLine::new("request_blocked").text("fingerprint", mark.fingerprint).text("node", mark.target));
         }
     }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -7,16 +7,18 @@
 mod notices;
 mod responses;
 mod slot_guard;
+mod watched_call;
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
-use fulmartrestle_policy::{CrashTable, DemandReport, Origin};
+use fulmartrestle_policy::{CallLoss, CrashTable, DemandReport, Origin, ProbeResult};
 use fulmartrestle_transport::{ByteBody, ReplayBody, headers_from_pairs};
 use http::{Method, Request, Uri};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
 use crate::clock::BootClock;
@@ -27,6 +29,7 @@
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
 
 use admission::{GateState, usable_slots};
+use watched_call::WatchedCall;
 
 /// Retry-After when the target is gone, in milliseconds. By then other targets are known.
 const NO_TARGET_RETRY_AFTER_MS: u64 = 300;
@@ -69,6 +72,11 @@
     status_due: Arc<Notify>,
     state: Mutex<GateState>,
     pool: TargetConnectionPool,
+    /// Held by the suspected request that runs.
+    suspect_turn: Arc<Semaphore>,
+    is_probing: AtomicBool,
+    /// Wakes lost calls when an end of the target was counted.
+    end_counted: Notify,
 }
 
 impl Gate {
@@ -86,6 +94,9 @@
             status_due,
             state: Mutex::default(),
             pool: TargetConnectionPool::default(),
+            suspect_turn: Arc::new(Semaphore::new(1)),
+            is_probing: AtomicBool::new(false),
+            end_counted: Notify::new(),
         }
     }
 
@@ -99,13 +110,21 @@
             .number("seq", announcement.seq)
             .flag("leaving", announcement.draining);
         let slots = announcement.slots;
+        let known = state.target.last_announcement().cloned();
         let result = state.target.apply_announcement(announcement, now);
+        match result {
+            AnnouncementResult::NewRun => {
+                let ended = state.run_watch.record_new_run();
+                self.count_end(&ended, known.as_ref(), "new run");
+            }
+            AnnouncementResult::Current => state.run_watch.record_announcement(now),
+            AnnouncementResult::Outdated => {}
+        }
         // Before everything that could start calls which a cold target must not receive.
         state.update_cold_limit(now);
         match result {
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
-                state.answered_requests.clear();
                 state.set_notices(None, now);
                 state.pace.discard_present();
                 self.event_log.write(line.text("as", "new run"), now);
@@ -256,35 +275,50 @@
         let left_ms = deadline.ms_since(started);
         lock(&self.state).parents.insert(deadline, call, head.route.clone(), origin, started);
         let may_send = || self.confirm_start(call);
+        let watched = WatchedCall::start(Arc::clone(self), call, head.fingerprint, admitted.turn.is_some());
         let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started, may_send);
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
-            Err(_) => self.report_unknown(&head, Reason::Deadline, false),
-            Ok(Err(TargetError::NotSent(detail))) => self.target_unreachable(&head, &detail),
+            Err(_) => {
+                let mut watched = watched;
+                watched.record_loss(CallLoss::Unheard);
+                self.report_unknown(&head, Reason::Deadline, false)
+            }
+            Ok(Err(TargetError::NotSent(detail))) => {
+                watched.cancel();
+                self.target_unreachable(&head, &detail)
+            }
+            Ok(Err(TargetError::Refused(detail))) => {
+                watched.cancel();
+                self.record_probe(ProbeResult::Refused, self.pool.has_idle());
+                self.start_probing();
+                self.target_unreachable(&head, &detail)
+            }
             Ok(Err(TargetError::TooLate)) => {
+                watched.cancel();
                 self.refuse(&head, Refusal::not_run(Reason::Shed, Some(TARGET_REFUSED_RETRY_AFTER_MS)), false)
             }
+            Ok(Err(error @ TargetError::NotConnected(_))) => {
+                watched.cancel();
+                self.target_not_connected(&head, &error.to_string())
+            }
             Ok(Err(TargetError::Invalid(detail))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(&head, "target_answer_unusable", &detail);
-                self.report_unknown(&head, Reason::BadAnswer, false)
+                let crashed = watched.lose(CallLoss::Unheard).await;
+                self.report_unknown(&head, Reason::BadAnswer, crashed)
             }
-            Ok(Err(error @ TargetError::NotConnected(_))) => self.target_not_connected(&head, &error.to_string()),
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
-                let crashed = self.has_target_crashed().await;
+                let crashed = watched.lose(CallLoss::Closed).await;
                 lock(&self.state).demand.record_attempt(true);
-                if crashed {
-                    self.record_crash(&head, admitted.slot.call());
-                }
                 self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
-                let reply = self.handle_response(&head, admitted, connection, response, deadline).await;
+                let reply = self.handle_response(&head, admitted, watched, connection, response, deadline).await;
                 if let Some(refused) = is_refused_by_target(&reply.0.outcome) {
                     lock(&self.state).demand.record_attempt(refused);
                 }
-                if let CallOutcome::Answered { status, .. } = reply.0.outcome {
-                    self.record_answer(head.fingerprint, status);
+                if let CallOutcome::Answered { .. } = reply.0.outcome {
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
                 }
                 reply
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,12 +4,13 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, AnsweredRequests, ColdLimit, DemandMeter, PaceEstimate, PauseGuard, QueueEvent, RunningParents,
-    SlotQueue, SlotRequest, TargetNotices, TargetReport,
+    Admission, ColdLimit, DemandMeter, PaceEstimate, PauseGuard, QueueEvent, RunWatch, RunningParents, SlotQueue,
+    SlotRequest, TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
 
+use super::crashes::{SUSPECT_BUSY, SuspectTurn};
 use super::slot_guard::SlotGuard;
 use super::{Gate, NO_TARGET_RETRY_AFTER_MS, TARGET_REFUSED_RETRY_AFTER_MS};
 use crate::call_messages::{CallRequestHead, GateReport};
@@ -36,10 +37,10 @@
     pub slots: SlotQueue,
     pub parents: RunningParents,
     pub demand: DemandMeter,
-    /// Requests that the current run of the target has answered.
-    pub answered_requests: AnsweredRequests,
-    /// When the last crash of the target was confirmed.
-    pub last_crash: Option<TimeUs>,
+    /// The calls of the target, and whether its run has ended.
+    pub run_watch: RunWatch,
+    /// When the target was first seen to have stopped announcing itself.
+    pub silent_since: Option<TimeUs>,
     /// What the current run of the target said about itself in its last response; `None` before the first one.
     pub notices: Option<TargetNotices>,
     /// Whether other nodes are asked to send their calls elsewhere.
@@ -65,6 +66,8 @@
 /// A call that was admitted, and the target instance that runs it.
 pub struct AdmittedCall {
     pub slot: SlotGuard,
+    /// The turn of a suspected request, which ends with the call.
+    pub turn: Option<SuspectTurn>,
     pub instance: String,
     /// Start of the run, in milliseconds since the Unix epoch.
     pub started_unix_ms: i64,
@@ -86,8 +89,8 @@
             slots: SlotQueue::new(INITIAL_SLOTS),
             parents: RunningParents::default(),
             demand: DemandMeter::default(),
-            answered_requests: AnsweredRequests::default(),
-            last_crash: None,
+            run_watch: RunWatch::default(),
+            silent_since: None,
             notices: None,
             draining: false,
             closed: false,
@@ -230,18 +233,21 @@
         head: &CallRequestHead,
         deadline: TimeUs,
     ) -> Result<AdmittedCall, Refusal> {
-        self.check_crash_marks(head.fingerprint)?;
+        self.wait_for_earlier_try(head.fingerprint, deadline).await?;
+        let turn = self.take_suspect_turn(head.fingerprint, deadline).await?;
         let SlotReservation { slot, admission_result } = self.request_slot(head, deadline)?;
         if let Some(admission_result) = admission_result {
             self.wait_for_slot(admission_result, deadline).await?;
-            self.check_crash_marks(head.fingerprint)?;
+            if self.check_crash_marks(head.fingerprint)? && turn.is_none() {
+                return Err(SUSPECT_BUSY);
+            }
         }
         let state = lock(&self.state);
         let now = self.clock.now();
         let pace_percent = state.pace.present_percent(now);
         let target = state.target_for(&head.service, now)?;
         let (instance, started_unix_ms) = (target.instance.clone(), target.started_unix_ms);
-        Ok(AdmittedCall { slot, instance, started_unix_ms, pace_percent })
+        Ok(AdmittedCall { slot, turn, instance, started_unix_ms, pace_percent })
     }
 
     async fn wait_for_slot(
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -1,6 +1,7 @@
 //! Ends a call with the target's response, a refusal or an unknown outcome.
 
 use fulmartrestle_core::{Reason, Refusal, TimeUs, lock};
+use fulmartrestle_policy::CallLoss;
 use fulmartrestle_transport::{
     ByteBody, HeaderPair, ReplayBody, WatchedBody, empty_body, headers_to_pairs, incoming_body,
 };
@@ -10,7 +11,8 @@
 use hyper::body::{Body, Incoming};
 
 use super::admission::AdmittedCall;
-use super::slot_guard::{SlotGuard, StreamingSlotGuard};
+use super::slot_guard::{AnsweredCall, StreamingSlotGuard};
+use super::watched_call::WatchedCall;
 use super::{Gate, NO_TARGET_RETRY_AFTER_MS, TARGET_REFUSED_RETRY_AFTER_MS};
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead};
 use crate::event_log::LogLine;
@@ -26,6 +28,7 @@
         &self,
         head: &CallRequestHead,
         admitted: AdmittedCall,
+        mut watched: WatchedCall,
         connection: TargetConnection,
         response: Response<Incoming>,
         deadline: TimeUs,
@@ -50,22 +53,30 @@
             (ResponseClass::Invalid, _) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_unusable", parts.status.as_str());
-                return self.report_unknown(head, Reason::BadAnswer, false);
+                drop(connection);
+                let crashed = watched.lose(CallLoss::Unheard).await;
+                return self.report_unknown(head, Reason::BadAnswer, crashed);
+            }
+            (_, Err(_)) => {
+                watched.record_loss(CallLoss::Unheard);
+                return self.report_unknown(head, Reason::Deadline, false);
             }
-            (_, Err(_)) => return self.report_unknown(head, Reason::Deadline, false),
             (_, Ok(Err(error))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_broken", &error.to_string());
-                return self.report_unknown(head, Reason::BadAnswer, false);
+                let crashed = watched.lose(CallLoss::Closed).await;
+                return self.report_unknown(head, Reason::BadAnswer, crashed);
             }
             (_, Ok(Ok(body))) => body,
         };
         match class {
             ResponseClass::Valid => {
                 let head = (parts.status, &parts.headers);
-                self.forward_response(admitted.slot, connection, head, body, is_identified, announced_bytes)
+                let call = AnsweredCall { admitted, watched, connection };
+                self.forward_response(call, head, body, is_identified, announced_bytes)
             }
             ResponseClass::NotRun | ResponseClass::WrongInstance | ResponseClass::Invalid => {
+                watched.cancel();
                 self.release_connection(connection, &parts.headers, is_identified);
                 self.metrics.increment("target_refused", head.service.as_str());
                 let reason = if class == ResponseClass::NotRun { Reason::Shed } else { Reason::NoTarget };
@@ -80,8 +91,7 @@
     /// that does not know chunked transfer can't tell otherwise that it was cut.
     fn forward_response(
         &self,
-        slot: SlotGuard,
-        connection: TargetConnection,
+        call: AnsweredCall,
         (status, headers): (StatusCode, &HeaderMap),
         mut body: ReplayBody,
         is_identified: bool,
@@ -100,11 +110,13 @@
         }
         let body = body.next_attempt().unwrap_or_else(empty_body);
         let body = if is_buffered {
-            self.release_connection(connection, headers, is_identified);
-            slot.complete();
+            self.release_connection(call.connection, headers, is_identified);
+            call.watched.complete(status.as_u16());
+            call.admitted.slot.complete();
             body
         } else {
-            WatchedBody::new(body, StreamingSlotGuard::new(slot, connection)).boxed_unsync()
+            let guard = StreamingSlotGuard::new(call, status.as_u16());
+            WatchedBody::new(body, guard).boxed_unsync()
         };
         let outcome = CallOutcome::Answered { status: status.as_u16(), headers: pairs };
         (CallResponseHead { outcome, report: self.report() }, body)
@@ -163,6 +175,7 @@
         self.metrics.increment("gate_unknown", reason.as_str());
         let line = LogLine::new("gate_unknown")
             .optional_text("request", head.request_id.as_deref())
+            .text("fingerprint", head.fingerprint)
             .text("route", &head.route)
             .text("reason", reason.as_str());
         self.event_log.write(line, self.clock.now());
--- a/crates/mesh/src/gate/slot_guard.rs
+++ b/crates/mesh/src/gate/slot_guard.rs
@@ -6,6 +6,8 @@
 use fulmartrestle_transport::BodyWatcher;
 
 use super::Gate;
+use super::admission::AdmittedCall;
+use super::watched_call::WatchedCall;
 use crate::target_connection_pool::TargetConnection;
 
 /// Slot, or place in the queue, of a waiting or running call. Dropping the guard releases it, so that a caller
@@ -40,21 +42,33 @@
     }
 }
 
-/// Slot and connection of a call whose response body is still being forwarded. Both are dropped when the body
-/// ends or is dropped.
+/// A call that the target answers, and the connection on which it does.
+pub struct AnsweredCall {
+    /// Releases the slot when it is dropped.
+    pub admitted: AdmittedCall,
+    /// Reports how the response ends.
+    pub watched: WatchedCall,
+    /// Closes when it is dropped.
+    pub connection: TargetConnection,
+}
+
+/// A call whose response body is still being forwarded. It is dropped when the body ends or is dropped.
 pub struct StreamingSlotGuard {
-    held: Option<(SlotGuard, TargetConnection)>,
+    held: Option<AnsweredCall>,
+    status: u16,
 }
 
 impl StreamingSlotGuard {
-    /// Holds a slot and a connection until the body ends.
-    pub fn new(slot: SlotGuard, connection: TargetConnection) -> Self {
-        Self { held: Some((slot, connection)) }
+    /// Holds a call until the body of the response with this status ends.
+    pub fn new(call: AnsweredCall, status: u16) -> Self {
+        Self { held: Some(call), status }
     }
 }
 
 impl BodyWatcher for StreamingSlotGuard {
-    fn on_end(&mut self, _complete: bool) {
-        self.held = None;
+    fn on_end(&mut self, complete: bool) {
+        if let Some(AnsweredCall { watched, .. }) = self.held.take() {
+            watched.end_stream(self.status, complete);
+        }
     }
 }
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -167,6 +167,11 @@
         usable.then_some(&target.announcement)
     }
 
+    /// Returns whether the target announced itself once and has stopped.
+    pub fn is_silent(&self, now: TimeUs) -> bool {
+        self.target.as_ref().is_some_and(|target| now.ms_since(target.last_announced) >= ANNOUNCEMENT_TTL_MS)
+    }
+
     /// Returns the last announcement, whether or not the target may receive requests.
     pub fn last_announcement(&self) -> Option<&Announcement> {
         self.target.as_ref().map(|target| &target.announcement)
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -297,6 +297,7 @@
         state.event_log.flush(state.now());
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
+        state.gate.check_silence();
         state.apply_cold_limit();
         state.gate.start_waiting_calls();
         state.metrics.set_gauge("cold_targets", u64::from(state.gate.has_cold_target()));
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -1,11 +1,13 @@
 //! Connections to the local target.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use fulmartrestle_core::{TimeUs, lock};
+use fulmartrestle_policy::ProbeResult;
 use fulmartrestle_transport::{ByteBody, set_tcp_timeouts};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -25,6 +27,9 @@
 const CONNECT_TIME_SHARE: u64 = 2;
 const MIN_CONNECT_TIME_MS: u64 = 50;
 
+/// Time for a connection attempt that tells whether the target still listens, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 250;
+
 /// Time for the target to acknowledge sent bytes, in milliseconds.
 const SEND_TIMEOUT_MS: u64 = 3_000;
 
@@ -60,6 +65,10 @@
         NotSent(detail: String) {
             display("not sent: {}", detail)
         }
+        /// Nothing listens on the target's port.
+        Refused(detail: String) {
+            display("refused: {}", detail)
+        }
         /// No connection was open in time, so the target did not receive the request. It may be reachable.
         NotConnected(waited_ms: u64) {
             display("not connected after {} ms", waited_ms)
@@ -131,8 +140,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`TargetError::NotSent`], [`TargetError::NotConnected`] or [`TargetError::TooLate`] if the target certainly
-    /// did not receive the request, otherwise [`TargetError::Lost`] or [`TargetError::Invalid`].
+    /// Returns [`TargetError::NotSent`], [`TargetError::Refused`], [`TargetError::NotConnected`] or
+    /// [`TargetError::TooLate`] if the target certainly did not receive the request, otherwise [`TargetError::Lost`] or [`TargetError::Invalid`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -202,6 +211,22 @@
         lock(&self.idle).clear();
     }
 
+    /// Returns whether an idle connection is open, which the end of the target would close.
+    pub fn has_idle(&self) -> bool {
+        lock(&self.idle).iter().any(|connection| !connection.sender.is_closed())
+    }
+
+    /// Connects to the target and closes the connection again.
+    pub async fn probe(&self, address: SocketAddr) -> (ProbeResult, String) {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(Duration::from_millis(PROBE_TIMEOUT_MS), connecting).await {
+            Ok(Ok(_)) => (ProbeResult::Accepted, "accepted".to_owned()),
+            Ok(Err(error)) if is_refused(&error) => (ProbeResult::Refused, error.to_string()),
+            Ok(Err(error)) => (ProbeResult::NoAnswer, error.to_string()),
+            Err(_) => (ProbeResult::NoAnswer, "no answer".to_owned()),
+        }
+    }
+
     /// Records that the target sent bytes that are not a valid response.
     pub fn mark_suspect(&self, now: TimeUs) {
         *lock(&self.suspect_until) = now.plus_ms(SUSPECT_MS);
@@ -259,11 +284,17 @@
     matches!(ready.await, Ok(Ok(())))
 }
 
+/// Returns whether a connection failed because nothing listens on the port.
+fn is_refused(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+}
+
 async fn connect(address: SocketAddr, left_ms: u64) -> Result<TargetConnection, TargetError> {
     let limit_ms = (left_ms / CONNECT_TIME_SHARE).clamp(MIN_CONNECT_TIME_MS, CONNECT_TIMEOUT_MS);
     let connected = tokio::time::timeout(Duration::from_millis(limit_ms), TcpStream::connect(address)).await;
     let tcp = match connected {
         Ok(Ok(tcp)) => tcp,
+        Ok(Err(error)) if is_refused(&error) => return Err(TargetError::Refused(error.to_string())),
         Ok(Err(error)) => return Err(TargetError::NotSent(error.to_string())),
         Err(_) if limit_ms < CONNECT_TIMEOUT_MS => return Err(TargetError::NotConnected(limit_ms)),
         Err(_) => return Err(TargetError::NotSent("connecting timed out".to_owned())),
--- a/crates/mesh/tests/crash_marks.rs
+++ b/crates/mesh/tests/crash_marks.rs
@@ -2,7 +2,7 @@
 
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 use fulmartrestle_mesh::CrashMarkLog;
-use fulmartrestle_policy::{AnsweredRequests, CrashMark, CrashTable};
+use fulmartrestle_policy::{AnsweredRequests, CrashEvidence, CrashMark, CrashTable};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -11,7 +11,13 @@
 const NOW: TimeUs = TimeUs::from_s(100);
 
 fn mark(request: u64, target: VmId) -> CrashMark {
-    CrashMark { fingerprint: Fingerprint(request), target, attempt: CallId(request), age_ms: 0 }
+    CrashMark {
+        fingerprint: Fingerprint(request),
+        target,
+        attempt: CallId(request),
+        age_ms: 0,
+        evidence: CrashEvidence::Conclusive,
+    }
 }
 
 #[gtest]
--- a/crates/node/src/gate/target_gate.rs
+++ b/crates/node/src/gate/target_gate.rs
@@ -244,7 +244,7 @@
         let now = self.clock.now();
         match lock(&self.crashes).check(head.fingerprint, now) {
             CrashVerdict::Blocked { until } => Err(Refusal::not_run(Reason::Blocked, Some(until.ms_since(now)))),
-            CrashVerdict::Clear | CrashVerdict::Marked => Ok(()),
+            CrashVerdict::Clear | CrashVerdict::Marked | CrashVerdict::Suspected => Ok(()),
         }
     }
 
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -3,19 +3,29 @@
 mod answered_requests;
 mod fingerprint;
 mod messages;
+mod run_watch;
 mod settings;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 
 pub use answered_requests::AnsweredRequests;
 pub use fingerprint::request_fingerprint;
-pub use messages::{CrashMark, CrashVerdict};
+pub use messages::{CrashEvidence, CrashMark, CrashVerdict};
+pub use run_watch::{CallLoss, EndedCall, LossVerdict, ProbeResult, RunWatch};
 pub use settings::CrashSettings;
 
-/// Records which requests were running when the connection to a target was lost, and blocks a request after
-/// its second crash. Memory is bounded: the oldest records are evicted first.
+/// Maximum number of crashes that are kept of one request.
+const MAX_CRASHES: usize = 3;
+
+/// Records which requests were running when a target ended, and blocks those that end targets. Memory is bounded: the
+/// oldest records are evicted first.
+///
+/// A crash is conclusive for a request if no other that ran beside it is as much suspected. A request is blocked after its
+/// second crash if one is conclusive. Otherwise it is only suspected: several requests may have run beside each other
+/// twice, because those that a crash interrupts are all sent again. Suspected ones run one at a time, which makes the next
+/// crash conclusive, and an answer clears the others.
 #[derive(Debug, Default)]
 pub struct CrashTable {
     settings: CrashSettings,
@@ -24,10 +34,17 @@
     unsent_marks: VecDeque<(Fingerprint, Crash)>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct CrashRecord {
-    first: Crash,
-    second: Option<Crash>,
+    crashes: Vec<Crash>,
+    /// The last trial whose outcome is not known.
+    trial: Option<Crash>,
+}
+
+impl CrashRecord {
+    fn is_conclusive(&self) -> bool {
+        self.crashes.len() > 1 && self.crashes.iter().any(|crash| crash.evidence == CrashEvidence::Conclusive)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -35,11 +52,22 @@
     target: VmId,
     attempt: CallId,
     occurred_at: TimeUs,
+    evidence: CrashEvidence,
 }
 
 impl Crash {
+    fn is_same_attempt(&self, other: &Self) -> bool {
+        self.target == other.target && self.attempt == other.attempt
+    }
+
     fn to_mark(self, fingerprint: Fingerprint, now: TimeUs) -> CrashMark {
-        CrashMark { fingerprint, target: self.target, attempt: self.attempt, age_ms: now.ms_since(self.occurred_at) }
+        CrashMark {
+            fingerprint,
+            target: self.target,
+            attempt: self.attempt,
+            age_ms: now.ms_since(self.occurred_at),
+            evidence: self.evidence,
+        }
     }
 }
 
@@ -49,35 +77,99 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Records that the connection to a target was lost while it ran an attempt of a request. Both the
+    /// Records that the connection to a target was lost while it ran an attempt of this request alone. Both the
     /// target's node and the caller's may report the loss; it counts once per attempt.
     pub fn record_connection_loss(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
-        self.record_crash(fingerprint, Crash { target, attempt, occurred_at: now }, now);
+        self.record_crash(
+            fingerprint,
+            Crash { target, attempt, occurred_at: now, evidence: CrashEvidence::Conclusive },
+            now,
+        );
     }
 
-    /// Records that a target answered the request, which removes a first crash mark: the request merely
-    /// happened to run when something else crashed the target.
-    pub fn record_response(&mut self, fingerprint: Fingerprint) {
-        if self.records.get(&fingerprint).is_some_and(|record| record.second.is_none()) {
-            self.remove(fingerprint);
+    /// Records that a target ended while it ran the suspected ones of `calls`. Returns the requests that are blocked by it.
+    pub fn record_end(&mut self, calls: &[EndedCall], target: VmId, now: TimeUs) -> Vec<Fingerprint> {
+        let suspects: BTreeMap<Fingerprint, &EndedCall> =
+            calls.iter().filter(|call| call.suspected).map(|call| (call.fingerprint, call)).collect();
+        let counts: Vec<usize> = suspects.keys().map(|fingerprint| self.count_crashes(*fingerprint, now)).collect();
+        let highest = counts.iter().max().copied().unwrap_or_default();
+        let is_unique = counts.iter().filter(|count| **count == highest).count() == 1;
+        let mut blocked = Vec::new();
+        for ((fingerprint, ended), count) in
+            suspects.into_iter().zip(counts).filter(|((_, ended), _)| !ended.is_counted)
+        {
+            let attempt = ended.call;
+            let is_conclusive = is_unique && count == highest;
+            let evidence = if is_conclusive { CrashEvidence::Conclusive } else { CrashEvidence::Shared };
+            let is_new = self.record_crash(fingerprint, Crash { target, attempt, occurred_at: now, evidence }, now);
+            if is_new && self.check(fingerprint, now).is_blocked() {
+                blocked.push(fingerprint);
+            }
+        }
+        blocked
+    }
+
+    /// Records that a suspected request is handed to a target, where it runs alone.
+    pub fn record_trial(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
+        let crash = Crash { target, attempt, occurred_at: now, evidence: CrashEvidence::Trial };
+        self.record_crash(fingerprint, crash, now);
+    }
+
+    /// Records that the target has not run a trial.
+    pub fn withdraw_trial(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
+        let crash = Crash { target, attempt, occurred_at: now, evidence: CrashEvidence::Withdrawn };
+        if self.remove_attempt(fingerprint, &crash, true) {
+            self.queue_mark(fingerprint, crash);
+        }
+    }
+
+    /// Records that a target answered the request, which clears it unless it is blocked: it merely happened to run when
+    /// something else crashed the targets. If this attempt was counted as a crash, it does not count any more. The other
+    /// nodes are told.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
+        let crash = Crash { target, attempt, occurred_at: now, evidence: CrashEvidence::Answered };
+        if self.apply_answer(fingerprint, &crash) {
+            self.queue_mark(fingerprint, crash);
         }
     }
 
-    /// Returns whether the request is clear, marked or blocked.
+    /// Records an answer like [`CrashTable::record_answer`], for this node alone.
+    pub fn record_response(&mut self, fingerprint: Fingerprint) {
+        self.clear(fingerprint);
+    }
+
+    /// Returns whether the request is clear, marked, suspected or blocked.
     pub fn check(&self, fingerprint: Fingerprint, now: TimeUs) -> CrashVerdict {
         let Some(record) = self.records.get(&fingerprint) else { return CrashVerdict::Clear };
-        if let Some(second) = record.second {
-            let until = second.occurred_at.max(record.first.occurred_at).plus_ms(self.settings.block_ms);
-            return if now < until { CrashVerdict::Blocked { until } } else { CrashVerdict::Clear };
+        let last_crash = record.crashes.iter().map(|crash| crash.occurred_at).max();
+        let Some(last_crash) = last_crash else { return CrashVerdict::Clear };
+        let is_repeated = record.crashes.len() > 1;
+        let kept_ms = if is_repeated { self.settings.block_ms } else { self.settings.mark_ms };
+        let until = last_crash.plus_ms(kept_ms);
+        let trial_until = record.trial.map(|trial| trial.occurred_at.plus_ms(self.settings.trial_ms));
+        match (now < until, is_repeated) {
+            (false, _) => CrashVerdict::Clear,
+            (true, false) => CrashVerdict::Marked,
+            (true, true) if record.is_conclusive() => CrashVerdict::Blocked { until },
+            (true, true) => match trial_until.filter(|until| now < *until) {
+                Some(until) => CrashVerdict::Blocked { until },
+                None => CrashVerdict::Suspected,
+            },
         }
-        let expires_at = record.first.occurred_at.plus_ms(self.settings.mark_ms);
-        if now < expires_at { CrashVerdict::Marked } else { CrashVerdict::Clear }
     }
 
     /// Merges a mark from another node and returns whether it was new and must be forwarded.
     pub fn merge_mark(&mut self, mark: CrashMark, now: TimeUs) -> bool {
         let occurred_at = TimeUs(now.0.saturating_sub(mark.age_ms.saturating_mul(1_000)));
-        self.record_crash(mark.fingerprint, Crash { target: mark.target, attempt: mark.attempt, occurred_at }, now)
+        let CrashMark { fingerprint, target, attempt, evidence, .. } = mark;
+        let crash = Crash { target, attempt, occurred_at, evidence };
+        match evidence {
+            CrashEvidence::Answered => self.apply_answer(fingerprint, &crash),
+            CrashEvidence::Withdrawn => self.remove_attempt(fingerprint, &crash, true),
+            CrashEvidence::Shared | CrashEvidence::Conclusive | CrashEvidence::Trial => {
+                self.record_crash(fingerprint, crash, now)
+            }
+        }
     }
 
     /// Removes and returns the marks to send to other nodes.
@@ -87,10 +179,16 @@
 
     /// Returns all marks for a joining node, which would run blocked requests without them.
     pub fn all_marks(&self, now: TimeUs) -> Vec<CrashMark> {
-        let crashes = |record: &CrashRecord| std::iter::once(record.first).chain(record.second);
         let marks = |fingerprint: &Fingerprint| {
             let record = self.records.get(fingerprint)?;
-            Some(crashes(record).map(|crash| crash.to_mark(*fingerprint, now)).collect::<Vec<_>>())
+            Some(
+                record
+                    .crashes
+                    .iter()
+                    .chain(&record.trial)
+                    .map(|crash| crash.to_mark(*fingerprint, now))
+                    .collect::<Vec<_>>(),
+            )
         };
         self.insertion_order.iter().filter_map(marks).flatten().collect()
     }
@@ -105,23 +203,61 @@
         self.records.is_empty()
     }
 
-    /// Records a crash and returns whether it was new.
+    fn count_crashes(&self, fingerprint: Fingerprint, now: TimeUs) -> usize {
+        if self.check(fingerprint, now) == CrashVerdict::Clear {
+            return 0;
+        }
+        self.records.get(&fingerprint).map_or(0, |record| record.crashes.len())
+    }
+
+    /// Records a crash or a trial and returns whether it was new.
     fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: TimeUs) -> bool {
         if self.check(fingerprint, now) == CrashVerdict::Clear {
-            self.insert(fingerprint, CrashRecord { first: crash, second: None });
-            self.queue_mark(fingerprint, crash);
-            return true;
+            self.insert(fingerprint, CrashRecord::default());
         }
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
-        let same_crash = record.first.target == crash.target && record.first.attempt == crash.attempt;
-        if same_crash || record.second.is_some() {
+        if record.crashes.iter().any(|known| known.is_same_attempt(&crash)) || record.is_conclusive() {
             return false;
         }
-        record.second = Some(crash);
+        if crash.evidence == CrashEvidence::Trial {
+            if record.trial.is_some_and(|known| known.is_same_attempt(&crash)) {
+                return false;
+            }
+            record.trial = Some(crash);
+        } else {
+            record.trial = record.trial.filter(|trial| !trial.is_same_attempt(&crash));
+            if record.crashes.len() >= MAX_CRASHES {
+                record.crashes.remove(0);
+            }
+            record.crashes.push(crash);
+        }
         self.queue_mark(fingerprint, crash);
         true
     }
 
+    /// Removes the record of a request that is not blocked for good, and returns whether there was one.
+    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        let is_clearable = self.records.get(&fingerprint).is_some_and(|record| !record.is_conclusive());
+        if is_clearable {
+            self.remove(fingerprint);
+        }
+        is_clearable
+    }
+
+    fn apply_answer(&mut self, fingerprint: Fingerprint, answered: &Crash) -> bool {
+        let was_counted = self.remove_attempt(fingerprint, answered, false);
+        self.clear(fingerprint) || was_counted
+    }
+
+    /// Removes what is recorded of one attempt, or only a trial, and returns whether there was anything.
+    fn remove_attempt(&mut self, fingerprint: Fingerprint, attempt: &Crash, only_trial: bool) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
+        let count = record.crashes.len();
+        record.crashes.retain(|known| only_trial || !known.is_same_attempt(attempt));
+        let had_trial = record.trial.take_if(|trial| trial.is_same_attempt(attempt)).is_some();
+        had_trial || record.crashes.len() < count
+    }
+
     fn insert(&mut self, fingerprint: Fingerprint, record: CrashRecord) {
         self.remove(fingerprint);
         self.records.insert(fingerprint, record);
--- a/crates/policy/src/crash/messages.rs
+++ b/crates/policy/src/crash/messages.rs
@@ -15,6 +15,23 @@
     pub attempt: CallId,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
+    /// What the attempt says about the request.
+    pub evidence: CrashEvidence,
+}
+
+/// What one attempt of a request says about it.
+#[value]
+pub enum CrashEvidence {
+    /// The target ended, and other requests that ran there were as much suspected.
+    Shared,
+    /// The target ended, and no other request that ran there was as much suspected.
+    Conclusive,
+    /// The request is suspected and runs alone. It must not reach another target before the outcome is known.
+    Trial,
+    /// The target has not run a trial.
+    Withdrawn,
+    /// The target answered. The request merely ran beside the one that ended targets.
+    Answered,
 }
 
 /// Whether a request may run, given the crashes that it was part of.
@@ -24,7 +41,10 @@
     Clear,
     /// The request ran when one target crashed. It may run on one more target.
     Marked,
-    /// The request ran in two crashes and is refused until the block ends.
+    /// The request ran in two crashes or more, and others that may have caused them ran beside it. It may run on one
+    /// target at a time, where no other suspected request runs.
+    Suspected,
+    /// The request ran in two crashes, at least one of them conclusive, and is refused until the block ends.
     Blocked {
         /// End of the block.
         until: TimeUs,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,7 +53,10 @@
 pub use arrivals::{ArrivalMeter, RouteArrivals};
 pub use capacity_admission::CapacityAdmission;
 pub use cold_limit::ColdLimit;
-pub use crash::{AnsweredRequests, CrashMark, CrashSettings, CrashTable, CrashVerdict, request_fingerprint};
+pub use crash::{
+    AnsweredRequests, CallLoss, CrashEvidence, CrashMark, CrashSettings, CrashTable, CrashVerdict, EndedCall,
+    LossVerdict, ProbeResult, RunWatch, request_fingerprint,
+};
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use evacuation_report::EvacuationReport;
 pub use evacuation_state::{EvacuationRecord, EvacuationState};
--- a/crates/policy/src/retry/decision.rs
+++ b/crates/policy/src/retry/decision.rs
@@ -91,11 +91,12 @@
 }
 
 /// Returns whether a request may run on another target. A request that crashed one target may run on one
-/// more, never on a third.
+/// more, never on a third in one try.
 fn may_run_elsewhere(context: &RetryContext<'_>, crashes: &mut CrashTable, now: TimeUs) -> bool {
     match crashes.check(context.fingerprint, now) {
         CrashVerdict::Clear => true,
         CrashVerdict::Marked => context.tried.len() < 2,
+        CrashVerdict::Suspected => false,
         CrashVerdict::Blocked { .. } => false,
     }
 }
--- a/tests/crash_requests.rs
+++ b/tests/crash_requests.rs
@@ -254,7 +254,7 @@
         failures.push(format!("the last try got {:?}", statuses.last()));
     }
     let started = Instant::now();
-    for number in 0..BESIDE_PATHS.len() {
+    for (number, path) in BESIDE_PATHS.iter().enumerate() {
         let vm = number % fleet.vms.len();
         let answered = async {
             for attempt in 1.. {
@@ -267,7 +267,7 @@
         };
         let left = Duration::from_millis(MAX_INNOCENT_WAIT_MS).saturating_sub(started.elapsed());
         if tokio::time::timeout(left, answered).await.is_err() {
-            failures.push(format!("{} is not served", BESIDE_PATHS[number]));
+            failures.push(format!("{path} is not served"));
         }
     }
     failures
