Red test: on the product's own interface lost responses block a request

The stand-in target drops responses, keeps its port over a crash and announces the start of its run.

--- a/crates/policy/tests/run_watch.rs
+++ b/crates/policy/tests/run_watch.rs
@@ -458,11 +458,11 @@
             }
         }
         for vm in &mut vms {
+            // Marks of one moment travel in one message, which may be lost and is sent again after a second.
+            let delay_ms = if rng.random_bool(0.02) { 1_000 } else { 50 };
             let marks = vm.crashes.take_marks(now);
-            for mark in marks.into_iter().filter(|mark| mark.target == vm.node) {
-                let delay_ms = if rng.random_bool(0.02) { 1_000 } else { 50 };
-                mail.push((now.plus_ms(delay_ms), mark));
-            }
+            let own = marks.into_iter().filter(|mark| mark.target == vm.node);
+            mail.extend(own.map(|mark| (now.plus_ms(delay_ms), mark)));
         }
         for (_, mark) in mail.extract_if(.., |(at, _)| *at <= now) {
             for vm in vms.iter_mut().filter(|vm| vm.node != mark.target) {
--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -36,6 +36,7 @@
     warm_up_ms: u64,
     leaving: bool,
     protocol: Protocol,
+    started_unix_ms: i64,
 }
 
 /// Announces the target to the node at `node_admin` until the target is stopped. A crashed target sends no
@@ -66,6 +67,7 @@
         warm_up_ms: settings.warm_up_ms,
         leaving: shared.behaviour().draining,
         protocol: settings.protocol,
+        started_unix_ms: shared.started_unix_ms(),
     }
 }
 
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -20,6 +20,10 @@
     pub draining: bool,
     /// Truncates each response body to half of the announced length.
     pub cut_answers: bool,
+    /// Runs each call and closes its connection without a response.
+    pub drop_answers: bool,
+    /// A crashed target keeps its port: connections are accepted and wait for the restart.
+    pub keep_port: bool,
     /// A request with this marker in its URL or in the header `x-standin-marker` crashes the target, which
     /// closes its listener and all its connections.
     pub crash_marker: Option<String>,
@@ -37,6 +41,8 @@
             reported_healthy: None,
             draining: false,
             cut_answers: false,
+            drop_answers: false,
+            keep_port: false,
             crash_marker: None,
             restart_after_ms: None,
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,5 @@
 //! HTTP server of a target.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -42,7 +41,14 @@
     let connection_number = io.number();
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(handle_request(request, &shared, connection_number).await) }
+        async move {
+            let is_control = request.uri().path().starts_with("/standin/");
+            let response = handle_request(request, &shared, connection_number).await;
+            match shared.behaviour().drop_answers && !is_control {
+                true => Err(std::io::Error::other("response dropped by the drop_answers fault")),
+                false => Ok(response),
+            }
+        }
     });
     let builder = auto::Builder::new(TokioExecutor::new());
     if let Err(error) = builder.serve_connection(TokioIo::new(io), service).await {
--- a/crates/standin/src/shared_state.rs
+++ b/crates/standin/src/shared_state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fulmartrestle_core::lock;
 use rand::SeedableRng;
@@ -37,7 +37,8 @@
     behaviour: Mutex<TargetBehaviour>,
     recorder: Mutex<Recorder>,
     random: Mutex<ChaCha8Rng>,
-    started_at: Mutex<Instant>,
+    /// When the current run started, and the same in milliseconds since the Unix epoch.
+    started_at: Mutex<(Instant, i64)>,
 }
 
 impl SharedState {
@@ -52,7 +53,7 @@
             behaviour: Mutex::new(settings.behaviour.clone()),
             recorder: Mutex::default(),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed)),
-            started_at: Mutex::new(Instant::now()),
+            started_at: Mutex::new((Instant::now(), unix_now_ms())),
             child_caller,
             settings,
         }
@@ -91,7 +92,7 @@
 
     /// Returns the factor on the service time due to the warm-up; it falls linearly to 1.
     fn cold_factor(&self) -> f64 {
-        let uptime_ms = lock(&self.started_at).elapsed().as_millis() as f64;
+        let uptime_ms = lock(&self.started_at).0.elapsed().as_millis() as f64;
         let warm_up_ms = self.settings.warm_up_ms as f64;
         if uptime_ms >= warm_up_ms {
             return 1.0;
@@ -100,9 +101,14 @@
         1.0 + (self.settings.cold_factor - 1.0) * remaining_share
     }
 
+    /// Returns the start of the current run, in milliseconds since the Unix epoch.
+    pub(crate) fn started_unix_ms(&self) -> i64 {
+        lock(&self.started_at).1
+    }
+
     /// Resets the uptime, which begins a warm-up.
     pub(crate) fn reset_uptime(&self) {
-        *lock(&self.started_at) = Instant::now();
+        *lock(&self.started_at) = (Instant::now(), unix_now_ms());
     }
 
     /// Returns the number of running and waiting requests per slot; above 1 if requests wait.
@@ -111,3 +117,7 @@
         busy as f64 / f64::from(self.settings.slots.max(1))
     }
 }
+
+fn unix_now_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since_epoch| since_epoch.as_millis() as i64)
+}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -176,15 +176,16 @@
             ProcessState::Stopped => return,
             ProcessState::Crashed => await_restart(&shared, &mut process_state).await,
             ProcessState::Up(_) => {
-                let Some(listener) = open_listener(listener.take(), address).await else {
+                let Some(open) = open_listener(listener.take(), address).await else {
                     continue;
                 };
                 shared.reset_uptime();
                 let state_change = process_state.wait_for(|current| *current != state);
                 tokio::select! {
-                    () = accept_connections(&shared, listener) => {}
+                    () = accept_connections(&shared, &open) => {}
                     _ = state_change => {}
                 }
+                listener = shared.behaviour().keep_port.then_some(open);
             }
         }
     }
@@ -220,7 +221,7 @@
 }
 
 /// Accepts connections until the listener fails. Dropping the future closes all connections.
-async fn accept_connections(shared: &Arc<SharedState>, listener: TcpListener) {
+async fn accept_connections(shared: &Arc<SharedState>, listener: &TcpListener) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -271,3 +271,47 @@
     });
     verify_that!(records.await.json()["crashes"].as_u64(), some(eq(0)))
 }
+
+/// A lost response is no crash, and a crashed target need not refuse connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_blocked_or_crashes_on_because_of_how_connections_end() -> Result<()> {
+    struct Case {
+        name: &'static str,
+        behaviour: serde_json::Value,
+        /// Crashes of all targets together, at most.
+        max_crashes: u64,
+        /// Status for the request once the targets behave.
+        status: u16,
+    }
+    let crash =
+        |restart_after_ms| json!({"crash_marker": "poison", "restart_after_ms": restart_after_ms, "keep_port": true});
+    let cases = [
+        Case { name: "responses are lost", behaviour: json!({"drop_answers": true}), max_crashes: 0, status: 200 },
+        Case { name: "port is kept", behaviour: crash(300), max_crashes: 6, status: 422 },
+        Case { name: "next run starts at once", behaviour: crash(1), max_crashes: 6, status: 422 },
+    ];
+    for case in cases {
+        let (fleet, key) = start_fleet(&three_target_spec()).await;
+        for vm in 0..fleet.vms.len() {
+            fleet.set_behaviour(vm, &case.behaviour).await;
+        }
+        let poison = |vm| Request::get(fleet.caller_url(vm, "/search/poison")).bearer_auth(&key);
+        for attempt in 0..20 {
+            let _ = fleet.client.try_send(&poison(attempt % fleet.vms.len())).await;
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let mut crashes = 0;
+        for vm in 0..fleet.vms.len() {
+            fleet.set_behaviour(vm, &json!({})).await;
+            crashes += fleet.target_records(vm).await["crashes"].as_u64().unwrap_or(0);
+        }
+        verify_that!(crashes, le(case.max_crashes)).with_failure_message(|| case.name.to_owned())?;
+        let answered = async || {
+            let response = fleet.client.try_send(&poison(0)).await.ok()?;
+            (response.status == case.status).then_some(())
+        };
+        wait_until(case.name, answered).await;
+        wait_for_consecutive_successes(&fleet, 0, &key).await;
+    }
+    Ok(())
+}
