Product's own interface: a lost response is no crash, and crashes are told by their node

Callers of the product's own interface got 422 for five minutes after two lost responses, and requests whose target fell silent, sent a part or lost its caller were never counted.

Cause: the same class as on the platform's path. The caller's node counted each lost connection as a crash, and nothing else.

It records the marks and sends the one of a lost call with the response, so that the caller's node and the broadcasts mean the same crash. Suspected requests run alone, as on the platform.

--- a/crates/node/src/call/dispatch.rs
+++ b/crates/node/src/call/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sending of one call: target selection, attempts within the retry allowance, and the final result.
 
-use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, VmId, lock};
+use fulmartrestle_core::{Outcome, Reason, Refusal, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
     AttemptResult, BasisPoints, CallResult, CompletedCall, FailedAttempt, IngressRequest, RetryAllowance, RetryContext,
     RetryDecision, TargetRequirements, decide_retry,
@@ -175,7 +175,7 @@
 }
 
 fn handle_response(state: &NodeState, spec: &CallSpec, target: VmId, response: PeerResponse) -> AttemptOutcome {
-    let ResponseHead { result, admission_level, downstream_levels, unspent_retries, target_lost } = response.head;
+    let ResponseHead { result, admission_level, downstream_levels, unspent_retries, crash } = response.head;
     let now = state.clock.now();
     {
         let mut admission = lock(&state.ingress_admission);
@@ -188,9 +188,12 @@
     }
     let response = match result {
         GateResult::Response { status, headers } => Ok(TargetResponse { status, headers, body: response.body }),
-        GateResult::Refused(_) if target_lost => {
-            let attempt = CallId(state.random_u64());
-            lock(&state.crashes).record_connection_loss(spec.fingerprint, target, attempt, now);
+        GateResult::Refused(refusal)
+            if refusal.outcome == Outcome::Unknown && refusal.reason == Reason::TargetFailed =>
+        {
+            if let Some(mark) = crash {
+                lock(&state.crashes).merge_mark(mark, now);
+            }
             Err(AttemptResult::ConnectionLost)
         }
         GateResult::Refused(refusal) => Err(AttemptResult::Refused(refusal)),
@@ -227,7 +230,7 @@
 
 fn has_unknown_outcome(result: AttemptResult) -> bool {
     match result {
-        AttemptResult::Refused(refusal) => refusal.outcome == fulmartrestle_core::Outcome::Unknown,
+        AttemptResult::Refused(refusal) => refusal.outcome == Outcome::Unknown,
         AttemptResult::NoTarget => false,
         AttemptResult::ConnectionLost | AttemptResult::TimedOut | AttemptResult::BadAnswer => true,
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -169,9 +169,9 @@
     mark: &CrashMark,
     now: fulmartrestle_core::TimeUs,
 ) {
-    // Marks are a few dozen bytes, far below the size limit of broadcasts. The key combines fingerprint and
-    // attempt, so that the second crash of a request doesn't replace the first.
-    let key = mark.fingerprint.0 ^ mark.attempt.0;
+    // Marks are a few dozen bytes, far below the size limit of broadcasts. The key combines fingerprint,
+    // target and attempt, so that the second crash of a request doesn't replace the first.
+    let key = mark.fingerprint.0 ^ mark.target.0 ^ mark.attempt.0;
     if let Ok(bytes) = encode(mark) {
         let _ = membership.broadcast(CRASH_MARK_TOPIC, key, bytes, now);
     }
--- a/crates/node/src/gate/local_target.rs
+++ b/crates/node/src/gate/local_target.rs
@@ -51,6 +51,14 @@
     pub started_unix_ms: Option<i64>,
 }
 
+impl TargetAnnouncement {
+    /// Returns whether `next` announces another run than this one.
+    pub fn is_other_run(&self, next: &Self) -> bool {
+        let starts = self.started_unix_ms.zip(next.started_unix_ms);
+        self.address != next.address || starts.is_some_and(|(known, next)| known != next)
+    }
+}
+
 /// State of the local target.
 #[derive(Clone, Debug)]
 pub struct LocalTarget {
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod admission_slot;
+mod crashes;
 mod local_target;
 mod target_client;
 mod target_gate;
--- a/crates/node/src/gate/target_client.rs
+++ b/crates/node/src/gate/target_client.rs
@@ -1,9 +1,11 @@
 //! HTTP client for the local target.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use fulmartrestle_policy::ProbeResult;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -78,10 +80,21 @@
     }
 }
 
+/// Connects to the target and closes the connection again.
+pub async fn probe(address: SocketAddr) -> ProbeResult {
+    let connecting = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
+        Ok(Ok(_)) => ProbeResult::Accepted,
+        Ok(Err(error)) if matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) => {
+            ProbeResult::Refused
+        }
+        Ok(Err(_)) | Err(_) => ProbeResult::NoAnswer,
+    }
+}
+
 /// Returns whether a new connection to the target can be established in time.
 pub async fn can_connect(address: SocketAddr) -> bool {
-    let connecting = tokio::net::TcpStream::connect(address);
-    matches!(tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await, Ok(Ok(_)))
+    probe(address).await == ProbeResult::Accepted
 }
 
 fn build_client(protocol: TargetProtocol) -> PooledClient {
--- a/crates/node/src/gate/target_gate.rs
+++ b/crates/node/src/gate/target_gate.rs
@@ -1,12 +1,13 @@
 //! Admission of calls to the local target, and the exchange of admitted calls with it.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, lock};
+use fulmartrestle_core::{CallId, Reason, Refusal, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
-    Admission, AdmissionGate, AdmissionGateSettings, AdmissionLevel, BasisPoints, Completion, CrashTable, CrashVerdict,
-    OfferedCall, QueueEvent, RetryAllowance, TargetHints,
+    Admission, AdmissionGate, AdmissionGateSettings, AdmissionLevel, BasisPoints, CallLoss, Completion, CrashMark,
+    CrashTable, OfferedCall, QueueEvent, RetryAllowance, RunWatch, TargetHints,
 };
 use http::{HeaderName, HeaderValue, Method, Request, Uri};
 use tokio::sync::oneshot;
@@ -26,21 +27,30 @@
 /// `Retry-After` when the target is gone, in milliseconds. By then the other nodes know its replacement.
 const TARGET_GONE_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Lowest status of a response that does not show that the target can run the request.
+const FIRST_ERROR_STATUS: u16 = 500;
+
 /// The gate in front of the local target. It admits or refuses calls, and sends the admitted ones to the target.
 pub struct TargetGate {
-    clock: Clock,
-    state: Mutex<GateState>,
+    pub(super) clock: Clock,
+    pub(super) local_vm: VmId,
+    pub(super) state: Mutex<GateState>,
     running: Mutex<RunningCalls>,
     client: Mutex<Arc<TargetClient>>,
     response_timeout: AdaptiveTimeout,
     signer: ContextSigner,
     keys: Arc<dyn KeyCheck>,
-    crashes: Arc<Mutex<CrashTable>>,
+    pub(super) crashes: Arc<Mutex<CrashTable>>,
+    pub(super) is_probing: AtomicBool,
 }
 
 /// Mutable state of the gate: the target, its admission control, and the queued calls.
-struct GateState {
-    target: Option<LocalTarget>,
+pub(super) struct GateState {
+    pub target: Option<LocalTarget>,
+    /// The calls of the target, and whether its run has ended.
+    pub run_watch: RunWatch,
+    /// The suspected request that runs.
+    pub suspect: Option<CallId>,
     admission_gate: AdmissionGate,
     waiters: AdmissionWaiters,
     next_call: u64,
@@ -58,9 +68,17 @@
 
 impl TargetGate {
     /// Creates a gate that has no target yet.
-    pub fn new(clock: Clock, signer: ContextSigner, keys: Arc<dyn KeyCheck>, crashes: Arc<Mutex<CrashTable>>) -> Self {
+    pub fn new(
+        clock: Clock,
+        local_vm: VmId,
+        signer: ContextSigner,
+        keys: Arc<dyn KeyCheck>,
+        crashes: Arc<Mutex<CrashTable>>,
+    ) -> Self {
         let state = GateState {
             target: None,
+            run_watch: RunWatch::default(),
+            suspect: None,
             admission_gate: AdmissionGate::new(AdmissionGateSettings::default()),
             waiters: AdmissionWaiters::default(),
             next_call: 0,
@@ -69,6 +87,7 @@
         };
         Self {
             clock,
+            local_vm,
             state: Mutex::new(state),
             running: Mutex::default(),
             client: Mutex::new(Arc::new(TargetClient::new(TargetProtocol::default()))),
@@ -76,6 +95,7 @@
             signer,
             keys,
             crashes,
+            is_probing: AtomicBool::new(false),
         }
     }
 
@@ -100,6 +120,15 @@
             state.admission_gate.begin_drain(now);
         }
         state.admission_gate.set_hints(hints, now);
+        let is_new_run = state.target.as_ref().is_some_and(|old| old.announcement.is_other_run(&announcement));
+        let ended = match is_new_run {
+            true => state.run_watch.record_new_run(),
+            false => {
+                state.run_watch.record_announcement(now);
+                Vec::new()
+            }
+        };
+        lock(&self.crashes).record_end(&ended, self.local_vm, now);
         match &mut state.target {
             Some(target) => target.renew(announcement, now),
             None => state.target = Some(LocalTarget::new(announcement, now)),
@@ -196,13 +225,19 @@
         let allowance = head.retry_allowance;
         match self.admit(&head).await {
             Ok((call, slot)) => self.forward(call, slot, head, body).await,
-            Err(refusal) => self.refusal_response(refusal, allowance, false),
+            Err(refusal) => self.refusal_response(refusal, allowance, None),
         }
     }
 
     /// Releases the slot of a call that has ended.
-    pub fn complete(&self, call: CallId, completion: Completion) {
+    pub fn complete(self: &Arc<Self>, call: CallId, completion: Completion) {
         let now = self.clock.now();
+        match completion {
+            Completion::Answered => self.record_answer(call, now),
+            Completion::TargetRefused => self.stop_watching(call),
+            Completion::Failed => self.record_loss(call, CallLoss::Closed, now),
+            Completion::TimedOut | Completion::Cancelled => self.record_loss(call, CallLoss::Unheard, now),
+        }
         lock(&self.running).remove(call);
         let mut state = lock(&self.state);
         state.admission_gate.complete(call, completion, now);
@@ -213,6 +248,7 @@
     pub fn cancel(&self, call: CallId) {
         let now = self.clock.now();
         lock(&self.running).remove(call);
+        self.record_abandoned(call, now);
         let mut state = lock(&self.state);
         state.waiters.remove(call);
         state.admission_gate.cancel(call, now);
@@ -223,28 +259,27 @@
     ///
     /// A queued call is checked again before it runs, because its key may have been withdrawn in the meantime.
     async fn admit(self: &Arc<Self>, head: &CallHead) -> Result<(CallId, AdmissionSlot), Refusal> {
-        self.check_key_and_crash_marks(head)?;
+        let deadline = self.clock.now().plus_us(head.deadline_left_us);
+        self.check_key(head)?;
+        self.check_crash_marks(head.fingerprint)?;
+        self.wait_for_earlier_try(head.fingerprint, deadline).await?;
         let now = self.clock.now();
-        let deadline = now.plus_us(head.deadline_left_us);
         let (call, result) = self.offer_call(head, deadline, now)?;
         let slot = AdmissionSlot::new(Arc::clone(self), call);
         if let OfferResult::Queued(admission) = result {
             let admission = admission.await.unwrap_or(Err(Refusal::not_run(Reason::Draining, None)));
             admission?;
-            self.check_key_and_crash_marks(head)?;
+            self.check_key(head)?;
         }
+        self.start_watching(call, head.fingerprint)?;
         self.insert_running(call, head, deadline);
         Ok((call, slot))
     }
 
-    fn check_key_and_crash_marks(&self, head: &CallHead) -> Result<(), Refusal> {
-        if head.context.key_hash.is_some_and(|hash| !self.keys.is_active(&hash)) {
-            return Err(Refusal::not_run(Reason::Unauthorized, None));
-        }
-        let now = self.clock.now();
-        match lock(&self.crashes).check(head.fingerprint, now) {
-            CrashVerdict::Blocked { until } => Err(Refusal::not_run(Reason::Blocked, Some(until.ms_since(now)))),
-            CrashVerdict::Clear | CrashVerdict::Marked | CrashVerdict::Suspected => Ok(()),
+    fn check_key(&self, head: &CallHead) -> Result<(), Refusal> {
+        match head.context.key_hash.is_some_and(|hash| !self.keys.is_active(&hash)) {
+            true => Err(Refusal::not_run(Reason::Unauthorized, None)),
+            false => Ok(()),
         }
     }
 
@@ -292,7 +327,13 @@
     }
 
     /// Sends a call to the target and returns the head of its response.
-    async fn forward(&self, call: CallId, slot: AdmissionSlot, head: CallHead, body: ByteBody) -> PeerResponse {
+    async fn forward(
+        self: &Arc<Self>,
+        call: CallId,
+        slot: AdmissionSlot,
+        head: CallHead,
+        body: ByteBody,
+    ) -> PeerResponse {
         let response_timeout_us =
             if head.retryable { self.response_timeout.timeout_us(head.deadline_left_us) } else { u64::MAX };
         let timeout = Duration::from_micros(head.deadline_left_us.min(response_timeout_us));
@@ -300,8 +341,9 @@
         let request = match self.target_request(call, &head, body) {
             Ok(request) => request,
             Err(refusal) => {
+                self.stop_watching(call);
                 slot.finish(Completion::Cancelled);
-                return self.refusal_response(refusal, head.retry_allowance, false);
+                return self.refusal_response(refusal, head.retry_allowance, None);
             }
         };
         let client = Arc::clone(&lock(&self.client));
@@ -311,7 +353,7 @@
                 self.response_timeout.record_response(self.clock.now().us_since(started));
                 self.target_response(call, slot, response)
             }
-            Ok(Err(error)) => self.target_error_response(call, slot, &head, &error),
+            Ok(Err(error)) => self.target_error_response(call, slot, &head, &error).await,
             Err(_) => {
                 // The connection may be dead, so new calls must use new connections.
                 client.replace_pool();
@@ -319,7 +361,7 @@
                 slot.finish(Completion::TimedOut);
                 let is_unresponsive = response_timeout_us < head.deadline_left_us;
                 let reason = if is_unresponsive { Reason::TargetFailed } else { Reason::Deadline };
-                self.refusal_response(Refusal::unknown(reason), unspent_retries, false)
+                self.refusal_response(Refusal::unknown(reason), unspent_retries, None)
             }
         }
     }
@@ -346,6 +388,10 @@
         response: hyper::Response<hyper::body::Incoming>,
     ) -> PeerResponse {
         let status = response.status().as_u16();
+        if status >= FIRST_ERROR_STATUS {
+            // An error response does not show that the target can run the request.
+            lock(&self.state).run_watch.record_answer(call, false);
+        }
         let headers = headers_to_pairs(response.headers());
         let unspent_retries = lock(&self.running).close_allowance(call);
         let body = incoming_body(response.into_body());
@@ -360,40 +406,44 @@
             admission_level: Some(self.admission_level()),
             downstream_levels: Vec::new(),
             unspent_retries,
-            target_lost: false,
+            crash: None,
         };
         PeerResponse { head, body }
     }
 
-    fn target_error_response(
-        &self,
+    async fn target_error_response(
+        self: &Arc<Self>,
         call: CallId,
         slot: AdmissionSlot,
         head: &CallHead,
         error: &TargetError,
     ) -> PeerResponse {
         let unspent_retries = lock(&self.running).close_allowance(call);
-        slot.finish(Completion::Failed);
         log::info!("gate: call {:016x} failed: {error}", head.context.request_id);
         match error {
             TargetError::Connect(_) => {
+                self.stop_watching(call);
+                slot.finish(Completion::Failed);
                 self.set_reachable(false);
+                self.start_probing();
                 let refusal = Refusal::not_run(Reason::NoTarget, Some(TARGET_GONE_RETRY_AFTER_MS));
-                self.refusal_response(refusal, unspent_retries, false)
+                self.refusal_response(refusal, unspent_retries, None)
             }
             TargetError::ConnectionLost(_) => {
-                self.refusal_response(Refusal::unknown(Reason::TargetFailed), unspent_retries, true)
+                slot.finish(Completion::Failed);
+                let crash = self.wait_for_crash_mark(call, head.fingerprint).await;
+                self.refusal_response(Refusal::unknown(Reason::TargetFailed), unspent_retries, crash)
             }
         }
     }
 
-    fn refusal_response(&self, refusal: Refusal, unspent_retries: u32, target_lost: bool) -> PeerResponse {
+    fn refusal_response(&self, refusal: Refusal, unspent_retries: u32, crash: Option<CrashMark>) -> PeerResponse {
         let head = ResponseHead {
             result: GateResult::Refused(refusal),
             admission_level: Some(self.admission_level()),
             downstream_levels: Vec::new(),
             unspent_retries,
-            target_lost,
+            crash,
         };
         PeerResponse { head, body: empty_body() }
     }
@@ -403,7 +453,7 @@
         lock(&self.state).admission_gate.admission_level(now)
     }
 
-    fn set_reachable(&self, reachable: bool) {
+    pub(super) fn set_reachable(&self, reachable: bool) {
         if let Some(target) = &mut lock(&self.state).target {
             target.reachable = reachable;
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -225,7 +225,7 @@
     let crashes: Arc<Mutex<CrashTable>> = Arc::default();
     // The secret must not depend on the seed, which tests set to fixed values.
     let signer = ContextSigner::new(rand::rng().random());
-    let gate = TargetGate::new(clock, signer, Arc::clone(&config) as _, Arc::clone(&crashes));
+    let gate = TargetGate::new(clock, local_vm, signer, Arc::clone(&config) as _, Arc::clone(&crashes));
     let local_row = MemberRow {
         vm: local_vm,
         incarnation: Incarnation(1),
--- a/crates/node/src/wire/response_head.rs
+++ b/crates/node/src/wire/response_head.rs
@@ -2,7 +2,7 @@
 
 use fulmartrestle_core::Refusal;
 use fulmartrestle_derive::record;
-use fulmartrestle_policy::{AdmissionLevel, AdmissionLevelReport};
+use fulmartrestle_policy::{AdmissionLevel, AdmissionLevelReport, CrashMark};
 
 use super::HeaderPair;
 
@@ -32,7 +32,6 @@
     pub downstream_levels: Vec<AdmissionLevelReport>,
     /// Number of retries of the allowance that were not spent.
     pub unspent_retries: u32,
-    /// Whether the connection to the target was lost while it ran the call. Such a loss counts against the
-    /// request's fingerprint.
-    pub target_lost: bool,
+    /// The mark of the request if the target has ended while it ran the call.
+    pub crash: Option<CrashMark>,
 }
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -177,6 +177,13 @@
         self.unsent_marks.drain(..).map(|(fingerprint, crash)| crash.to_mark(fingerprint, now)).collect()
     }
 
+    /// Returns the mark of one attempt if it was counted as a crash.
+    pub fn mark_of(&self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) -> Option<CrashMark> {
+        let mut crashes = self.records.get(&fingerprint)?.crashes.iter();
+        let crash = crashes.find(|crash| crash.target == target && crash.attempt == attempt)?;
+        Some(crash.to_mark(fingerprint, now))
+    }
+
     /// Returns all marks for a joining node, which would run blocked requests without them.
     pub fn all_marks(&self, now: TimeUs) -> Vec<CrashMark> {
         let marks = |fingerprint: &Fingerprint| {
--- a/crates/policy/src/crash/run_watch.rs
+++ b/crates/policy/src/crash/run_watch.rs
@@ -138,6 +138,12 @@
         LossVerdict::Open
     }
 
+    /// Returns the request of a call that is followed or was counted.
+    pub fn fingerprint(&self, call: CallId) -> Option<Fingerprint> {
+        let counted = self.counted.get(&call).map(|(fingerprint, _)| *fingerprint);
+        self.calls.get(&call).map(|watched| watched.fingerprint).or(counted)
+    }
+
     /// Returns whether a loss is not explained yet.
     pub fn is_open(&self, call: CallId) -> bool {
         self.calls.get(&call).is_some_and(|watched| watched.loss.is_some())
