--- a/crates/mesh/src/crash_marks.rs
+++ b/crates/mesh/src/crash_marks.rs
@@ -51,7 +51,7 @@
     pub attempt: CallId,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// What the attempt says about the request.
+    /// How the attempt ended.
     pub evidence: CrashEvidence,
 }
 
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -280,7 +280,7 @@
         match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
             Err(_) => {
                 let mut watched = watched;
-                watched.record_loss(CallLoss::Unheard);
+                watched.record_loss(CallLoss::Unobserved);
                 self.report_unknown(&head, Reason::Deadline, false)
             }
             Ok(Err(TargetError::NotSent(detail))) => {
@@ -304,7 +304,7 @@
             Ok(Err(TargetError::Invalid(detail))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(&head, "target_answer_unusable", &detail);
-                let crashed = watched.lose(CallLoss::Unheard).await;
+                let crashed = watched.lose(CallLoss::Unobserved).await;
                 self.report_unknown(&head, Reason::BadAnswer, crashed)
             }
             Ok(Err(TargetError::Lost(detail))) => {
--- a/crates/mesh/src/gate/crashes.rs
+++ b/crates/mesh/src/gate/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{CallId, Fingerprint, Reason, Refusal, TimeUs, lock};
-use fulmartrestle_policy::{CrashVerdict, EndedCall, ProbeResult};
+use fulmartrestle_policy::{CrashVerdict, EndedCall, ProbeResult, RunWatch};
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::Gate;
@@ -20,9 +20,7 @@
 const SUSPECT_WAIT_MS: u64 = 1_000;
 const SUSPECT_RETRY_AFTER_MS: u64 = 500;
 
-/// Share of its time left that a request waits for the outcome of an earlier try with which the target may have ended, and
-/// the interval at which it looks, in milliseconds. Its node sends it to another target then.
-const OUTCOME_WAIT_SHARE: u64 = 4;
+/// Interval at which a request looks whether the outcome of an earlier try is known, in milliseconds.
 const OUTCOME_POLL_MS: u64 = 25;
 
 /// How long the target is silent after its last announcement has lapsed until it is taken for ended, in milliseconds. After
@@ -64,8 +62,7 @@
 
     /// Waits for the outcome of an earlier try of a request that the target may have ended with.
     pub(super) async fn wait_for_earlier_try(&self, fingerprint: Fingerprint, deadline: TimeUs) -> Result<(), Refusal> {
-        let started = self.clock.now();
-        let waits_until = started.plus_ms(deadline.ms_since(started) / OUTCOME_WAIT_SHARE);
+        let waits_until = RunWatch::wait_limit(self.clock.now(), deadline);
         loop {
             let now = self.clock.now();
             if !lock(&self.state).run_watch.must_wait(fingerprint, now) {
@@ -109,14 +106,10 @@
         self.record_probe(result, has_idle);
     }
 
-    /// Records what the target said to a connection attempt. `has_idle` is whether an idle connection to it is open.
+    /// Records the result of a connection attempt. `has_idle` is whether an idle connection to it is open.
     pub(super) fn record_probe(&self, result: ProbeResult, has_idle: bool) {
         let mut state = lock(&self.state);
-        let had_ended = state.run_watch.has_ended();
-        let ended = state.run_watch.record_probe(result, has_idle, self.clock.now());
-        if had_ended || !state.run_watch.has_ended() {
-            return;
-        }
+        let Some(ended) = state.run_watch.record_probe(result, has_idle, self.clock.now()) else { return };
         state.target.set_reachable(false);
         self.count_end(&ended, state.target.last_announcement(), "refused");
         drop(state);
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -54,11 +54,11 @@
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_unusable", parts.status.as_str());
                 drop(connection);
-                let crashed = watched.lose(CallLoss::Unheard).await;
+                let crashed = watched.lose(CallLoss::Unobserved).await;
                 return self.report_unknown(head, Reason::BadAnswer, crashed);
             }
             (_, Err(_)) => {
-                watched.record_loss(CallLoss::Unheard);
+                watched.record_loss(CallLoss::Unobserved);
                 return self.report_unknown(head, Reason::Deadline, false);
             }
             (_, Ok(Err(error))) => {
--- a/crates/mesh/src/gate/watched_call.rs
+++ b/crates/mesh/src/gate/watched_call.rs
@@ -10,7 +10,7 @@
 /// Lowest status of a response that does not show that the target can run the request.
 const FIRST_ERROR_STATUS: u16 = 500;
 
-/// A call that the target may be running. Dropping it means that nobody listens for the response any more.
+/// A call that the target may be running. Dropping it means that the response is no longer awaited.
 pub struct WatchedCall {
     gate: Arc<Gate>,
     call: CallId,
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Records that the outcome is not known. Returns whether the target has ended, as far as that can be told at once.
+    /// Records that the outcome is not known. Returns whether the target is found to have ended within a moment.
     pub async fn lose(mut self, loss: CallLoss) -> bool {
         match self.record_loss(loss) {
             LossVerdict::Crashed => true,
@@ -88,7 +88,7 @@
     fn drop(&mut self) {
         if !self.is_over {
             let now = self.gate.clock.now();
-            lock(&self.gate.state).run_watch.record_loss(self.call, CallLoss::Unheard, now);
+            lock(&self.gate.state).run_watch.record_loss(self.call, CallLoss::Unobserved, now);
         }
     }
 }
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -27,7 +27,7 @@
 const CONNECT_TIME_SHARE: u64 = 2;
 const MIN_CONNECT_TIME_MS: u64 = 50;
 
-/// Time for a connection attempt that tells whether the target still listens, in milliseconds.
+/// Timeout of a connection attempt that probes the target, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
 
 /// Time for the target to acknowledge sent bytes, in milliseconds.
@@ -65,7 +65,7 @@
         NotSent(detail: String) {
             display("not sent: {}", detail)
         }
-        /// Nothing listens on the target's port.
+        /// The target's port is closed.
         Refused(detail: String) {
             display("refused: {}", detail)
         }
@@ -284,7 +284,7 @@
     matches!(ready.await, Ok(Ok(())))
 }
 
-/// Returns whether a connection failed because nothing listens on the port.
+/// Returns whether a connection failed because the port is closed.
 fn is_refused(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
 }
--- a/crates/node/src/gate/crashes.rs
+++ b/crates/node/src/gate/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{CallId, Fingerprint, Reason, Refusal, TimeUs, lock};
-use fulmartrestle_policy::{CallLoss, CrashMark, CrashVerdict, ProbeResult};
+use fulmartrestle_policy::{CallLoss, CrashMark, CrashVerdict, ProbeResult, RunWatch};
 
 use super::TargetGate;
 use super::target_client::probe;
@@ -15,9 +15,6 @@
 const EXPLANATION_WAIT_MS: u64 = 40;
 const POLL_MS: u64 = 10;
 
-/// Share of its time left that a request waits for the outcome of an earlier try with which the target may have ended.
-const OUTCOME_WAIT_SHARE: u64 = 4;
-
 /// `Retry-After` of a suspected request whose turn has not come, in milliseconds.
 const SUSPECT_RETRY_AFTER_MS: u64 = 500;
 
@@ -34,8 +31,7 @@
 
     /// Waits for the outcome of an earlier try of a request that the target may have ended with.
     pub(super) async fn wait_for_earlier_try(&self, fingerprint: Fingerprint, deadline: TimeUs) -> Result<(), Refusal> {
-        let started = self.clock.now();
-        let waits_until = started.plus_ms(deadline.ms_since(started) / OUTCOME_WAIT_SHARE);
+        let waits_until = RunWatch::wait_limit(self.clock.now(), deadline);
         while lock(&self.state).run_watch.must_wait(fingerprint, self.clock.now()) {
             if self.clock.now() >= waits_until {
                 return Err(Refusal::not_run(Reason::NoTarget, Some(SUSPECT_RETRY_AFTER_MS)));
@@ -96,10 +92,10 @@
     pub(super) fn record_abandoned(&self, call: CallId, now: TimeUs) {
         let mut state = lock(&self.state);
         state.suspect.take_if(|suspect| *suspect == call);
-        state.run_watch.record_loss(call, CallLoss::Unheard, now);
+        state.run_watch.record_loss(call, CallLoss::Unobserved, now);
     }
 
-    /// Returns the mark of a lost call if the target has ended with it, as far as that can be told at once.
+    /// Returns the mark of a lost call if the target is found to have ended with it within a moment.
     pub(super) async fn wait_for_crash_mark(&self, call: CallId, fingerprint: Fingerprint) -> Option<CrashMark> {
         let waits_until = self.clock.now().plus_ms(EXPLANATION_WAIT_MS);
         while lock(&self.state).run_watch.is_open(call) && self.clock.now() < waits_until {
@@ -131,11 +127,7 @@
     fn record_probe(&self, result: ProbeResult) {
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        let had_ended = state.run_watch.has_ended();
-        let ended = state.run_watch.record_probe(result, false, now);
-        if had_ended || !state.run_watch.has_ended() {
-            return;
-        }
+        let Some(ended) = state.run_watch.record_probe(result, false, now) else { return };
         log::info!("gate: the target has ended while {} calls ran", ended.len());
         if let Some(target) = &mut state.target {
             target.reachable = false;
--- a/crates/node/src/gate/local_target.rs
+++ b/crates/node/src/gate/local_target.rs
@@ -45,8 +45,8 @@
     /// Load that the target reports, as the fraction of its slots in use. It is only a hint.
     #[serde(default)]
     pub load: Option<f32>,
-    /// Start of the target's run, in milliseconds since the Unix epoch. Another start at the same address tells that the
-    /// run before has ended.
+    /// Start of the target's run, in milliseconds since the Unix epoch. Another start at the same address shows that
+    /// the run before has ended.
     #[serde(default)]
     pub started_unix_ms: Option<i64>,
 }
--- a/crates/node/src/gate/target_gate.rs
+++ b/crates/node/src/gate/target_gate.rs
@@ -236,7 +236,7 @@
             Completion::Answered => self.record_answer(call, now),
             Completion::TargetRefused => self.stop_watching(call),
             Completion::Failed => self.record_loss(call, CallLoss::Closed, now),
-            Completion::TimedOut | Completion::Cancelled => self.record_loss(call, CallLoss::Unheard, now),
+            Completion::TimedOut | Completion::Cancelled => self.record_loss(call, CallLoss::Unobserved, now),
         }
         lock(&self.running).remove(call);
         let mut state = lock(&self.state);
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -88,9 +88,17 @@
     }
 
     /// Records that a target ended while it ran the suspected ones of `calls`. Returns the requests that are blocked by it.
+    /// If one that is blocked already ran there, it explains the end, and the others are not marked.
     pub fn record_end(&mut self, calls: &[EndedCall], target: VmId, now: TimeUs) -> Vec<Fingerprint> {
         let suspects: BTreeMap<Fingerprint, &EndedCall> =
             calls.iter().filter(|call| call.suspected).map(|call| (call.fingerprint, call)).collect();
+        let is_explained = |fingerprint| {
+            let is_conclusive = self.records.get(fingerprint).is_some_and(CrashRecord::is_conclusive);
+            is_conclusive && self.check(*fingerprint, now).is_blocked()
+        };
+        if suspects.keys().any(is_explained) {
+            return Vec::new();
+        }
         let counts: Vec<usize> = suspects.keys().map(|fingerprint| self.count_crashes(*fingerprint, now)).collect();
         let highest = counts.iter().max().copied().unwrap_or_default();
         let is_unique = counts.iter().filter(|count| **count == highest).count() == 1;
@@ -124,8 +132,8 @@
     }
 
     /// Records that a target answered the request, which clears it unless it is blocked: it merely happened to run when
-    /// something else crashed the targets. If this attempt was counted as a crash, it does not count any more. The other
-    /// nodes are told.
+    /// something else crashed the targets. If this attempt was counted as a crash, it does not count any more. Other nodes
+    /// get a mark.
     pub fn record_answer(&mut self, fingerprint: Fingerprint, target: VmId, attempt: CallId, now: TimeUs) {
         let crash = Crash { target, attempt, occurred_at: now, evidence: CrashEvidence::Answered };
         if self.apply_answer(fingerprint, &crash) {
--- a/crates/policy/src/crash/messages.rs
+++ b/crates/policy/src/crash/messages.rs
@@ -15,11 +15,11 @@
     pub attempt: CallId,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// What the attempt says about the request.
+    /// How the attempt ended.
     pub evidence: CrashEvidence,
 }
 
-/// What one attempt of a request says about it.
+/// How one attempt of a request ended, as evidence for or against the request.
 #[value]
 pub enum CrashEvidence {
     /// The target ended, and other requests that ran there were as much suspected.
--- a/crates/policy/src/crash/run_watch.rs
+++ b/crates/policy/src/crash/run_watch.rs
@@ -23,6 +23,9 @@
 /// although they still accept connections, and then all tries would reach the next run together.
 const RUNNING_ALONE_MS: u64 = 300;
 
+/// Share of its time left that a request waits for the outcome of an earlier try.
+const OUTCOME_WAIT_SHARE: u64 = 4;
+
 /// Maximum number of calls that are followed. The oldest are left out first.
 const MAX_CALLS: usize = 4_096;
 
@@ -31,16 +34,16 @@
 pub enum CallLoss {
     /// The target closed or reset the connection before the response was complete.
     Closed,
-    /// The node stopped listening: the deadline passed, the sender left or the response was invalid.
-    Unheard,
+    /// The node no longer awaits the response: the deadline passed, the sender left or the response was invalid.
+    Unobserved,
 }
 
-/// What the target said to a connection attempt.
+/// Result of a connection attempt.
 #[value]
 pub enum ProbeResult {
-    /// It accepted the connection, or something that keeps its port did.
+    /// The target accepted the connection, or something that keeps its port did.
     Accepted,
-    /// Nothing listens on the port.
+    /// The port is closed.
     Refused,
     /// There was no answer.
     NoAnswer,
@@ -81,9 +84,9 @@
 
 /// Follows the calls of one target.
 ///
-/// A lost response alone says nothing, since targets lose responses and go on, and neither does an accepted connection,
-/// since something else may keep the port. What decides is evidence that stays: the announcement of another run, or a
-/// refused connection. It may come seconds later, and then it explains all losses that the run has not survived.
+/// A lost response alone is no evidence, since targets lose responses and go on, and neither is an accepted connection,
+/// since something else may keep the port. The announcement of another run and refused connections are evidence. It may
+/// come seconds later, and then it explains all losses that the run has not survived.
 #[derive(Debug, Default)]
 pub struct RunWatch {
     calls: BTreeMap<CallId, WatchedCall>,
@@ -95,7 +98,7 @@
     /// When connections were first refused, if the target has not answered since.
     refused_at: Option<TimeUs>,
     /// When the target was last seen to lose a call or to refuse a connection, and the probes since then.
-    doubted_at: TimeUs,
+    probing_since: TimeUs,
     probes: usize,
 }
 
@@ -133,7 +136,7 @@
         }
         if let Some(watched) = self.calls.get_mut(&call) {
             watched.loss.get_or_insert((now, loss));
-            self.doubt(now);
+            self.restart_probing(now);
         }
         LossVerdict::Open
     }
@@ -149,6 +152,12 @@
         self.calls.get(&call).is_some_and(|watched| watched.loss.is_some())
     }
 
+    /// Returns until when a request waits for the outcome of an earlier try: for a part of its time left. After that, it is
+    /// sent to another target.
+    pub fn wait_limit(now: TimeUs, deadline: TimeUs) -> TimeUs {
+        now.plus_ms(deadline.ms_since(now) / OUTCOME_WAIT_SHARE)
+    }
+
     /// Returns whether a further try of a request must wait for the outcome of one that the target may have ended with: the
     /// run has never answered an equal request, and one was lost or has run for long without an announcement since.
     pub fn must_wait(&self, fingerprint: Fingerprint, now: TimeUs) -> bool {
@@ -167,14 +176,19 @@
 
     /// Returns when the target should be probed next, or `None` if no loss is open or further probes would not help.
     pub fn next_probe_at(&self) -> Option<TimeUs> {
-        let is_doubted = self.refused_at.is_some() || self.calls.values().any(|watched| watched.loss.is_some());
-        let time_ms = PROBE_TIMES_MS.get(self.probes).filter(|_| is_doubted)?;
-        Some(self.doubted_at.plus_ms(*time_ms))
+        let needs_probe = self.refused_at.is_some() || self.calls.values().any(|watched| watched.loss.is_some());
+        let time_ms = PROBE_TIMES_MS.get(self.probes).filter(|_| needs_probe)?;
+        Some(self.probing_since.plus_ms(*time_ms))
     }
 
     /// Records the result of a probe or of another connection attempt. `has_idle_connection` is whether an idle connection
-    /// to the target is open. Returns the calls of the run if it has ended.
-    pub fn record_probe(&mut self, result: ProbeResult, has_idle_connection: bool, now: TimeUs) -> Vec<EndedCall> {
+    /// to the target is open. Returns the calls of the run if this shows that it has ended.
+    pub fn record_probe(
+        &mut self,
+        result: ProbeResult,
+        has_idle_connection: bool,
+        now: TimeUs,
+    ) -> Option<Vec<EndedCall>> {
         self.probes += 1;
         match result {
             ProbeResult::Accepted => self.refused_at = None,
@@ -184,15 +198,15 @@
                 let is_connected = is_running || has_idle_connection;
                 let is_refused_again = self.refused_at.is_some_and(|at| now.ms_since(at) >= REFUSED_AGAIN_MS);
                 if !is_connected || is_refused_again {
-                    return self.record_end();
+                    return Some(self.record_end());
                 }
                 if self.refused_at.is_none() {
                     self.refused_at = Some(now);
-                    self.doubt(now);
+                    self.restart_probing(now);
                 }
             }
         }
-        Vec::new()
+        None
     }
 
     /// Records an announcement of the current run, which explains the losses that it has survived.
@@ -229,8 +243,8 @@
         self.take_ended(|_| true)
     }
 
-    fn doubt(&mut self, now: TimeUs) {
-        self.doubted_at = now;
+    fn restart_probing(&mut self, now: TimeUs) {
+        self.probing_since = now;
         self.probes = 0;
     }
 
--- a/crates/policy/tests/run_watch.rs
+++ b/crates/policy/tests/run_watch.rs
@@ -1,4 +1,4 @@
-//! Tests how the end of a target's run is told from lost responses, and which requests are held responsible.
+//! Tests how the end of a target's run is distinguished from lost responses, and which requests are held responsible.
 
 use fulmartrestle_core::{CallId, Fingerprint, TimeUs, VmId};
 use fulmartrestle_policy::{CallLoss, CrashTable, CrashVerdict, EndedCall, LossVerdict, ProbeResult, RunWatch};
@@ -31,8 +31,8 @@
             watch.record_loss(CallId(call), loss, now);
         }
         Announcement => watch.record_announcement(now),
-        Probe(result) => return watch.record_probe(result, false, now),
-        ProbeBesideIdle(result) => return watch.record_probe(result, true, now),
+        Probe(result) => return watch.record_probe(result, false, now).unwrap_or_default(),
+        ProbeBesideIdle(result) => return watch.record_probe(result, true, now).unwrap_or_default(),
         NewRun => return watch.record_new_run(),
         Silence => return watch.record_end(),
     }
@@ -49,7 +49,7 @@
         ended: Vec<(u64, bool)>,
     }
     let closed = |call| Lost(call, CallLoss::Closed);
-    let unheard = |call| Lost(call, CallLoss::Unheard);
+    let unobserved = |call| Lost(call, CallLoss::Unobserved);
     let case = |name, events, ended| Case { name, events, ended };
     let cases = [
         case("port refuses at once", vec![(0, Start(1)), (9, closed(1)), (9, Probe(Refused))], vec![(1, true)]),
@@ -82,8 +82,12 @@
             vec![(1, true)],
         ),
         case("silent connection", vec![(0, Start(1)), (3_400, NewRun)], vec![(1, true)]),
-        case("silent, the deadline passed", vec![(0, Start(1)), (800, unheard(1)), (3_400, NewRun)], vec![(1, true)]),
-        case("the caller left", vec![(0, Start(1)), (50, unheard(1)), (3_400, NewRun)], vec![(1, true)]),
+        case(
+            "silent, the deadline passed",
+            vec![(0, Start(1)), (800, unobserved(1)), (3_400, NewRun)],
+            vec![(1, true)],
+        ),
+        case("the caller left", vec![(0, Start(1)), (50, unobserved(1)), (3_400, NewRun)], vec![(1, true)]),
         case(
             "silent connections, port refuses",
             vec![(0, Start(1)), (9, Probe(Refused)), (100, Probe(Refused))],
@@ -103,7 +107,7 @@
         ),
         case(
             "nothing announces the target",
-            vec![(0, Start(1)), (800, unheard(1)), (10_000, Silence)],
+            vec![(0, Start(1)), (800, unobserved(1)), (10_000, Silence)],
             vec![(1, true)],
         ),
         case("connection attempt without answer", vec![(0, Start(1)), (9, closed(1)), (9, Probe(NoAnswer))], vec![]),
@@ -158,9 +162,9 @@
     watch.record_loss(CallId(1), CallLoss::Closed, now);
     watch.record_probe(ProbeResult::Refused, false, now);
     let ended = watch.record_probe(ProbeResult::Refused, false, now.plus_ms(100));
-    expect_that!(ended.len(), eq(2));
+    expect_that!(ended.map(|calls| calls.len()), some(eq(2)));
     expect_that!(watch.record_loss(CallId(2), CallLoss::Closed, now.plus_ms(101)), eq(LossVerdict::Crashed));
-    expect_that!(watch.record_probe(ProbeResult::Refused, false, now.plus_ms(101)), is_empty());
+    expect_that!(watch.record_probe(ProbeResult::Refused, false, now.plus_ms(101)), some(is_empty()));
 }
 
 /// Probes are spaced, begin anew with each loss, and end.
@@ -205,6 +209,7 @@
         case("others beside the first", vec![vec![1, 2, 3], vec![1]], vec![1], vec![]),
         case("new ones beside the second", vec![vec![1, 2], vec![1, 3, 4]], vec![1], vec![]),
         case("all are sent again together", vec![vec![1, 2, 3], vec![1, 2, 3]], vec![], vec![1, 2, 3]),
+        case("beside a blocked one", vec![vec![1], vec![1], vec![1, 2], vec![1, 2], vec![1, 2]], vec![1], vec![]),
         case("suspected one runs alone", vec![vec![1, 2, 3], vec![1, 2, 3], vec![1, 4]], vec![1], vec![2, 3]),
     ];
     for case in cases {
@@ -225,7 +230,7 @@
     }
 }
 
-/// While a suspected request runs, no other target may get it; afterwards all nodes know how it ended.
+/// While a suspected request runs, no other target may get it; afterwards its outcome reaches all nodes.
 #[gtest]
 fn suspected_request_runs_on_two_targets_at_once() {
     let now = TimeUs::from_s(100);
@@ -350,7 +355,7 @@
 
     fn probe(&mut self, way: WayToEnd, now: TimeUs) {
         let result = if self.accepts(way, now) { ProbeResult::Accepted } else { ProbeResult::Refused };
-        let ended = self.watch.record_probe(result, false, now);
+        let ended = self.watch.record_probe(result, false, now).unwrap_or_default();
         self.count_end(&ended, now);
     }
 
@@ -400,7 +405,7 @@
             }
         }
         for call in self.calls.extract_if(.., |call| now >= call.leaves_at) {
-            self.watch.record_loss(call.id, CallLoss::Unheard, now);
+            self.watch.record_loss(call.id, CallLoss::Unobserved, now);
         }
         while self.watch.next_probe_at().is_some_and(|at| at <= now) {
             self.probe(way, now);
@@ -510,8 +515,8 @@
         case("another request lost", vec![(0, Start(2)), (9, Lost(2, CallLoss::Closed))], false),
         case("answered before", vec![(0, Start(101)), (5, Answer(101)), (6, Start(1)), (9, closed)], false),
         case("runs for long", vec![(0, Start(1)), (400, Start(2))], true),
-        case("deadline passed", vec![(0, Start(1)), (800, Lost(1, CallLoss::Unheard))], true),
-        case("the caller left at once", vec![(0, Start(1)), (50, Lost(1, CallLoss::Unheard))], false),
+        case("deadline passed", vec![(0, Start(1)), (800, Lost(1, CallLoss::Unobserved))], true),
+        case("the caller left at once", vec![(0, Start(1)), (50, Lost(1, CallLoss::Unobserved))], false),
         case("next run", vec![(0, Start(1)), (9, closed), (3_400, NewRun)], false),
     ];
     for case in cases {
