--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -64,7 +64,7 @@
             (_, Ok(Err(error))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(head, "target_answer_broken", &error.to_string());
-                let crashed = watched.lose(CallLoss::Closed).await;
+                let crashed = watched.lose(CallLoss::Unobserved).await;
                 return self.report_unknown(head, Reason::BadAnswer, crashed);
             }
             (_, Ok(Ok(body))) => body,
--- a/crates/mesh/src/gate/watched_call.rs
+++ b/crates/mesh/src/gate/watched_call.rs
@@ -51,7 +51,7 @@
     pub async fn lose(mut self, loss: CallLoss) -> bool {
         match self.record_loss(loss) {
             LossVerdict::Crashed => true,
-            LossVerdict::Open => self.gate.wait_for_explanation(self.call).await,
+            LossVerdict::Open => loss == CallLoss::Closed && self.gate.wait_for_explanation(self.call).await,
         }
     }
 
@@ -60,7 +60,7 @@
         match complete {
             true => self.record_answer(status),
             false => {
-                self.record_loss(CallLoss::Closed);
+                self.record_loss(CallLoss::Unobserved);
             }
         }
     }
--- a/crates/policy/src/crash/run_watch.rs
+++ b/crates/policy/src/crash/run_watch.rs
@@ -32,9 +32,9 @@
 /// Why the outcome of a call is not known.
 #[value]
 pub enum CallLoss {
-    /// The target closed or reset the connection before the response was complete.
+    /// The target closed or reset the connection before it began to respond.
     Closed,
-    /// The node no longer awaits the response: the deadline passed, the sender left or the response was invalid.
+    /// The node no longer awaits the response: the deadline passed, the sender left, or the response was invalid or cut.
     Unobserved,
 }
 
@@ -82,6 +82,12 @@
     loss: Option<(TimeUs, CallLoss)>,
 }
 
+impl WatchedCall {
+    fn is_closed(&self) -> bool {
+        matches!(self.loss, Some((_, CallLoss::Closed)))
+    }
+}
+
 /// Follows the calls of one target.
 ///
 /// A lost response alone is no evidence, since targets lose responses and go on, and neither is an accepted connection,
@@ -136,7 +142,9 @@
         }
         if let Some(watched) = self.calls.get_mut(&call) {
             watched.loss.get_or_insert((now, loss));
-            self.restart_probing(now);
+            if loss == CallLoss::Closed {
+                self.restart_probing(now);
+            }
         }
         LossVerdict::Open
     }
@@ -162,8 +170,7 @@
     /// run has never answered an equal request, and one was lost or has run for long without an announcement since.
     pub fn must_wait(&self, fingerprint: Fingerprint, now: TimeUs) -> bool {
         let is_undecided = |watched: &WatchedCall| {
-            let is_closed = matches!(watched.loss, Some((_, CallLoss::Closed)));
-            !watched.is_announced && (is_closed || now.ms_since(watched.started_at) >= RUNNING_ALONE_MS)
+            !watched.is_announced && (watched.is_closed() || now.ms_since(watched.started_at) >= RUNNING_ALONE_MS)
         };
         let mut equal = self.calls.values().filter(|watched| watched.fingerprint == fingerprint);
         !self.answered.contains(fingerprint) && equal.any(is_undecided)
@@ -174,9 +181,10 @@
         self.has_ended
     }
 
-    /// Returns when the target should be probed next, or `None` if no loss is open or further probes would not help.
+    /// Returns when the target should be probed next, or `None` if no closed connection is unexplained or further probes would
+    /// not help.
     pub fn next_probe_at(&self) -> Option<TimeUs> {
-        let needs_probe = self.refused_at.is_some() || self.calls.values().any(|watched| watched.loss.is_some());
+        let needs_probe = self.refused_at.is_some() || self.calls.values().any(WatchedCall::is_closed);
         let time_ms = PROBE_TIMES_MS.get(self.probes).filter(|_| needs_probe)?;
         Some(self.probing_since.plus_ms(*time_ms))
     }
@@ -227,8 +235,7 @@
         if !self.has_ended {
             // The end of a process closes all its connections, so that calls on open ones are of the new run. One that
             // fell silent closes none.
-            let is_closed = |watched: &WatchedCall| matches!(watched.loss, Some((_, CallLoss::Closed)));
-            let has_closed = self.calls.values().any(is_closed);
+            let has_closed = self.calls.values().any(WatchedCall::is_closed);
             ended = self.take_ended(|watched| !has_closed || watched.loss.is_some());
         }
         self.has_ended = false;
