Stand-in test: the announcement names the start of the run

The test compared the whole announcement, which holds started_unix_ms since the stand-in names its start. It checks the value against the clock and that it stays the same, and the rest as before.

--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -260,13 +260,25 @@
     (address, receiver)
 }
 
+/// Longest time from the start of a target to its first announcement, in milliseconds.
+const START_TOLERANCE_MS: i64 = 5_000;
+
 #[tokio::test]
 async fn a_target_announces_its_start_and_that_it_is_leaving() {
     let (admin, mut announcements) = start_admin().await;
     let announced = StandinSettings { node_admin: Some(admin), slots: 7, connections: 9, warm_up_ms: 5, ..settings() };
     let target = start(StandinSettings { protocol: Protocol::H2c, ..announced }).await;
+    let unix_now_ms = || {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        since_epoch.expect("a time after the epoch").as_millis() as i64
+    };
+    let before_ms = unix_now_ms() - START_TOLERANCE_MS;
     let first = announcements.recv().await.expect("an announcement");
+    let started_unix_ms = first["started_unix_ms"].as_i64();
+    assert_that!(started_unix_ms, some(all!(ge(before_ms), le(unix_now_ms()))));
+    // The same start is announced until the target restarts.
     let mut expected = serde_json::json!({
+        "started_unix_ms": started_unix_ms,
         "path": "/v1/target", "service": "lineage", "address": target.address().to_string(), "slots": 7,
         "connections": 9, "warm_up_ms": 5, "leaving": false, "protocol": "h2c",
     });
