Timeline of lost requests from the nodes' logs

Change: each node logs once a second the outcomes of its requests by route and the use of its target's slots; fulmartrestle timeline adds the logs of all nodes into steps. Routes keep the operator's latency objective, which nothing decided by so far.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -59,6 +59,8 @@
     Explain(ExplainArgs),
     /// Prints a report.
     Report(ReportArgs),
+    /// Shows when and why requests were lost.
+    Timeline(TimelineArgs),
     /// Runs the in-process demo.
     Demo(DemoArgs),
 }
@@ -220,6 +222,20 @@
     pub html: Option<PathBuf>,
 }
 
+/// Show from the logs of sidecars when requests were lost, on which routes and for which reasons, and which
+/// services were full.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "timeline")]
+pub struct TimelineArgs {
+    /// log files, one for each node or several nodes in one
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+
+    /// length of a step in seconds; default 1
+    #[argh(option, default = "1")]
+    pub step_s: u64,
+}
+
 /// Start a small fleet in this process, send load through it and print a summary measured at the
 /// callers and targets.
 #[derive(FromArgs, Debug)]
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod status;
 mod stop;
+mod timeline;
 
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -33,6 +34,7 @@
 pub async fn run(args: Args) -> Result<(), CliError> {
     match &args.command {
         Command::Check(check) => commands::settings::check_settings(&check.file),
+        Command::Timeline(timeline) => commands::timeline::print_timeline(timeline, args.json),
         Command::Demo(demo) => commands::demo::run(demo, args.json).await,
         Command::Plan(plan) => commands::plan::plan_file(&admin_client(&args)?, plan, args.json).await,
         Command::Confirm(confirm) => commands::plan::confirm(&admin_client(&args)?, &confirm.plan, args.json).await,
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -2,6 +2,7 @@
 
 mod admitted_request;
 mod deadline;
+mod outcome_guard;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 
 pub use admitted_request::AdmittedRequest;
 use deadline::{body_limit_ms, response_deadline};
+use outcome_guard::OutcomeGuard;
 
 /// Retry-After while this node has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 400;
@@ -73,6 +75,7 @@
         request: Request<Incoming>,
         metadata: &CallerMetadata,
         arrived: TimeUs,
+        outcome: &mut OutcomeGuard<'_>,
     ) -> Result<TargetResponse, Refusal> {
         let state = &*self.state;
         let not_ready = Refusal::not_run(Reason::NotReady, Some(NO_CONFIG_RETRY_AFTER_MS));
@@ -81,11 +84,12 @@
         let host = request_host(&parts.headers, parts.uri.host());
         let no_route = Refusal::not_run(Reason::NoRoute, None);
         let route = config.find_route(&host, parts.uri.path()).ok_or(no_route)?;
+        outcome.set_route(route, metadata.key.is_some());
         let tenant = match requires_key(&config, route.public) {
             true => Some(self.authenticate(&config, metadata)?),
             false => None,
         };
-        let is_child_call = route.public && metadata.key.is_none();
+        let is_child_call = is_child_call(route, metadata.key.is_some());
         // Requests beyond a tenant's rate do not count as demand, so the rate is checked first.
         if let Some(tenant) = tenant {
             take_token(state, &tenant.tenant, metadata.request_id.as_deref()).await?;
@@ -296,7 +300,9 @@
     async fn handle(&self, _caller: SocketAddr, request: Request<Incoming>) -> CallerResponse {
         let arrived = self.state.now();
         let metadata = self.state.wire_protocol.parse_caller_metadata(request.headers());
-        let result = self.process_request(request, &metadata, arrived).await;
+        let mut outcome = OutcomeGuard::new(&self.state, arrived);
+        let result = self.process_request(request, &metadata, arrived, &mut outcome).await;
+        outcome.end(&result);
         self.record_outcome(&metadata, &result, self.state.now().us_since(arrived));
         // A refused caller retries on a new connection.
         let may_retry = result.as_ref().is_err_and(|refusal| refusal.retry_after_ms.is_some());
@@ -313,6 +319,11 @@
     }
 }
 
+/// Returns whether a request on `route` is a call of a target, which carries no key.
+fn is_child_call(route: &Route, has_key: bool) -> bool {
+    route.public && !has_key
+}
+
 fn requires_key(config: &MeshConfig, public: bool) -> bool {
     config.has_tenants() && !public
 }
--- a/crates/mesh/src/config/route.rs
+++ b/crates/mesh/src/config/route.rs
@@ -29,6 +29,8 @@
     pub attempts: u32,
     /// Longest time until a request is answered, in milliseconds.
     pub timeout_ms: Option<u64>,
+    /// Time within which a response is useful, in milliseconds.
+    pub objective_ms: Option<u64>,
     /// Priority of the requests; 0 is the highest.
     pub priority: u8,
     /// Whether requests need no API key.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -29,6 +29,7 @@
 use crate::gate::{Gate, GateOptions};
 use crate::large_response_limit::LargeResponseLimit;
 use crate::metrics::Metrics;
+use crate::outcome_log::{SlotSamples, log_outcomes};
 use crate::peer_streams::PeerStreamHandler;
 use crate::peer_table::PeerTable;
 use crate::platform::{ConfigDecoder, StoreLayout, WireProtocol};
@@ -272,6 +273,7 @@
         peers: Arc::clone(&peers),
         peer_connections: PeerConnectionPool::with_observer(pong_observer(clock, peers, load_balancer)),
         rng: Mutex::new(rng),
+        outcomes: Mutex::default(),
         event_log: options.event_log.clone(),
         metrics,
         phase: watch::Sender::new(NodePhase::Serving),
@@ -290,10 +292,12 @@
     let mut modified = settings_path.as_deref().and_then(modification_time);
     let mut rounds = 0_u32;
     let mut last_notified = LastNotified::default();
+    let mut slot_samples = SlotSamples::default();
     loop {
         let due = state.now().plus_ms(MAINTENANCE_INTERVAL_MS);
         tokio::time::sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
         observe_contact(&state, due);
+        log_outcomes(&state, &mut slot_samples);
         state.event_log.flush(state.now());
         state.metrics.set_gauge("caller_connections", state.caller_connections.open_connections() as u64);
         state.gate.close_expired();
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -23,6 +23,7 @@
 use crate::gate::Gate;
 use crate::large_response_limit::LargeResponseLimit;
 use crate::metrics::Metrics;
+use crate::outcome_meter::OutcomeMeter;
 use crate::peer_table::PeerTable;
 use crate::platform::{ConfigDecoder, WireProtocol};
 use crate::settings::MeshSettings;
@@ -97,6 +98,8 @@
     pub peer_connections: PeerConnectionPool,
     /// Random number generator for load balancing, admission and backoff.
     pub rng: Mutex<ChaCha8Rng>,
+    /// Outcomes of the requests that entered at this node.
+    pub outcomes: Mutex<OutcomeMeter>,
     /// Destination of the structured log lines.
     pub event_log: EventLog,
     /// Counters and histograms.
--- a/crates/mesh/tests/routes.rs
+++ b/crates/mesh/tests/routes.rs
@@ -18,6 +18,7 @@
         attempts: 2,
         timeout_ms: None,
         priority: 1,
+        objective_ms: None,
         public: false,
     }
 }
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -78,6 +78,7 @@
         attempts: 1,
         timeout_ms: None,
         priority: 1,
+        objective_ms: None,
         public: false,
     }
 }
