Pipelined requests run concurrently

Load pattern: callers send further safe requests before the first one is answered. hyper handles the requests of a connection one after the other, so that each waited for the work of those before it although targets were free, and callers gave up requests that were not even read.

Change: the server for callers reads ahead and starts requests that may run at any time as soon as their heads have arrived; hyper still frames the connection and orders the responses. Requests that run at most once are not overtaken. A caller that leaves cancels what was started; a response closes the connection only if nothing that was started waits behind it; a stopping node starts none, so what is sent behind a closing response does not run.

tests/pipelining.rs replays it: without the start of requests two of its three tests fail (1,612 ms for four requests of 400 ms).

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -12,12 +12,12 @@
 use fulmartrestle_policy::{ArrivedRequest, Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
     BodyError, ByteBody, CallerResponse, CallerService, HeaderPair, REPLAY_LIMIT_BYTES, ReplayBody, TimeLimitedBody,
-    headers_from_pairs, headers_to_pairs, incoming_body,
+    headers_from_pairs, headers_to_pairs,
 };
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use hyper::Request;
-use hyper::body::Incoming;
 
 use crate::attempt::send_request;
 use crate::event_log::LogLine;
@@ -72,7 +72,7 @@
 
     async fn process_request(
         &self,
-        request: Request<Incoming>,
+        request: Request<ByteBody>,
         metadata: &CallerMetadata,
         arrived: TimeUs,
         outcome: &mut OutcomeGuard<'_>,
@@ -109,7 +109,7 @@
             }
         };
         let deadline = response_deadline(arrived, metadata.deadline_ms, route.timeout_ms);
-        let body = self.read_body(incoming_body(body), &config).await?;
+        let body = self.read_body(body, &config).await?;
         if tenant.is_some() {
             // The key may have been revoked while the body arrived or while the process was paused.
             let config = state.config().ok_or(not_ready)?;
@@ -297,7 +297,18 @@
 
 #[async_trait]
 impl CallerService for CallerHandler {
-    async fn handle(&self, _caller: SocketAddr, request: Request<Incoming>) -> CallerResponse {
+    fn may_overtake(&self, request: &Parts) -> bool {
+        // While the node stops, each response closes its connection, and what was sent behind it must not run.
+        if *self.state.phase.borrow() != NodePhase::Serving {
+            return false;
+        }
+        let config = self.state.config();
+        let host = request_host(&request.headers, request.uri.host());
+        let route = config.as_ref().and_then(|config| config.find_route(&host, request.uri.path()));
+        request.method.is_safe() && route.is_some_and(|route| route.repeatable)
+    }
+
+    async fn handle(&self, _caller: SocketAddr, request: Request<ByteBody>) -> CallerResponse {
         let arrived = self.state.now();
         let metadata = self.state.wire_protocol.parse_caller_metadata(request.headers());
         let mut outcome = OutcomeGuard::new(&self.state, arrived);
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -4,9 +4,8 @@
 use http::HeaderMap;
 use http::header::HeaderName;
 use hyper::Request;
-use hyper::body::Incoming;
 
-use crate::body::{BodyError, ByteBody, incoming_body};
+use crate::body::{BodyError, ByteBody};
 use crate::context::CONTEXT_HEADER;
 use crate::replay_body::ReplayBody;
 use crate::wire::{HeaderPair, headers_to_pairs};
@@ -44,7 +43,7 @@
     /// # Errors
     ///
     /// Returns a `BadRequest` refusal when the timeout or the idempotency key is malformed.
-    pub fn new(request: Request<Incoming>) -> Result<Self, Refusal> {
+    pub fn new(request: Request<ByteBody>) -> Result<Self, Refusal> {
         let (mut parts, body) = request.into_parts();
         parts.headers.remove(CONTEXT_HEADER);
         let timeout_ms = parse_timeout_ms(&parts.headers)?;
@@ -56,7 +55,7 @@
             headers: headers_to_pairs(&parts.headers),
             timeout_ms,
             idempotency_key,
-            body: incoming_body(body),
+            body,
         })
     }
 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -9,7 +9,6 @@
 use fulmartrestle_config::plan::ObservedTraffic;
 use fulmartrestle_core::{CallId, Reason, Refusal, lock};
 use hyper::Request;
-use hyper::body::Incoming;
 
 use super::AtMostOnceOutcome;
 use super::at_most_once::call_outcome;
@@ -39,7 +38,7 @@
         Self { state }
     }
 
-    async fn handle_request(&self, mut request: Request<Incoming>, request_id: u64) -> Result<TargetResponse, Refusal> {
+    async fn handle_request(&self, mut request: Request<ByteBody>, request_id: u64) -> Result<TargetResponse, Refusal> {
         let key_hash = extract_key(request.headers_mut());
         match self.parent_call(&request)? {
             Some(parent) => {
@@ -56,7 +55,7 @@
     /// Returns the running call that the request's context header identifies, if it has one.
     ///
     /// A request with an invalid context is refused; it is never handled as a request from an external caller.
-    fn parent_call(&self, request: &Request<Incoming>) -> Result<Option<CallId>, Refusal> {
+    fn parent_call(&self, request: &Request<ByteBody>) -> Result<Option<CallId>, Refusal> {
         let Some(value) = request.headers().get(CONTEXT_HEADER) else { return Ok(None) };
         let text = value.to_str().unwrap_or_default();
         let call = self.state.gate.signer().verify(text);
@@ -66,7 +65,7 @@
 
 #[async_trait]
 impl CallerService for EntryService {
-    async fn handle(&self, _caller: SocketAddr, request: Request<Incoming>) -> CallerResponse {
+    async fn handle(&self, _caller: SocketAddr, request: Request<ByteBody>) -> CallerResponse {
         let request_id = self.state.random_u64();
         let result = self.handle_request(request, request_id).await;
         caller_response(&self.state, result, request_id)
--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -1,11 +1,15 @@
 //! HTTP server for callers, with bounds on the memory that connections use.
 
+mod pipeline;
+mod request_scanner;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
+use http::request::Parts;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -13,7 +17,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
-use crate::{ByteBody, set_tcp_timeouts};
+use crate::{ByteBody, empty_body, incoming_body, set_tcp_timeouts};
+
+use pipeline::{NextRequest, Pipeline, PipelinedIo};
+pub use request_scanner::{RequestScanner, ScannedRequest};
 
 /// The HTTP response to a caller.
 pub type CallerResponse = hyper::Response<ByteBody>;
@@ -64,7 +71,13 @@
 pub trait CallerService: Send + Sync + 'static {
     /// Returns the response to a request, which may be a refusal. The future is dropped when the caller
     /// disconnects.
-    async fn handle(&self, caller: SocketAddr, request: Request<Incoming>) -> CallerResponse;
+    async fn handle(&self, caller: SocketAddr, request: Request<ByteBody>) -> CallerResponse;
+
+    /// Returns whether a request without a body may run at the same time as the requests before and after it on its
+    /// connection. Such requests may run although their responses are never sent.
+    fn may_overtake(&self, _request: &Parts) -> bool {
+        false
+    }
 }
 
 /// Accepts connections of callers until `stopping` becomes true, then lets open connections finish their
@@ -147,36 +160,88 @@
         () = wait_for_last_request(stopping.clone()) => return,
     };
     let Ok(Ok(is_h2)) = is_h2 else { return };
-    let io = TokioIo::new(tcp);
-    let handler = service_fn(move |request| {
+    if is_h2 {
+        serve_h2(tcp, caller, service, limits, stopping).await
+    } else {
+        serve_http1(tcp, caller, service, limits, stopping).await
+    }
+}
+
+async fn serve_h2(
+    tcp: TcpStream,
+    caller: SocketAddr,
+    service: Arc<dyn CallerService>,
+    limits: ListenerLimits,
+    stopping: watch::Receiver<bool>,
+) {
+    let handler = service_fn(move |request: Request<Incoming>| {
         let service = Arc::clone(&service);
-        async move { Ok::<_, Infallible>(service.handle(caller, request).await) }
+        async move { Ok::<_, Infallible>(service.handle(caller, request.map(incoming_body)).await) }
     });
-    if is_h2 {
-        let mut builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
-        builder.timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
-        builder.max_concurrent_streams(MAX_STREAMS_PER_CALLER).max_send_buf_size(STREAM_BUFFER_BYTES);
-        builder.keep_alive_interval(Duration::from_millis(CALLER_PING_INTERVAL_MS));
-        let connection = builder.serve_connection(io, handler);
-        tokio::pin!(connection);
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = wait_for_last_request(stopping) => connection.as_mut().graceful_shutdown(),
+    let mut builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+    builder.timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
+    builder.max_concurrent_streams(MAX_STREAMS_PER_CALLER).max_send_buf_size(STREAM_BUFFER_BYTES);
+    builder.keep_alive_interval(Duration::from_millis(CALLER_PING_INTERVAL_MS));
+    let connection = builder.serve_connection(TokioIo::new(tcp), handler);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = wait_for_last_request(stopping) => connection.as_mut().graceful_shutdown(),
+    }
+    // An error means that the caller closed the connection or violated the protocol.
+    let _ = connection.await;
+}
+
+async fn serve_http1(
+    tcp: TcpStream,
+    caller: SocketAddr,
+    service: Arc<dyn CallerService>,
+    limits: ListenerLimits,
+    stopping: watch::Receiver<bool>,
+) {
+    let (reader, writer) = tcp.into_split();
+    let pipeline = Pipeline::default();
+    let start = |parts: &Parts| {
+        let request = service.may_overtake(parts).then(|| Request::from_parts(parts.clone(), empty_body()))?;
+        let service = Arc::clone(&service);
+        Some(tokio::spawn(async move { service.handle(caller, request).await }))
+    };
+    let reading = pipeline.read_ahead(reader, RequestScanner::new(limits.max_header_bytes), start);
+    let handler = service_fn(|request: Request<Incoming>| {
+        let (service, pipeline) = (Arc::clone(&service), pipeline.clone());
+        async move {
+            let (parts, body) = request.into_parts();
+            let mut response = match pipeline.take_next(&parts) {
+                NextRequest::Started(started) => started.response().await?,
+                NextRequest::Handle(_barrier) => {
+                    service.handle(caller, Request::from_parts(parts, incoming_body(body))).await
+                }
+            };
+            pipeline.keep_open_while_running(&mut response);
+            Ok::<_, std::io::Error>(response)
         }
-        // An error means that the caller closed the connection or violated the protocol.
-        let _ = connection.await;
-    } else {
-        let mut builder = hyper::server::conn::http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(head_timeout);
-        builder.max_buf_size(limits.max_header_bytes.max(HYPER_MIN_BUFFER_BYTES));
-        let connection = builder.serve_connection(io, handler);
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_millis(limits.head_timeout_ms));
+    builder.max_buf_size(limits.max_header_bytes.max(HYPER_MIN_BUFFER_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(PipelinedIo::new(pipeline.clone(), writer)), handler);
+    let serving = async {
         tokio::pin!(connection);
+        let stopped = async {
+            wait_for_last_request(stopping).await;
+            pipeline.stop().await;
+        };
         tokio::select! {
             _ = connection.as_mut() => return,
-            () = wait_for_last_request(stopping) => connection.as_mut().graceful_shutdown(),
+            () = stopped => connection.as_mut().graceful_shutdown(),
         }
         // An error means that the caller closed the connection or violated the protocol.
         let _ = connection.await;
+    };
+    tokio::select! {
+        biased;
+        () = reading => {}
+        () = serving => {}
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use admission_waiters::{AdmissionResult, AdmissionWaiters};
 pub use body::{BodyError, ByteBody, empty_body, frame_data, full_body, incoming_body};
-pub use callers::{CallerResponse, CallerService, ListenerLimits, serve_callers};
+pub use callers::{CallerResponse, CallerService, ListenerLimits, RequestScanner, ScannedRequest, serve_callers};
 pub use codec::{HeadError, decode_exact, decode_head, encode, encode_head};
 pub use error::PeerError;
 pub use header_pair::{HeaderPair, headers_from_pairs, headers_to_pairs};
--- /dev/null
+++ b/tests/pipelining.rs
@@ -0,0 +1,134 @@
+//! Callers that send further requests before the first one is answered.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{CallerRequest, SidecarFleet, TargetBehaviour};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Time that a target works on a request.
+const WORK_MS: u64 = 400;
+
+fn config() -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": kind, "timeout_ms": 4_000,
+            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true})
+    };
+    json!({"version": "00000001",
+        "routes": [route("view", "/view/", "safe"), route("pairings", "/pairings/", "unsafe")],
+        "services": [{"name": "trips"}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+        "tenants": []})
+}
+
+async fn start_fleet() -> SidecarFleet {
+    let fleet = SidecarFleet::start(&["trips"], &config()).await;
+    let first =
+        CallerRequest { method: "GET", path: "/view/1", request_id: "first".into(), api_key: "", deadline_ms: 4_000 };
+    fleet.wait_for_status(0, &first, 200).await;
+    *fleet.vms[0].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(WORK_MS);
+    fleet.vms[0].target.runs.lock().expect("not poisoned").clear();
+    fleet
+}
+
+/// Sends all requests at once; the path of a request is its ID.
+async fn send(fleet: &SidecarFleet, requests: &[&str]) -> TcpStream {
+    let mut caller = TcpStream::connect(fleet.vms[0].caller_address).await.expect("the node listens");
+    let heads: String = requests
+        .iter()
+        .map(|request| {
+            let (method, path) = request.split_once(' ').expect("a method and a path");
+            let length = if method == "POST" { "content-length: 0\r\n" } else { "" };
+            format!("{request} HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {path}\r\ndeadline: 4000\r\n{length}\r\n")
+        })
+        .collect();
+    caller.write_all(heads.as_bytes()).await.expect("the node reads");
+    caller
+}
+
+/// Reads until `count` whole responses have arrived, and returns their IDs in order.
+async fn read_ids(caller: &mut TcpStream, count: usize) -> Vec<String> {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    while text.matches("whole").count() < count {
+        let read = tokio::time::timeout(Duration::from_secs(8), caller.read(&mut buffer)).await;
+        match read.expect("responses in time").expect("an open connection") {
+            0 => break,
+            bytes => text.push_str(&String::from_utf8_lossy(&buffer[..bytes])),
+        }
+    }
+    let lines = text.lines().map(str::to_lowercase);
+    lines.filter_map(|line| line.strip_prefix("request-id: ").map(str::to_owned)).collect()
+}
+
+/// Returns the paths of the requests that the target has begun, with the milliseconds since `sent`.
+fn started(fleet: &SidecarFleet, sent: Instant) -> Vec<(String, u64)> {
+    let runs = fleet.vms[0].target.runs.lock().expect("not poisoned");
+    runs.iter().map(|run| (run.request_id.clone(), run.started.duration_since(sent).as_millis() as u64)).collect()
+}
+
+/// Pipelined requests were handled one after the other, and each waited for the work of those before it.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_run_at_the_same_time_unless_they_must_run_once() {
+    struct Case {
+        name: &'static str,
+        requests: &'static [&'static str],
+        /// Number of times that the target's work is waited for one after the other.
+        rounds: u64,
+    }
+    let cases = [
+        Case { name: "safe", requests: &["GET /view/a1", "GET /view/a2", "GET /view/a3", "GET /view/a4"], rounds: 1 },
+        Case { name: "safe before", requests: &["GET /view/b1", "POST /pairings/b2"], rounds: 2 },
+        Case { name: "safe behind", requests: &["POST /pairings/c1", "GET /view/c2", "GET /view/c3"], rounds: 3 },
+        Case { name: "at most once", requests: &["POST /pairings/d1", "POST /pairings/d2"], rounds: 2 },
+    ];
+    let fleet = start_fleet().await;
+    for case in &cases {
+        let sent = Instant::now();
+        let mut caller = send(&fleet, case.requests).await;
+        let ids = read_ids(&mut caller, case.requests.len()).await;
+        let took_ms = sent.elapsed().as_millis() as u64;
+        let expected: Vec<_> =
+            case.requests.iter().filter_map(|request| Some(request.split_once(' ')?.1.to_owned())).collect();
+        expect_that!(ids, eq(&expected), "{}", case.name);
+        expect_that!(took_ms, ge(case.rounds * WORK_MS), "{}", case.name);
+        expect_that!(took_ms, lt(case.rounds * WORK_MS + WORK_MS), "{}", case.name);
+        expect_that!(started(&fleet, sent).len(), eq(case.requests.len()), "{}", case.name);
+        fleet.vms[0].target.runs.lock().expect("not poisoned").clear();
+    }
+}
+
+/// Requests that wait for a slot must not reach the target after their caller has left.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_a_caller_that_left_do_not_run() {
+    let fleet = start_fleet().await;
+    fleet.vms[0].target.slots.store(1, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let sent = Instant::now();
+    let caller = send(&fleet, &["GET /view/1", "GET /view/2", "GET /view/3"]).await;
+    tokio::time::sleep(Duration::from_millis(WORK_MS / 4)).await;
+    drop(caller);
+    tokio::time::sleep(Duration::from_millis(WORK_MS * 4)).await;
+    expect_that!(started(&fleet, sent).len(), eq(1));
+}
+
+/// A node that stops closes its connections, but not before it has answered the requests that are running.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_node_answers_all_requests_that_it_has_started() {
+    let mut fleet = start_fleet().await;
+    let requests = ["GET /view/1", "GET /view/2", "GET /view/3"];
+    let mut caller = send(&fleet, &requests).await;
+    tokio::time::sleep(Duration::from_millis(WORK_MS / 4)).await;
+    fleet.vms[0].node.send_sigterm();
+    expect_that!(read_ids(&mut caller, requests.len()).await.len(), eq(requests.len()));
+    expect_that!(fleet.vms[0].node.terminate(), some(eq(0)));
+}
