Targets that fail a part of their attempts are chosen less

Load pattern: a few targets of a service fail or lose a part of what they run for several seconds, while health checks succeed. Failed calls are short, so such a target looked fast and empty and drew its full share.

Targets that fail alike share the calls as before.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -125,6 +125,7 @@
         match result {
             AnnouncementResult::NewRun => {
                 self.pool.close_idle();
+                state.failures.clear();
                 state.set_notices(None, now);
                 state.pace.discard_present();
                 self.event_log.write(line.text("as", "new run"), now);
@@ -281,6 +282,7 @@
             Err(_) => {
                 let mut watched = watched;
                 watched.record_loss(CallLoss::Unobserved);
+                self.record_attempt(true);
                 self.report_unknown(&head, Reason::Deadline, false)
             }
             Ok(Err(TargetError::NotSent(detail))) => {
@@ -304,17 +306,20 @@
             Ok(Err(TargetError::Invalid(detail))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(&head, "target_answer_unusable", &detail);
+                self.record_attempt(true);
                 let crashed = watched.lose(CallLoss::Unobserved).await;
                 self.report_unknown(&head, Reason::BadAnswer, crashed)
             }
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
+                self.record_attempt(true);
                 let crashed = watched.lose(CallLoss::Closed).await;
                 lock(&self.state).demand.record_attempt(true);
                 self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
                 let reply = self.handle_response(&head, admitted, watched, connection, response, deadline).await;
+                self.record_attempt(has_failed(&reply.0.outcome));
                 if let Some(refused) = is_refused_by_target(&reply.0.outcome) {
                     lock(&self.state).demand.record_attempt(refused);
                 }
@@ -326,6 +331,10 @@
         }
     }
 
+    fn record_attempt(&self, failed: bool) {
+        lock(&self.state).failures.record_attempt(failed, self.clock.now());
+    }
+
     /// Returns the external request that a call of the target most likely belongs to. `draw` is a random number
     /// from 0 to 1.
     pub fn infer_call_origin(&self, route: &RouteId, deadline: TimeUs, draw: f64) -> Option<Origin> {
@@ -378,6 +387,15 @@
     }
 }
 
+/// Returns whether the target did not answer an attempt, or answered with a failure. It cannot help a call that ends at
+/// its deadline, but one that answers so more often than others of its service is slow.
+fn has_failed(outcome: &CallOutcome) -> bool {
+    match outcome {
+        CallOutcome::Answered { status, .. } => *status >= 500,
+        CallOutcome::NotRun { .. } | CallOutcome::Unknown { .. } => true,
+    }
+}
+
 /// Returns whether the target refused or failed a call that reached it; `None` for an outcome that does not show it.
 fn is_refused_by_target(outcome: &CallOutcome) -> Option<bool> {
     match outcome {
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -4,8 +4,8 @@
 
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
-    Admission, ColdLimit, DemandMeter, PaceEstimate, PauseGuard, QueueEvent, RunWatch, RunningParents, SlotQueue,
-    SlotRequest, TargetNotices, TargetReport,
+    Admission, ColdLimit, DemandMeter, FailureMeter, PaceEstimate, PauseGuard, QueueEvent, RunWatch, RunningParents,
+    SlotQueue, SlotRequest, TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -61,6 +61,8 @@
     pub pause_guard: PauseGuard,
     /// Pace of the target's work.
     pub pace: PaceEstimate,
+    /// Attempts that failed at the target.
+    pub failures: FailureMeter,
 }
 
 /// A call that was admitted, and the target instance that runs it.
@@ -102,6 +104,7 @@
             evacuated: false,
             pause_guard: PauseGuard::default(),
             pace: PaceEstimate::default(),
+            failures: FailureMeter::default(),
         }
     }
 }
@@ -143,6 +146,7 @@
             cold: self.reports_cold(now),
             paced_rate: self.slots.paced_rate(),
             pace_percent: self.pace.relative_percent(now),
+            failed_percent: self.failures.failed_percent(now),
         })
     }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -304,6 +304,8 @@
         state.gate.check_silence();
         state.apply_cold_limit();
         state.gate.start_waiting_calls();
+        let failed_percent = state.gate.report().map_or(0, |report| report.failed_percent);
+        state.metrics.set_gauge("target_failed_percent", u64::from(failed_percent));
         state.metrics.set_gauge("cold_targets", u64::from(state.gate.has_cold_target()));
         refresh_evacuation(&state);
         notify_changes(&state, &mut last_notified);
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -55,6 +55,8 @@
     pub paced_rate: Option<RateMilliPerS>,
     /// How long its work takes at present, in percent of the mean that `hold_us` contains.
     pub pace_percent: Option<u32>,
+    /// Share of recent attempts that failed at the target, in percent.
+    pub failed_percent: u32,
 }
 
 /// Demand of one route, by the route's position in the configuration.
@@ -159,6 +161,7 @@
             notices: report.notices,
             paced_rate: report.paced_rate,
             pace_percent: report.pace_percent,
+            failed_percent: report.failed_percent,
         }
     }
 }
@@ -180,6 +183,7 @@
             cold: load.cold,
             paced_rate: load.paced_rate,
             pace_percent: load.pace_percent,
+            failed_percent: load.failed_percent,
         })
     }
 
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -42,6 +42,7 @@
         notices: Some(Default::default()),
         paced_rate: None,
         pace_percent: Some(240),
+        failed_percent: 0,
     };
     let demand = |route: u32| IndexedDemand { route, slots_milli: 6_400 };
     let arrivals = |route: u32| IndexedArrivals { route, rank: Rank(518), offered_milli: 5_600, admitted_milli: 4_900 };
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -213,6 +213,7 @@
             cold: false,
             paced_rate: None,
             pace_percent: Some(120),
+            failed_percent: 0,
         };
         balancer.record_report(VmId(id), &zones[zone], Some(report), TimeUs::default());
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod evacuation_report;
 mod evacuation_state;
 mod failing_services;
+mod failure_meter;
 mod ingress_admission;
 mod load_balancer;
 mod load_metrics;
@@ -60,6 +61,7 @@
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use evacuation_report::EvacuationReport;
 pub use evacuation_state::{EvacuationRecord, EvacuationState};
+pub use failure_meter::FailureMeter;
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use load_metrics::LoadMetrics;
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -61,6 +61,14 @@
 const MIN_PACE_FACTOR: f64 = 0.5;
 const MAX_PACE_FACTOR: f64 = 4.0;
 
+/// Largest share of failed attempts that counts, in percent. A target that fails everything still gets a few calls, which
+/// show when it recovers.
+const MAX_FAILED_PERCENT: u32 = 90;
+
+/// Power of the share of successful attempts to which the expected time is inversely proportional. A failed attempt costs
+/// more than its time: it may not be repeated, or takes a retry that others need.
+const SUCCESS_POWER: i32 = 2;
+
 /// Number of random targets among which one is drawn.
 const DRAW_SAMPLE: usize = 8;
 
@@ -100,6 +108,16 @@
     /// How long work takes at present, in percent of the mean that `hold_us` contains; `None` if the target has not
     /// stated it within the last second.
     pub pace_percent: Option<u32>,
+    /// Share of recent attempts that failed at the target, in percent.
+    pub failed_percent: u32,
+}
+
+impl TargetReport {
+    /// Returns the factor by which failing attempts lengthen the expected time until a success.
+    fn failure_factor(&self) -> f64 {
+        let failed = f64::from(self.failed_percent.min(MAX_FAILED_PERCENT)) / 100.0;
+        (1.0 - failed).powi(-SUCCESS_POWER)
+    }
 }
 
 #[derive(Debug)]
@@ -416,7 +434,8 @@
         let occupancy = self.occupancy(node, now) + f64::from(target.report.limit.max(1)).recip();
         let slowdown = 1.0 + FULL_SLOWDOWN * occupancy.min(1.0).powi(FULLNESS_POWER);
         let refusal_factor = if now < target.refusal_pause_until { REFUSAL_FACTOR } else { 1.0 };
-        hold_us * target.pace_factor(now) * slowdown * occupancy.max(1.0) * refusal_factor + target.paced_wait_us()
+        let time_us = hold_us * target.pace_factor(now) * slowdown * occupancy.max(1.0) * refusal_factor;
+        (time_us + target.paced_wait_us()) * target.report.failure_factor()
     }
 
     /// Draws one of several random nodes, with a probability that falls with the expected time.
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -30,6 +30,7 @@
         cold: false,
         paced_rate: None,
         pace_percent: None,
+        failed_percent: 0,
     }
 }
 
--- a/crates/policy/tests/load_metrics.rs
+++ b/crates/policy/tests/load_metrics.rs
@@ -32,6 +32,7 @@
         cold: false,
         paced_rate: None,
         pace_percent,
+        failed_percent: 0,
     }
 }
 
--- a/crates/policy/tests/zone_traffic.rs
+++ b/crates/policy/tests/zone_traffic.rs
@@ -207,6 +207,7 @@
         cold: false,
         paced_rate: None,
         pace_percent: None,
+        failed_percent: 0,
     }
 }
 
--- a/crates/transport/src/callers/pipeline.rs
+++ b/crates/transport/src/callers/pipeline.rs
@@ -72,7 +72,7 @@
 /// A request that was read and that `hyper` has not reached yet.
 #[derive(Debug)]
 enum ReadRequest {
-    Started(StartedRequest),
+    Started(Box<StartedRequest>),
     /// It is handled when `hyper` reaches it, and later requests do not overtake it.
     Waiting(Barrier),
 }
@@ -98,7 +98,7 @@
 #[derive(Debug)]
 pub enum NextRequest {
     /// It runs already.
-    Started(StartedRequest),
+    Started(Box<StartedRequest>),
     /// It has to be handled now; the barrier, if any, is dropped afterwards.
     Handle(Option<Barrier>),
 }
@@ -184,7 +184,7 @@
                 false => None,
             };
             let request = match response {
-                Some(response) => ReadRequest::Started(StartedRequest::new(parts, response)),
+                Some(response) => ReadRequest::Started(Box::new(StartedRequest::new(parts, response))),
                 None => ReadRequest::Waiting(Barrier::new(&state.barriers)),
             };
             state.requests.push_back(request);
