Only failures of a target's own make it chosen less; status messages stay short

Cause: counted late attempts and errors that failed calls explain.

Change: refusals, lost and invalid responses count, and errors that no failed call of the target explains; late attempts do not. Two flags of the status message became one value.

--- a/crates/mesh/src/caller_handler/outcome_guard.rs
+++ b/crates/mesh/src/caller_handler/outcome_guard.rs
@@ -53,6 +53,9 @@
         let GuardedRoute { id, priority, objective_ms, is_child_call } = &route;
         let route =
             RequestRoute { id, priority: *priority, objective_ms: *objective_ms, is_child_call: *is_child_call };
+        if route.is_child_call && end != RequestEnd::Answered {
+            self.state.gate.record_failed_call();
+        }
         let took_us = self.state.now().us_since(self.arrived);
         lock(&self.state.outcomes).record(route, end, took_us);
     }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
-use fulmartrestle_policy::{CallLoss, CrashTable, DemandReport, Origin, ProbeResult};
+use fulmartrestle_policy::{AttemptEnd, CallLoss, CrashTable, DemandReport, Origin, ProbeResult};
 use fulmartrestle_transport::{ByteBody, ReplayBody, headers_from_pairs};
 use http::{Method, Request, Uri};
 use tokio::sync::{Notify, Semaphore};
@@ -282,7 +282,6 @@
             Err(_) => {
                 let mut watched = watched;
                 watched.record_loss(CallLoss::Unobserved);
-                self.record_attempt(true);
                 self.report_unknown(&head, Reason::Deadline, false)
             }
             Ok(Err(TargetError::NotSent(detail))) => {
@@ -306,20 +305,20 @@
             Ok(Err(TargetError::Invalid(detail))) => {
                 self.pool.mark_suspect(self.clock.now());
                 self.log_target_event(&head, "target_answer_unusable", &detail);
-                self.record_attempt(true);
+                self.record_attempt(AttemptEnd::Failed);
                 let crashed = watched.lose(CallLoss::Unobserved).await;
                 self.report_unknown(&head, Reason::BadAnswer, crashed)
             }
             Ok(Err(TargetError::Lost(detail))) => {
                 self.log_target_event(&head, "target_lost", &detail);
-                self.record_attempt(true);
+                self.record_attempt(AttemptEnd::Failed);
                 let crashed = watched.lose(CallLoss::Closed).await;
                 lock(&self.state).demand.record_attempt(true);
                 self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
                 let reply = self.handle_response(&head, admitted, watched, connection, response, deadline).await;
-                self.record_attempt(has_failed(&reply.0.outcome));
+                self.record_attempt(attempt_end(&reply.0.outcome));
                 if let Some(refused) = is_refused_by_target(&reply.0.outcome) {
                     lock(&self.state).demand.record_attempt(refused);
                 }
@@ -331,8 +330,13 @@
         }
     }
 
-    fn record_attempt(&self, failed: bool) {
-        lock(&self.state).failures.record_attempt(failed, self.clock.now());
+    fn record_attempt(&self, end: AttemptEnd) {
+        lock(&self.state).failures.record_attempt(end, self.clock.now());
+    }
+
+    /// Records that a call of the target was not served, so that it will probably answer its own request with an error.
+    pub fn record_failed_call(&self) {
+        lock(&self.state).failures.record_failed_call(self.clock.now());
     }
 
     /// Returns the external request that a call of the target most likely belongs to. `draw` is a random number
@@ -387,12 +391,14 @@
     }
 }
 
-/// Returns whether the target did not answer an attempt, or answered with a failure. It cannot help a call that ends at
-/// its deadline, but one that answers so more often than others of its service is slow.
-fn has_failed(outcome: &CallOutcome) -> bool {
+fn attempt_end(outcome: &CallOutcome) -> AttemptEnd {
     match outcome {
-        CallOutcome::Answered { status, .. } => *status >= 500,
-        CallOutcome::NotRun { .. } | CallOutcome::Unknown { .. } => true,
+        CallOutcome::Answered { status: 504, .. } | CallOutcome::Unknown { reason: Reason::Deadline, .. } => {
+            AttemptEnd::Late
+        }
+        CallOutcome::Answered { status: 500.., .. } => AttemptEnd::Error,
+        CallOutcome::Answered { .. } => AttemptEnd::Answered,
+        CallOutcome::NotRun { .. } | CallOutcome::Unknown { .. } => AttemptEnd::Failed,
     }
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -55,7 +55,7 @@
 pub use settings::{DeploymentBounds, MeshSettings};
 pub use state::MeshState;
 pub use status_message::{
-    IndexedArrivals, IndexedDemand, NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_calls,
-    index_demand,
+    IndexedArrivals, IndexedDemand, NodeIdentity, NodeStatus, StatusMessage, TargetLoad, TargetPhase, index_arrivals,
+    index_calls, index_demand,
 };
 pub use store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, Version, VmId};
-use fulmartrestle_derive::record;
+use fulmartrestle_derive::{record, value};
 use fulmartrestle_policy::{
     DemandReport, EvacuationReport, Rank, RouteArrivals, RouteDemand, TargetAttempts, TargetNotices, TargetReport,
 };
@@ -34,13 +34,22 @@
     pub started_unix_ms: i64,
 }
 
+/// Whether a target accepts calls. One value takes a byte less than two flags.
+#[value]
+pub enum TargetPhase {
+    /// It accepts none.
+    NotReady,
+    /// It accepts calls and is still warming up.
+    Cold,
+    /// It accepts calls at full speed.
+    Warm,
+}
+
 /// Load of a target.
 #[record]
 pub struct TargetLoad {
     /// Whether the target accepts calls.
-    pub ready: bool,
-    /// Whether it is still warming up.
-    pub cold: bool,
+    pub phase: TargetPhase,
     /// Calls that may run concurrently.
     pub limit: u32,
     /// Calls that are running.
@@ -152,8 +161,11 @@
 impl From<TargetReport> for TargetLoad {
     fn from(report: TargetReport) -> Self {
         Self {
-            ready: report.ready,
-            cold: report.cold,
+            phase: match (report.ready, report.cold) {
+                (false, _) => TargetPhase::NotReady,
+                (true, true) => TargetPhase::Cold,
+                (true, false) => TargetPhase::Warm,
+            },
             limit: report.limit,
             running: report.running,
             waiting: report.waiting,
@@ -175,12 +187,12 @@
             instance: self.identity.instance.clone(),
             started_unix_ms: self.identity.started_unix_ms,
             notices: load.notices,
-            ready: load.ready,
+            ready: load.phase != TargetPhase::NotReady,
             limit: load.limit,
             running: load.running,
             waiting: load.waiting,
             hold_us: load.hold_us,
-            cold: load.cold,
+            cold: load.phase == TargetPhase::Cold,
             paced_rate: load.paced_rate,
             pace_percent: load.pace_percent,
             failed_percent: load.failed_percent,
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -5,7 +5,7 @@
 use fulmartrestle_core::{TimeUs, Version, VmId};
 use fulmartrestle_mesh::{
     CallerLimits, IndexedArrivals, IndexedDemand, MeshConfig, NodeIdentity, NodeStatus, PeerTable, Registration, Route,
-    StatusMessage, TargetLoad, index_arrivals, index_calls, index_demand,
+    StatusMessage, TargetLoad, TargetPhase, index_arrivals, index_calls, index_demand,
 };
 use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetAttempts};
 use fulmartrestle_transport::encode;
@@ -33,8 +33,7 @@
 /// Returns a message of a node with four routes that carry requests.
 fn message(node: u64, stamp: TimeUs, echo: Option<TimeUs>) -> StatusMessage {
     let load = TargetLoad {
-        ready: true,
-        cold: false,
+        phase: TargetPhase::Warm,
         limit: 16,
         running: 12,
         waiting: 3,
--- a/crates/policy/src/failure_meter.rs
+++ b/crates/policy/src/failure_meter.rs
@@ -15,22 +15,53 @@
 
 const FULL_PERCENT: f64 = 100.0;
 
-/// Measures the share of the attempts at one target that fail.
+/// How an attempt that reached a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target answered.
+    Answered,
+    /// The target answered that it failed. A call that it made may be the cause.
+    Error,
+    /// The target refused the attempt, or its response was lost or is invalid.
+    Failed,
+    /// The deadline passed. An overload, here or further downstream, is the most likely cause.
+    Late,
+}
+
+/// Measures the share of the attempts at one target that fail by its own fault.
 #[derive(Debug, Default)]
 pub struct FailureMeter {
     attempts: f64,
     failures: f64,
+    /// Failed calls that the target made and that have not explained an error yet.
+    failed_calls: f64,
     updated_at: TimeUs,
 }
 
 impl FailureMeter {
-    /// Counts an attempt that reached the target. `failed` states that the target did not answer it, or answered with a
-    /// failure.
-    pub fn record_attempt(&mut self, failed: bool, now: TimeUs) {
-        let kept = self.kept(now);
-        self.attempts = self.attempts * kept + 1.0;
-        self.failures = self.failures * kept + f64::from(u8::from(failed));
-        self.updated_at = now;
+    /// Counts an attempt that reached the target. Errors that a failed call explains and late attempts say nothing about
+    /// the target: in an overload they differ by chance, and avoiding the targets that had more of them moves the load
+    /// to the others.
+    pub fn record_attempt(&mut self, end: AttemptEnd, now: TimeUs) {
+        self.forget(now);
+        let failed = match end {
+            AttemptEnd::Answered => false,
+            AttemptEnd::Failed => true,
+            AttemptEnd::Late => return,
+            AttemptEnd::Error if self.failed_calls >= 0.5 => {
+                self.failed_calls = (self.failed_calls - 1.0).max(0.0);
+                return;
+            }
+            AttemptEnd::Error => true,
+        };
+        self.attempts += 1.0;
+        self.failures += f64::from(u8::from(failed));
+    }
+
+    /// Counts a call of the target that was not served.
+    pub fn record_failed_call(&mut self, now: TimeUs) {
+        self.forget(now);
+        self.failed_calls += 1.0;
     }
 
     /// Returns the share of recent attempts that failed, in percent.
@@ -44,6 +75,14 @@
         *self = Self::default();
     }
 
+    fn forget(&mut self, now: TimeUs) {
+        let kept = self.kept(now);
+        self.attempts *= kept;
+        self.failures *= kept;
+        self.failed_calls *= kept;
+        self.updated_at = now;
+    }
+
     fn kept(&self, now: TimeUs) -> f64 {
         (-(now.us_since(self.updated_at) as f64) / MEMORY_US).exp()
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -61,7 +61,7 @@
 pub use demand::{DemandMeter, DemandReport, Origin, RouteDemand};
 pub use evacuation_report::EvacuationReport;
 pub use evacuation_state::{EvacuationRecord, EvacuationState};
-pub use failure_meter::FailureMeter;
+pub use failure_meter::{AttemptEnd, FailureMeter};
 pub use ingress_admission::{IngressAdmission, IngressAdmissionSettings, IngressRequest};
 pub use load_balancer::{LoadBalancer, TargetReport};
 pub use load_metrics::LoadMetrics;
--- a/crates/policy/tests/failing_targets.rs
+++ b/crates/policy/tests/failing_targets.rs
@@ -1,7 +1,7 @@
 //! Targets that fail a part of their attempts, beside healthy ones of their service.
 
 use fulmartrestle_core::{AvailabilityZone, Service, TimeUs, VmId};
-use fulmartrestle_policy::{FailureMeter, LoadBalancer, TargetReport};
+use fulmartrestle_policy::{AttemptEnd, FailureMeter, LoadBalancer, TargetReport};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -66,7 +66,8 @@
         let node = balancer.choose_target(&service(), &zone(), &[], &mut rng, now).expect("a target");
         let is_failing = node.0 < failing;
         let failed = is_failing && (2_000..7_000).contains(&elapsed_ms) && rng.random::<f64>() < 0.5;
-        meters[node.0 as usize].record_attempt(failed, now);
+        let end = if failed { AttemptEnd::Failed } else { AttemptEnd::Answered };
+        meters[node.0 as usize].record_attempt(end, now);
         let second = &mut seconds[(elapsed_ms / 1_000) as usize];
         second.calls += 1;
         second.to_failing += u64::from(is_failing);
@@ -131,7 +132,8 @@
         let mut now = TimeUs::from_ms(5_000);
         for attempt in 1..=case.attempts {
             now = now.plus_ms(10);
-            meter.record_attempt(case.every > 0 && attempt % case.every == 0, now);
+            let fails = case.every > 0 && attempt % case.every == 0;
+            meter.record_attempt(if fails { AttemptEnd::Failed } else { AttemptEnd::Answered }, now);
         }
         let percent = meter.failed_percent(now.plus_ms(case.later_ms));
         expect_that!(case.percent.contains(&percent), eq(true), "{}: {percent}", case.name);
@@ -139,3 +141,22 @@
         expect_that!(meter.failed_percent(now), eq(0), "{}", case.name);
     }
 }
+
+/// In an overload, targets whose calls had failed and targets whose attempts were late were avoided, and the load moved
+/// from one to the other.
+#[gtest]
+fn failures_of_other_services_do_not_count() {
+    let now = TimeUs::from_ms(5_000);
+    let mut meter = FailureMeter::default();
+    for _ in 0..100 {
+        meter.record_attempt(AttemptEnd::Answered, now);
+        meter.record_attempt(AttemptEnd::Late, now);
+        meter.record_failed_call(now);
+        meter.record_attempt(AttemptEnd::Error, now);
+    }
+    expect_that!(meter.failed_percent(now), eq(0));
+    for _ in 0..100 {
+        meter.record_attempt(AttemptEnd::Error, now);
+    }
+    expect_that!(meter.failed_percent(now), all!(ge(45), le(50)));
+}
