The admission for failing services is removed

Cause: it was built and off. Switched on alone on the code untouched it is worth nothing or less wherever it acts, and it guards no rule.

Requests that would mostly fail still serve a part of their callers; refusing them serves nobody else.

Change: the decision goes with its meters, its part of the status message, its setting, note and tests, which tested nothing else. That demand keeps its routes when one is unknown is tested on its own.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -313,15 +313,11 @@
                 self.log_target_event(&head, "target_lost", &detail);
                 self.record_attempt(AttemptEnd::Failed);
                 let crashed = watched.lose(CallLoss::Closed).await;
-                lock(&self.state).demand.record_attempt(true);
                 self.report_unknown(&head, Reason::TargetFailed, crashed)
             }
             Ok(Ok((connection, response))) => {
                 let reply = self.handle_response(&head, admitted, watched, connection, response, deadline).await;
                 self.record_attempt(attempt_end(&reply.0.outcome));
-                if let Some(refused) = is_refused_by_target(&reply.0.outcome) {
-                    lock(&self.state).demand.record_attempt(refused);
-                }
                 if let CallOutcome::Answered { .. } = reply.0.outcome {
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
                 }
@@ -401,12 +397,3 @@
         CallOutcome::NotRun { .. } | CallOutcome::Unknown { .. } => AttemptEnd::Failed,
     }
 }
-
-/// Returns whether the target refused or failed a call that reached it; `None` for an outcome that does not show it.
-fn is_refused_by_target(outcome: &CallOutcome) -> Option<bool> {
-    match outcome {
-        CallOutcome::Answered { .. } => Some(false),
-        CallOutcome::NotRun { refusal, .. } => (refusal.reason == Reason::Shed).then_some(true),
-        CallOutcome::Unknown { reason, .. } => (*reason == Reason::BadAnswer).then_some(true),
-    }
-}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -56,6 +56,6 @@
 pub use state::MeshState;
 pub use status_message::{
     IndexedArrivals, IndexedDemand, NodeIdentity, NodeStatus, StatusMessage, TargetLoad, TargetPhase, index_arrivals,
-    index_calls, index_demand,
+    index_demand,
 };
 pub use store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -49,10 +49,6 @@
 /// Smallest change of a highly loaded target's load that is sent at once.
 const MIN_LOAD_CHANGE: f64 = 0.08;
 
-/// Smallest change of the share of attempts that the target refuses that is sent at once. Entry nodes should learn within
-/// a few hundred milliseconds that a service fails; a few refusals change less.
-const MIN_REFUSED_SHARE_CHANGE: f64 = 0.15;
-
 /// Smallest change of the rate of requests at this node that is sent at once: as a share of the last value sent, and
 /// its lower bound in requests per second. Surges exceed both; random variation seldom does.
 const MIN_ARRIVALS_CHANGE_SHARE: f64 = 0.5;
@@ -127,7 +123,6 @@
         let datagrams = listen_for_datagrams(settings.peer_address).await?;
         let state = Arc::new(build_state(settings, &options));
         state.apply_cold_limit();
-        state.apply_admission_settings();
         let (stopping, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let limits = {
@@ -328,18 +323,15 @@
 struct LastNotified {
     load: f64,
     arrivals_per_s: f64,
-    refused_share: f64,
 }
 
 /// Triggers a status message for changes that cannot wait for the next regular one.
 fn notify_changes(state: &MeshState, last_notified: &mut LastNotified) {
     if let Some(load) = state.gate.close_demand_window() {
-        let refused_share = state.gate.demand().map_or(0.0, |demand| demand.attempts.refused_share());
         let load_changed =
             load.max(last_notified.load) >= HIGH_LOAD && (load - last_notified.load).abs() >= MIN_LOAD_CHANGE;
-        if load_changed || (refused_share - last_notified.refused_share).abs() >= MIN_REFUSED_SHARE_CHANGE {
+        if load_changed {
             last_notified.load = load;
-            last_notified.refused_share = refused_share;
             log_target_load(state, load);
             state.status_due.notify_one();
         }
@@ -380,7 +372,6 @@
             *current = Arc::new(MeshSettings { first_start, ..settings });
             drop(current);
             state.apply_cold_limit();
-            state.apply_admission_settings();
             state.log(LogLine::new("settings_reloaded").flag("changed", changed));
         }
         Err(error) => state.log(LogLine::new("settings_rejected").text("detail", error)),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -65,9 +65,6 @@
     /// Whether callers that were refused are admitted before others when they return as told, and told to return by the
     /// admitted share. `None` counts as false.
     pub refused_caller_precedence: Option<bool>,
-    /// Whether routes are limited whose requests would mostly fail at targets that refuse their calls. `None` counts as
-    /// false.
-    pub failing_service_admission: Option<bool>,
     /// Bounds of the whole deployment.
     pub bounds: DeploymentBounds,
     /// What traffic between zones may cost. Without it, a call leaves its zone when that takes half of the time or less.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -175,12 +175,6 @@
         self.gate.set_cold_limit(limit);
     }
 
-    /// Applies the settings of the admission by capacity.
-    pub fn apply_admission_settings(&self) {
-        let enabled = self.settings().failing_service_admission == Some(true);
-        lock(&self.capacity_admission).set_failing_service_admission(enabled);
-    }
-
     /// Returns whether the platform should route callers to this node.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == NodePhase::Serving && self.config().is_some()
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -20,9 +20,7 @@
 use crate::peer_streams::CONFIG_PATH;
 use crate::peer_table::StatusEffect;
 use crate::state::{MeshState, NodePhase};
-use crate::status_message::{
-    NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_calls, index_demand,
-};
+use crate::status_message::{NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_demand};
 
 /// Interval of status messages, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 1_000;
@@ -187,11 +185,6 @@
             crashes: CrashNotices::default(),
             crashes_received: 0,
             evacuation,
-            attempts: demand.as_ref().map(|demand| demand.attempts).unwrap_or_default(),
-            calls_deci: demand
-                .as_ref()
-                .zip(config.as_ref())
-                .map_or(Vec::new(), |(demand, config)| index_calls(demand, config)),
         };
         Self { started_at, identity, identity_changed_at, issuers, message }
     }
--- a/crates/mesh/src/status_message.rs
+++ b/crates/mesh/src/status_message.rs
@@ -9,7 +9,7 @@
 use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, Version, VmId};
 use fulmartrestle_derive::{record, value};
 use fulmartrestle_policy::{
-    DemandReport, EvacuationReport, Rank, RouteArrivals, RouteDemand, TargetAttempts, TargetNotices, TargetReport,
+    DemandReport, EvacuationReport, Rank, RouteArrivals, RouteDemand, TargetNotices, TargetReport,
 };
 use fulmartrestle_quota::ShardSet;
 
@@ -17,9 +17,6 @@
 use crate::call_messages::GateReport;
 use crate::crash_marks::CrashNotices;
 
-/// Thousandths in a tenth.
-const MILLI_PER_DECI: u32 = 100;
-
 /// The names of a node, which seldom change.
 #[record]
 #[derive(Eq)]
@@ -127,11 +124,6 @@
     pub crashes_received: u32,
     /// Evacuated zones as the sender knows them; `None` if no zone was ever evacuated.
     pub evacuation: Option<EvacuationReport>,
-    /// Attempts that reached the sender's target, and those that it refused itself.
-    pub attempts: TargetAttempts,
-    /// First attempts per second at the sender's target, in tenths, in the order of `demand`. Thousandths would take
-    /// three bytes for most routes.
-    pub calls_deci: Vec<u32>,
 }
 
 /// A status message with the names that it leaves out.
@@ -201,17 +193,14 @@
 
     /// Returns the demand for the sender's target. `config` must have the sender's version.
     pub fn demand(&self, config: &MeshConfig) -> Option<DemandReport> {
-        let calls_milli = self.message.calls_deci.iter().map(|deci| deci.saturating_mul(MILLI_PER_DECI));
-        let calls_milli = calls_milli.chain(std::iter::repeat(0));
-        let to_demand = |(indexed, calls_milli): (&IndexedDemand, u32)| {
+        let to_demand = |indexed: &IndexedDemand| {
             let route = config.route_at(indexed.route)?.clone();
-            Some(RouteDemand { route, slots_milli: indexed.slots_milli, calls_milli })
+            Some(RouteDemand { route, slots_milli: indexed.slots_milli })
         };
         Some(DemandReport {
             service: self.identity.service.clone()?,
             capacity_milli: self.message.capacity_milli?,
-            routes: self.message.demand.iter().zip(calls_milli).filter_map(to_demand).collect(),
-            attempts: self.message.attempts,
+            routes: self.message.demand.iter().filter_map(to_demand).collect(),
         })
     }
 
@@ -237,12 +226,6 @@
     report.routes.iter().filter_map(to_indexed).collect()
 }
 
-/// Returns the calls of each route in a demand report, in tenths per second, in the order of [`index_demand`].
-pub fn index_calls(report: &DemandReport, config: &MeshConfig) -> Vec<u32> {
-    let known = report.routes.iter().filter(|demand| config.route_position(&demand.route).is_some());
-    known.map(|demand| (demand.calls_milli + MILLI_PER_DECI / 2) / MILLI_PER_DECI).collect()
-}
-
 /// Returns arrivals with the routes' positions. Routes that `config` does not contain are left out.
 pub fn index_arrivals(arrivals: &[RouteArrivals], config: &MeshConfig) -> Vec<IndexedArrivals> {
     let to_indexed = |arrivals: &RouteArrivals| {
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -5,9 +5,9 @@
 use fulmartrestle_core::{TimeUs, Version, VmId};
 use fulmartrestle_mesh::{
     CallerLimits, IndexedArrivals, IndexedDemand, MeshConfig, NodeIdentity, NodeStatus, PeerTable, Registration, Route,
-    StatusMessage, TargetLoad, TargetPhase, index_arrivals, index_calls, index_demand,
+    StatusMessage, TargetLoad, TargetPhase, index_arrivals, index_demand,
 };
-use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand, TargetAttempts};
+use fulmartrestle_policy::{DemandReport, Rank, RouteArrivals, RouteDemand};
 use fulmartrestle_transport::encode;
 use googletest::prelude::*;
 
@@ -63,8 +63,6 @@
         crashes: Default::default(),
         crashes_received: 0,
         evacuation: None,
-        attempts: TargetAttempts { reached_milli: 53_000, refused_milli: 0 },
-        calls_deci: vec![133; 4],
     }
 }
 
@@ -142,29 +140,21 @@
     }
 }
 
-/// Refusals and calls per request must reach the entry nodes, or a failing service is never noticed there.
+/// A route that the receiver's configuration does not contain must not shift the demand of the others.
 #[gtest]
-fn calls_and_refusals_of_a_target_survive_the_message() {
+fn demand_of_a_target_survives_the_message() {
     let config =
         MeshConfig::new(Version(48), CallerLimits::default(), vec![route("first"), route("second")], Vec::new());
-    let demand = |name: &str, calls_milli| RouteDemand { route: route(name).id, slots_milli: 6_400, calls_milli };
+    let demand = |name: &str, slots_milli| RouteDemand { route: route(name).id, slots_milli };
     let report = DemandReport {
         service: "trips".parse().expect("a valid name"),
         capacity_milli: 14_720,
-        // A route that the configuration no longer contains must not shift the others.
-        routes: vec![demand("second", 13_300), demand("removed", 7_000), demand("first", 260)],
-        attempts: TargetAttempts { reached_milli: 53_000, refused_milli: 21_000 },
-    };
-    let message = StatusMessage {
-        demand: index_demand(&report, &config),
-        calls_deci: index_calls(&report, &config),
-        attempts: report.attempts,
-        ..message(1, START, None)
+        routes: vec![demand("second", 6_400), demand("removed", 3_000), demand("first", 260)],
     };
+    let message = StatusMessage { demand: index_demand(&report, &config), ..message(1, START, None) };
     let status = NodeStatus { message, address: address(), identity: identity("milano") };
     let received = status.demand(&config).expect("a report");
-    assert_that!(received.routes, eq(&vec![demand("second", 13_300), demand("first", 300)]));
-    assert_that!(received.attempts, eq(report.attempts));
+    assert_that!(received.routes, eq(&vec![demand("second", 6_400), demand("first", 260)]));
 }
 
 #[gtest]
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -9,8 +9,8 @@
 use fulmartrestle_policy::{
     AdmissionGate, AdmissionGateSettings, AnnouncedTarget, ArrivedRequest, CallResult, CapacityAdmission,
     CompletedCall, Completion, DemandReport, IngressAdmission, IngressAdmissionSettings, IngressRequest, LoadBalancer,
-    OfferedCall, Rank, RefusedCallers, RouteArrivals, RouteDemand, TargetAttempts, TargetReport, TargetRequirements,
-    TargetSettings, TargetTable, TenantDivision, ZoneLoad, ZoneTraffic, ZoneTrafficSettings,
+    OfferedCall, Rank, RefusedCallers, RouteArrivals, RouteDemand, TargetReport, TargetRequirements, TargetSettings,
+    TargetTable, TenantDivision, ZoneLoad, ZoneTraffic, ZoneTrafficSettings,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -140,12 +140,7 @@
         let report = DemandReport {
             service: self.service.clone(),
             capacity_milli: 8_000,
-            routes: self
-                .routes
-                .iter()
-                .map(|route| RouteDemand { route: route.clone(), slots_milli: 2_000, calls_milli: 40_000 })
-                .collect(),
-            attempts: TargetAttempts { reached_milli: 320_000, refused_milli: 160_000 },
+            routes: self.routes.iter().map(|route| RouteDemand { route: route.clone(), slots_milli: 2_000 }).collect(),
         };
         let arrivals = self.routes.iter().map(|route| RouteArrivals {
             route: route.clone(),
--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -5,15 +5,11 @@
 //! those of the least urgent routes first, as many as exceed the capacity. The demand of a route is its
 //! request rate at the ingress nodes times the cost of one request. A partitioned zone uses only the
 //! targets and the ingress nodes that it can reach.
-//!
-//! A route whose requests would mostly fail at targets that refuse their calls is limited first, and its capacity goes
-//! to the others. See `docs/design/failing-service-admission.md`.
 
 use std::collections::HashMap;
 
 use fulmartrestle_core::{RouteId, Service, TimeUs, VmId};
 
-use crate::failing_services::{FailingServices, ServiceCalls};
 use crate::route_costs::RouteCosts;
 use crate::{DemandReport, Rank, RouteArrivals};
 
@@ -63,8 +59,6 @@
     costs: RouteCosts,
     shares: HashMap<(RouteId, Rank), f64>,
     calculated_at: Option<TimeUs>,
-    /// Limits routes whose requests would mostly fail; `None` unless the deployment asks for it.
-    failing: Option<FailingServices>,
 }
 
 /// Request rates summed over all ingress nodes, in requests per second.
@@ -96,15 +90,6 @@
 }
 
 impl CapacityAdmission {
-    /// Sets whether routes are limited whose requests would mostly fail at targets that refuse their calls. Where no other
-    /// route needs the capacity that this frees, fewer requests succeed with it.
-    pub fn set_failing_service_admission(&mut self, enabled: bool) {
-        match enabled {
-            true => drop(self.failing.get_or_insert_default()),
-            false => self.failing = None,
-        }
-    }
-
     /// Stores the latest report of a node. `target` is `None` if the node has no target that accepts calls.
     pub fn record_report(
         &mut self,
@@ -138,21 +123,15 @@
         let services = self.demand_by_service();
         let elapsed_ms = elapsed_ms.min(REPORT_VALID_MS);
         self.record_costs(&services, &ingress, elapsed_ms as f64 / MILLI);
-        let calls = self.calls_by_service();
-        if let Some(failing) = &mut self.failing {
-            failing.update(&calls, &ingress.measurable(), elapsed_ms);
-        }
-        let level = |route: &RouteId| self.failing.as_ref().map_or(1.0, |failing| failing.level(route));
         self.shares.clear();
         for (service, reported) in &services {
             let correction = self.cost_correction(service, reported, &ingress);
             let demand = |((route, rank), offered_per_s): (&(RouteId, Rank), &f64)| {
-                let admissible_per_s = offered_per_s * level(route);
-                ((route.clone(), *rank), admissible_per_s * self.costs.cost(service, route) * correction)
+                ((route.clone(), *rank), offered_per_s * self.costs.cost(service, route) * correction)
             };
             let demand: HashMap<_, _> = ingress.offered_per_s.iter().map(demand).collect();
             for (route, share) in allocate_capacity(reported.capacity_slots, &demand) {
-                let share = (share * level(&route.0)).max(MIN_ADMITTED_SHARE);
+                let share = share.max(MIN_ADMITTED_SHARE);
                 let lowest = self.shares.entry(route).or_insert(1.0);
                 *lowest = lowest.min(share);
             }
@@ -182,18 +161,6 @@
         services
     }
 
-    fn calls_by_service(&self) -> HashMap<Service, ServiceCalls> {
-        let mut services: HashMap<Service, ServiceCalls> = HashMap::new();
-        for target in self.reports.values().filter_map(|report| report.target.as_ref()) {
-            let calls = services.entry(target.service.clone()).or_default();
-            calls.targets.push(target.attempts);
-            for route in &target.routes {
-                *calls.calls_per_s.entry(route.route.clone()).or_default() += f64::from(route.calls_milli) / MILLI;
-            }
-        }
-        services
-    }
-
     /// Returns the ratio of the present cost of requests at a service to their mean cost over the last
     /// seconds. Costs fall while calls fail, because the calls after a failed one are not made, and rise at
     /// once afterwards.
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -10,8 +10,7 @@
 use fulmartrestle_core::{RouteId, Service, TimeUs};
 use fulmartrestle_derive::record;
 
-use crate::refusal_meter::RefusalMeter;
-use crate::{Rank, TargetAttempts};
+use crate::Rank;
 
 /// Length of the windows in which arrivals are counted, in microseconds.
 pub(crate) const WINDOW_US: u64 = 200_000;
@@ -49,7 +48,6 @@
 /// Lowest capacity correction. Calls that still wait then have another cause than the capacity.
 const MIN_CAPACITY_CORRECTION: f64 = 0.6;
 
-const US_PER_S: f64 = 1e6;
 const MILLI: f64 = 1e3;
 
 /// Route and rank of the external request that a call serves.
@@ -68,8 +66,6 @@
     pub route: RouteId,
     /// Demand in thousandths of slots.
     pub slots_milli: u32,
-    /// First attempts per second, in thousandths.
-    pub calls_milli: u32,
 }
 
 /// Demand on a target and its capacity.
@@ -81,8 +77,6 @@
     pub capacity_milli: u32,
     /// Demand by route.
     pub routes: Vec<RouteDemand>,
-    /// Attempts that reached the target, and those that it refused itself.
-    pub attempts: TargetAttempts,
 }
 
 impl DemandReport {
@@ -94,16 +88,12 @@
 }
 
 impl std::fmt::Display for DemandReport {
-    /// Writes the demand of each route and the capacity, in thousandths of slots, and the refused attempts.
+    /// Writes the demand of each route and the capacity, in thousandths of slots.
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         for route in &self.routes {
             write!(formatter, "{}={} ", route.route, route.slots_milli)?;
         }
-        write!(formatter, "of {}", self.capacity_milli)?;
-        match self.attempts.refused_milli {
-            0 => Ok(()),
-            refused => write!(formatter, ", refused {refused} of {}", self.attempts.reached_milli),
-        }
+        write!(formatter, "of {}", self.capacity_milli)
     }
 }
 
@@ -111,15 +101,12 @@
 struct SmoothedSlots {
     hold_sum_us: f64,
     slots: f64,
-    calls: f64,
-    calls_per_s: f64,
 }
 
 impl SmoothedSlots {
     fn close_window(&mut self, elapsed_us: f64, weight: f64) {
         self.slots += (self.hold_sum_us / elapsed_us - self.slots) * weight;
-        self.calls_per_s += (self.calls * US_PER_S / elapsed_us - self.calls_per_s) * weight;
-        (self.hold_sum_us, self.calls) = (0.0, 0.0);
+        self.hold_sum_us = 0.0;
     }
 }
 
@@ -133,7 +120,6 @@
     /// Slots that the admitted calls should use by the mean hold times, and slots that are in use.
     expected_slots: SmoothedSlots,
     used_slots: f64,
-    refusals: RefusalMeter,
 }
 
 impl Default for DemandMeter {
@@ -145,7 +131,6 @@
             capacity_correction: 1.0,
             expected_slots: SmoothedSlots::default(),
             used_slots: 0.0,
-            refusals: RefusalMeter::default(),
         }
     }
 }
@@ -157,16 +142,9 @@
         let hold_us = self.mean_hold_us.get(route).copied().unwrap_or_default();
         let route_slots = self.route_slots.entry(origin.route.clone()).or_default();
         route_slots.hold_sum_us += hold_us;
-        route_slots.calls += 1.0;
         self.expected_slots.hold_sum_us += hold_us;
     }
 
-    /// Counts an attempt that reached the target. `refused` states that the target refused it without running it, or
-    /// failed to answer. An attempt that ended at its deadline is not counted: the cause may be further downstream.
-    pub fn record_attempt(&mut self, refused: bool) {
-        self.refusals.record_attempt(refused);
-    }
-
     /// Updates the mean hold time of `route` with a call that held its slot for `hold_us` microseconds.
     pub fn record_hold_time(&mut self, route: &RouteId, hold_us: u64) {
         let hold_us = hold_us as f64;
@@ -188,7 +166,6 @@
         let weight = 1.0 - (-(elapsed_us as f64) / SMOOTHING_US).exp();
         self.route_slots.values_mut().for_each(|smoothed| smoothed.close_window(elapsed_us as f64, weight));
         self.expected_slots.close_window(elapsed_us as f64, weight);
-        self.refusals.close_window(elapsed_us as f64, weight);
         self.used_slots += (f64::from(running + waiting) - self.used_slots) * weight;
         self.route_slots.retain(|_, smoothed| smoothed.slots >= MIN_REPORTED_SLOTS / 10.0);
         let has_long_queue = f64::from(waiting) > f64::from(limit) * MAX_WAITING_SHARE;
@@ -219,7 +196,6 @@
         let to_route_demand = |(route, smoothed): (&RouteId, &SmoothedSlots)| RouteDemand {
             route: route.clone(),
             slots_milli: (smoothed.slots * hold_time_ratio * MILLI) as u32,
-            calls_milli: (smoothed.calls_per_s * MILLI) as u32,
         };
         let mut routes: Vec<_> = self
             .route_slots
@@ -230,6 +206,6 @@
         routes.sort_by_key(|route| std::cmp::Reverse(route.slots_milli));
         routes.truncate(MAX_ROUTES);
         let capacity_milli = (self.capacity(limit) * MILLI) as u32;
-        DemandReport { service: service.clone(), capacity_milli, routes, attempts: self.refusals.report() }
+        DemandReport { service: service.clone(), capacity_milli, routes }
     }
 }
--- a/crates/policy/tests/capacity_admission.rs
+++ b/crates/policy/tests/capacity_admission.rs
@@ -3,7 +3,7 @@
 use fulmartrestle_core::{CallId, RouteId, Service, TimeUs, VmId};
 use fulmartrestle_policy::{
     ArrivalMeter, CapacityAdmission, DemandMeter, DemandReport, Origin, Rank, RouteArrivals, RouteDemand,
-    RunningParents, TargetAttempts,
+    RunningParents,
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -48,13 +48,11 @@
         let to_route_demand = |demand: &Demand| RouteDemand {
             route: demand.route.clone(),
             slots_milli: (demand.slots * admitted * 1e3) as u32,
-            calls_milli: 0,
         };
         let report = DemandReport {
             service: service(target.service),
             capacity_milli: target.capacity * 1_000,
             routes: target.demand.iter().map(to_route_demand).collect(),
-            attempts: TargetAttempts::default(),
         };
         let arrivals = |demand: &Demand| RouteArrivals {
             route: demand.route.clone(),
@@ -157,7 +155,7 @@
         let mut arrivals = Vec::new();
         for ((name, rank, offered_per_s, slots), share) in routes.into_iter().zip(shares) {
             let used = if name == "upload" { MISATTRIBUTED_SLOTS } else { slots * share };
-            demand.push(RouteDemand { route: route(name), slots_milli: (used * 1e3) as u32, calls_milli: 0 });
+            demand.push(RouteDemand { route: route(name), slots_milli: (used * 1e3) as u32 });
             arrivals.push(RouteArrivals {
                 route: route(name),
                 rank: Rank(rank),
@@ -165,12 +163,7 @@
                 admitted_milli: (offered_per_s * share * 1e3) as u32,
             });
         }
-        let report = DemandReport {
-            service: service("deep"),
-            capacity_milli,
-            routes: demand,
-            attempts: TargetAttempts::default(),
-        };
+        let report = DemandReport { service: service("deep"), capacity_milli, routes: demand };
         admission.record_report(VmId(1), Some(report), arrivals, now);
         shares = routes.map(|(name, rank, _, _)| admission.admitted_share(&route(name), Rank(rank), now));
     }
@@ -246,13 +239,11 @@
                 } else {
                     used_slots + browse * flow.misattributed_share
                 }) * 1e3) as u32,
-                calls_milli: 0,
             };
             let report = DemandReport {
                 service: service("deep"),
                 capacity_milli: (CAPACITY * 1e3) as u32,
                 routes: flows.iter().zip(used_slots).map(to_route_demand).collect(),
-                attempts: TargetAttempts::default(),
             };
             let arrivals = flows.iter().zip(shares).map(|(flow, share)| RouteArrivals {
                 route: route(flow.name),
@@ -299,12 +290,7 @@
             let report = DemandReport {
                 service: service("deep"),
                 capacity_milli: (CAPACITY * 1e3) as u32,
-                routes: vec![RouteDemand {
-                    route: route("browse"),
-                    slots_milli: (used_slots * 1e3) as u32,
-                    calls_milli: 0,
-                }],
-                attempts: TargetAttempts::default(),
+                routes: vec![RouteDemand { route: route("browse"), slots_milli: (used_slots * 1e3) as u32 }],
             };
             let arrivals = RouteArrivals {
                 route: route("browse"),
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -313,7 +313,7 @@
             "caller_address": addresses[0], "ready_address": addresses[1], "control_address": addresses[2],
             "peer_address": addresses[3], "metrics_address": addresses[4], "target_address": target_address,
             "service": service, "store_address": self.store.address(""), "max_descriptors": 1_024,
-            "memory_mb": 260, "first_start": true, "failing_service_admission": true,
+            "memory_mb": 260, "first_start": true,
             "bounds": {
                 "revoke_ms": 5_000, "grace_s": 6, "quota_slack": 20, "retry_ratio": 0.2, "retry_slack": 48,
                 "cold_overage": COLD_OVERAGE, "cold_slack": COLD_SLACK
