The precedence of refused callers is removed

Cause: it was built and off.

Change: the decision goes with its setting, note and tests, which tested nothing else. The request's fingerprint is no longer computed before its body is read.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -46,9 +46,6 @@
 const MIN_SHED_RETRY_AFTER_MS: u64 = 300;
 const SHED_RETRY_AFTER_SPREAD_MS: u64 = 1_200;
 
-/// Part of a caller's time left that it waits before it returns.
-const CALLER_WAIT_DIVISOR: u64 = 3;
-
 /// A target's response that is forwarded to the caller.
 pub struct TargetResponse {
     /// HTTP status code.
@@ -98,12 +95,7 @@
             true => self.child_call_rank(route, metadata, arrived),
             false => {
                 let rank = Rank::for_request(tenant.and_then(|tenant| tenant.priority), route.priority);
-                // The body is read only if the request is admitted, so its length stands for it.
-                let length = parts.headers.get(CONTENT_LENGTH).map_or(&[][..], |length| length.as_bytes());
-                let location = format!("{host}{}", parts.uri);
-                let tenant_name = tenant.map(|tenant| &tenant.tenant);
-                let fingerprint = request_fingerprint(parts.method.as_str(), &location, tenant_name, length);
-                let arrived = ArrivedRequest { fingerprint, route: &route.id, rank, tenant: tenant_name };
+                let arrived = ArrivedRequest { route: &route.id, rank, tenant: tenant.map(|tenant| &tenant.tenant) };
                 self.admit_by_capacity(arrived, tenant, metadata)?;
                 (rank, Some(Origin { route: route.id.clone(), rank }))
             }
@@ -168,8 +160,8 @@
         (rank, origin)
     }
 
-    /// Admits the share of the route's requests that the services behind it have capacity for, divided among tenants, and
-    /// first those of callers that were refused and return as told. A request that is shed returns the token of its tenant.
+    /// Admits the share of the route's requests that the services behind it have capacity for, divided among tenants. A
+    /// request that is shed returns the token of its tenant.
     fn admit_by_capacity(
         &self,
         request: ArrivedRequest,
@@ -183,11 +175,7 @@
             Some(true) => lock(&state.tenant_division).admitted_share(request, share, now),
             None | Some(false) => share,
         };
-        let has_precedence = state.settings().refused_caller_precedence == Some(true);
-        let admitted = match has_precedence {
-            true => lock(&state.refused_callers).admit(request, share, draw, now),
-            false => draw < share,
-        };
+        let admitted = draw < share;
         lock(&state.arrivals).record_request(request.route, request.rank, admitted);
         if admitted {
             return Ok(());
@@ -195,12 +183,8 @@
         if let Some(tenant) = tenant {
             lock(&state.tokens).return_token(&tenant.tenant, now);
         }
-        let wait_limit_ms = metadata.deadline_ms.map(|deadline_ms| deadline_ms / CALLER_WAIT_DIVISOR);
-        let draw = state.random_unit();
-        let retry_after_ms = match has_precedence {
-            true => lock(&state.refused_callers).refuse(request, wait_limit_ms, draw, now),
-            false => (MIN_SHED_RETRY_AFTER_MS as f64 + draw * SHED_RETRY_AFTER_SPREAD_MS as f64) as u64,
-        };
+        let spread_ms = state.random_unit() * SHED_RETRY_AFTER_SPREAD_MS as f64;
+        let retry_after_ms = MIN_SHED_RETRY_AFTER_MS + spread_ms as u64;
         let line = LogLine::new("shed")
             .optional_text("request", metadata.request_id.as_deref())
             .text("route", request.route)
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -278,7 +278,6 @@
         fetches_config: AtomicBool::new(false),
         evacuation: Mutex::default(),
         large_responses,
-        refused_callers: Mutex::default(),
         tenant_division: Mutex::default(),
     }
 }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -62,9 +62,6 @@
     /// Whether scarce capacity is divided among tenants by max-min fairness. `None` counts as false: all requests of a
     /// route and rank are then admitted with the same probability.
     pub tenant_fairness: Option<bool>,
-    /// Whether callers that were refused are admitted before others when they return as told, and told to return by the
-    /// admitted share. `None` counts as false.
-    pub refused_caller_precedence: Option<bool>,
     /// Bounds of the whole deployment.
     pub bounds: DeploymentBounds,
     /// What traffic between zones may cost. Without it, a call leaves its zone when that takes half of the time or less.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -5,7 +5,7 @@
 
 use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
-    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RefusedCallers, RetryBudgets, TenantDivision,
+    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets, TenantDivision,
 };
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
@@ -118,8 +118,6 @@
     pub evacuation: Mutex<Evacuation>,
     /// Limit of the large responses that are forwarded to callers.
     pub large_responses: LargeResponseLimit,
-    /// Callers that were shed, and when they were told to return.
-    pub refused_callers: Mutex<RefusedCallers>,
     /// Divides admissions among tenants while capacity is short.
     pub tenant_division: Mutex<TenantDivision>,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission_gate;
 mod admission_level;
 mod arrivals;
+mod arrived_request;
 mod capacity_admission;
 pub mod checks;
 mod cold_limit;
@@ -28,11 +29,9 @@
 mod peer_contact;
 mod rank;
 mod rate_pacer;
-mod refused_callers;
 mod reported_load;
 mod retry;
 mod route_costs;
-mod route_returns;
 mod slot_queue;
 mod target;
 mod target_notices;
@@ -47,6 +46,7 @@
     AdmissionLevel, AdmissionLevelReport, BasisPoints, MAX_TENANT_SHARES, SheddableShares, TenantHash, TenantShares,
 };
 pub use arrivals::{ArrivalMeter, RouteArrivals};
+pub use arrived_request::ArrivedRequest;
 pub use capacity_admission::CapacityAdmission;
 pub use cold_limit::ColdLimit;
 pub use crash::{
@@ -65,7 +65,6 @@
 pub use pause_guard::PauseGuard;
 pub use peer_contact::{ContactChange, ContactCheck, ContactSubject, PeerContact};
 pub use rank::Rank;
-pub use refused_callers::{ArrivedRequest, RefusedCallers};
 pub use retry::{
     AttemptResult, FailedAttempt, FleetRetryBudgets, RetryAllowance, RetryBudgetSettings, RetryBudgets, RetryContext,
     RetryDecision, RetryReservation, decide_retry,
