--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -2,12 +2,14 @@
 
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 
 /// A running child process, killed when dropped. The first line of its standard output is the ready line,
 /// which contains the addresses that it listens on.
 pub struct Process {
     child: Child,
     pub ready_line: String,
+    log: Arc<Mutex<String>>,
 }
 
 impl Process {
@@ -21,8 +23,23 @@
             .expect("the program starts");
         let stdout = child.stdout.take().expect("standard output is piped");
         let mut ready_line = String::new();
-        BufReader::new(stdout).read_line(&mut ready_line).expect("standard output can be read");
-        Self { child, ready_line: ready_line.trim().to_owned() }
+        let mut stdout = BufReader::new(stdout);
+        stdout.read_line(&mut ready_line).expect("standard output can be read");
+        let log: Arc<Mutex<String>> = Arc::default();
+        let lines = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in stdout.lines().map_while(Result::ok) {
+                let mut log = lines.lock().expect("not poisoned");
+                log.push_str(&line);
+                log.push('\n');
+            }
+        });
+        Self { child, ready_line: ready_line.trim().to_owned(), log }
+    }
+
+    /// Returns what the process has written to standard output behind its ready line.
+    pub fn log(&self) -> String {
+        self.log.lock().expect("not poisoned").clone()
     }
 
     /// Returns the address that follows `name=` in the ready line, or the last word of the line if `name` is
