--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -234,6 +234,11 @@
     /// length of a step in seconds; default 1
     #[argh(option, default = "1")]
     pub step_s: u64,
+
+    /// deployment file with the capacity of the services and the work of the routes: also show the most credit that
+    /// could have been earned in each step
+    #[argh(option)]
+    pub bound: Option<PathBuf>,
 }
 
 /// Start a small fleet in this process, send load through it and print a summary measured at the
--- a/crates/timeline/src/text.rs
+++ b/crates/timeline/src/text.rs
@@ -5,7 +5,7 @@
 
 use jiff::Timestamp;
 
-use crate::{Losses, TimeStep, Timeline};
+use crate::{Losses, StepBound, TimeStep, Timeline};
 
 /// Reasons that are shown for one step or route, the most frequent first.
 const MAX_REASONS: usize = 4;
@@ -43,6 +43,33 @@
     text
 }
 
+/// Returns the bounds as plain text: a row a step, then the total. The share is that of the offered credit.
+pub fn render_bounds(bounds: &[StepBound]) -> String {
+    let mut text = String::new();
+    let share = |credit: f64, of: f64| if of > 0.0 { credit / of } else { 1.0 };
+    let mut row = |label: &str, offered: f64, earned: f64, bound: f64, binding: &str| {
+        // Writing into a `String` can't fail.
+        let _ = writeln!(
+            text,
+            "{label:<12} {offered:>9.0} {earned:>9.0} {:>7.3} {bound:>9.0} {:>7.3} {:>9.3}  {binding}",
+            share(earned, offered),
+            share(bound, offered),
+            share(earned, bound)
+        );
+    };
+    for bound in bounds {
+        let binding = bound.binding.as_deref().unwrap_or("-");
+        row(&format_time(bound.unix_ms), bound.offered, bound.earned, bound.bound, binding);
+    }
+    let sum = |part: fn(&StepBound) -> f64| bounds.iter().map(part).sum::<f64>();
+    row("all", sum(|step| step.offered), sum(|step| step.earned), sum(|step| step.bound), "");
+    let heading = format!(
+        "\n{:<12} {:>9} {:>9} {:>7} {:>9} {:>7} {:>9}  full at the bound\n",
+        "UTC", "offered", "earned", "share", "bound", "share", "of bound"
+    );
+    heading + &text
+}
+
 fn render_step(text: &mut String, step: &TimeStep) {
     let total = step.total();
     let worst = step.routes.iter().filter(|(_, losses)| losses.lost() > 0).max_by_key(|(_, losses)| losses.lost());
