Calls are attributed by the number that a request makes

Hypothesis: the number of calls that one request makes does not change with the load. Ways compared: maximum likelihood rates (before) and non-negative least squares of the calls of a window by the requests that start and end in it (kept).

--- a/crates/policy/src/parents.rs
+++ b/crates/policy/src/parents.rs
@@ -4,10 +4,9 @@
 //! Load pattern: a target processes many requests of several routes concurrently, and its calls carry
 //! neither their request nor its rank. Most calls have the deadline of their request, which identifies it;
 //! others have a shorter deadline of their own. Those are attributed by the rates at which running requests
-//! of each route make calls, estimated from the number of running requests per route at the time of each
-//! call.
+//! of each route make calls: the number of calls that one request makes, over the time that it runs.
 
-mod call_rates;
+mod calls_per_request;
 
 use std::collections::BTreeMap;
 
@@ -15,7 +14,7 @@
 
 use crate::Origin;
 
-use call_rates::CallRates;
+use calls_per_request::CallsPerRequest;
 
 /// Maximum time by which the deadline of a call may be earlier than that of its request, in microseconds:
 /// deadlines are sent as whole milliseconds, and two messages take their time.
@@ -38,20 +37,20 @@
 #[derive(Debug, Default)]
 pub struct RunningParents {
     requests: BTreeMap<(TimeUs, CallId), RunningRequest>,
-    call_rates: CallRates,
+    calls_per_request: CallsPerRequest,
 }
 
 impl RunningParents {
     /// Adds a request when it is sent to the target.
     pub fn insert(&mut self, deadline: TimeUs, call: CallId, route: RouteId, origin: Option<Origin>, now: TimeUs) {
-        self.call_rates.record_start(&route, now);
+        self.calls_per_request.record_start(&route, now);
         self.requests.insert((deadline, call), RunningRequest { route, origin });
     }
 
     /// Removes a request that ended.
     pub fn remove(&mut self, deadline: TimeUs, call: CallId, now: TimeUs) {
         if let Some(request) = self.requests.remove(&(deadline, call)) {
-            self.call_rates.record_end(&request.route, now);
+            self.calls_per_request.record_end(&request.route, now);
         }
     }
 
@@ -59,11 +58,11 @@
     /// `draw` is a random number from 0 to 1: calls are distributed over the running requests by their
     /// likelihood.
     pub fn infer_origin(&mut self, route: &RouteId, deadline: TimeUs, draw: f64, now: TimeUs) -> Option<Origin> {
-        self.call_rates.record_call(route, now);
+        self.calls_per_request.record_call(route, now);
         let first_key = (TimeUs(deadline.0.saturating_sub(MAX_DEADLINE_LATER_US)), CallId(0));
         let matches_until = deadline.plus_us(MAX_DEADLINE_EARLIER_US);
         let weight = |(request_deadline, request): (TimeUs, &RunningRequest)| {
-            let rate = self.call_rates.rate(&request.route, route);
+            let rate = self.calls_per_request.rate(&request.route, route);
             if request_deadline <= matches_until { rate * DEADLINE_MATCH_WEIGHT } else { rate }
         };
         let candidates =
