--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -170,7 +170,11 @@
     ) -> Result<(), Refusal> {
         let state = &*self.state;
         let (now, draw) = (state.now(), state.random_unit());
-        let share = lock(&state.capacity_admission).admitted_share(request.route, request.rank, now);
+        let (share, binding) = {
+            let mut admission = lock(&state.capacity_admission);
+            let share = admission.admitted_share(request.route, request.rank, now);
+            (share, admission.binding_service(request.route, request.rank).filter(|_| draw >= share).cloned())
+        };
         let share = match state.settings().tenant_fairness {
             Some(true) => lock(&state.tenant_division).admitted_share(request, share, now),
             None | Some(false) => share,
@@ -191,7 +195,13 @@
             .number("rank", request.rank.0)
             .number("share_milli", (share * 1e3) as u64)
             .number("retry_after_ms", retry_after_ms);
-        state.log(line);
+        state.log(match &binding {
+            Some(binding) => line
+                .text("service", &binding.service)
+                .number("capacity_milli", (binding.capacity_slots * 1e3) as u64)
+                .number("demand_milli", (binding.demand_slots * 1e3) as u64),
+            None => line,
+        });
         Err(Refusal::not_run(Reason::Shed, Some(retry_after_ms)))
     }
 
--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -6,6 +6,8 @@
 //! request rate at the ingress nodes times the cost of one request. A partitioned zone uses only the
 //! targets and the ingress nodes that it can reach.
 
+mod allocation;
+
 use std::collections::HashMap;
 
 use fulmartrestle_core::{RouteId, Service, TimeUs, VmId};
@@ -13,22 +15,12 @@
 use crate::route_costs::RouteCosts;
 use crate::{DemandReport, Rank, RouteArrivals};
 
+pub use allocation::BindingService;
+use allocation::{Flow, FlowShare, ServiceRoom};
+
 /// Age in milliseconds from which on a report is ignored: two lost messages and some delay.
 const REPORT_VALID_MS: u64 = 2_600;
 
-/// Lowest admitted share of a route. Without any requests, its cost could no longer be measured.
-const MIN_ADMITTED_SHARE: f64 = 0.02;
-
-/// Share of its rank's demand below which a route is always admitted. Refusing it would free hardly any
-/// capacity, and a few calls attributed to the wrong route would be enough to shed requests of a route that
-/// does not use the service at all.
-const MINOR_DEMAND_SHARE: f64 = 0.15;
-
-/// Share of a service's capacity below which a route is always admitted, and share below which all such routes
-/// together must stay. A route that is alone in its rank has all of that rank's demand, however small it is.
-const NEGLIGIBLE_CAPACITY_SHARE: f64 = 0.05;
-const MAX_NEGLIGIBLE_CAPACITY_SHARE: f64 = 0.1;
-
 /// Admitted share of a route's requests below which its costs are not measured. Calls that are attributed to the wrong
 /// route do not become fewer when its requests are shed, and would count many times.
 const MIN_MEASURED_SHARE: f64 = 0.2;
@@ -57,14 +49,14 @@
 pub struct CapacityAdmission {
     reports: HashMap<VmId, NodeReport>,
     costs: RouteCosts,
-    shares: HashMap<(RouteId, Rank), f64>,
+    shares: HashMap<Flow, FlowShare>,
     calculated_at: Option<TimeUs>,
 }
 
 /// Request rates summed over all ingress nodes, in requests per second.
 #[derive(Debug, Default)]
 struct IngressRates {
-    offered_per_s: HashMap<(RouteId, Rank), f64>,
+    offered_per_s: HashMap<Flow, f64>,
     admitted_per_s: HashMap<RouteId, f64>,
 }
 
@@ -111,7 +103,12 @@
         if self.calculated_at.is_none_or(|calculated_at| now.ms_since(calculated_at) >= RECALCULATION_INTERVAL_MS) {
             self.recalculate_shares(now);
         }
-        self.shares.get(&(route.clone(), rank)).copied().unwrap_or(1.0)
+        self.shares.get(&(route.clone(), rank)).map_or(1.0, |admitted| admitted.share)
+    }
+
+    /// Returns the service that limits a route's requests at the last calculation of the shares; `None` if none does.
+    pub fn binding_service(&self, route: &RouteId, rank: Rank) -> Option<&BindingService> {
+        self.shares.get(&(route.clone(), rank))?.bound_by.as_ref()
     }
 
     fn recalculate_shares(&mut self, now: TimeUs) {
@@ -126,14 +123,16 @@
         self.shares.clear();
         for (service, reported) in &services {
             let correction = self.cost_correction(service, reported, &ingress);
-            let demand = |((route, rank), offered_per_s): (&(RouteId, Rank), &f64)| {
-                ((route.clone(), *rank), offered_per_s * self.costs.cost(service, route) * correction)
+            let demand = |(flow, offered_per_s): (&Flow, &f64)| {
+                (flow.clone(), offered_per_s * self.costs.cost(service, &flow.0) * correction)
             };
-            let demand: HashMap<_, _> = ingress.offered_per_s.iter().map(demand).collect();
-            for (route, share) in allocate_capacity(reported.capacity_slots, &demand) {
-                let share = share.max(MIN_ADMITTED_SHARE);
-                let lowest = self.shares.entry(route).or_insert(1.0);
-                *lowest = lowest.min(share);
+            let demand_slots = ingress.offered_per_s.iter().map(demand).collect();
+            let room = ServiceRoom { service: service.clone(), capacity_slots: reported.capacity_slots, demand_slots };
+            for (flow, admitted) in room.allocate() {
+                let lowest = self.shares.entry(flow).or_insert(FlowShare::UNLIMITED);
+                if admitted.share < lowest.share {
+                    *lowest = admitted;
+                }
             }
         }
     }
@@ -180,31 +179,3 @@
         }
     }
 }
-
-/// Allocates a capacity to the most urgent routes first. Routes of one rank get the same share, except
-/// those that hardly use the service, which are admitted as a whole.
-fn allocate_capacity(capacity_slots: f64, demand: &HashMap<(RouteId, Rank), f64>) -> Vec<((RouteId, Rank), f64)> {
-    let mut ranks: Vec<Rank> = demand.keys().map(|(_, rank)| *rank).collect();
-    ranks.sort_unstable();
-    ranks.dedup();
-    let negligible: f64 = demand.values().filter(|demand| **demand < capacity_slots * NEGLIGIBLE_CAPACITY_SHARE).sum();
-    let admits_negligible = negligible <= capacity_slots * MAX_NEGLIGIBLE_CAPACITY_SHARE;
-    let mut remaining = capacity_slots;
-    let mut shares = Vec::new();
-    for rank in ranks {
-        let demand_of_rank = demand.iter().filter(|((_, other), _)| *other == rank);
-        let total: f64 = demand_of_rank.clone().map(|(_, demand)| demand).sum();
-        let is_minor = |route_demand: f64| {
-            route_demand < total * MINOR_DEMAND_SHARE
-                || (admits_negligible && route_demand < capacity_slots * NEGLIGIBLE_CAPACITY_SHARE)
-        };
-        let minor: f64 = demand_of_rank.clone().map(|(_, demand)| *demand).filter(|demand| is_minor(*demand)).sum();
-        let (major, remaining_for_major) = (total - minor, (remaining - minor).max(0.0));
-        let share =
-            if major > remaining_for_major { (remaining_for_major / major).max(MIN_ADMITTED_SHARE) } else { 1.0 };
-        remaining = (remaining - total).max(0.0);
-        let share_of = |route_demand: f64| if is_minor(route_demand) { 1.0 } else { share };
-        shares.extend(demand_of_rank.map(|(route, demand)| (route.clone(), share_of(*demand))));
-    }
-    shares
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,7 +47,7 @@
 };
 pub use arrivals::{ArrivalMeter, RouteArrivals};
 pub use arrived_request::ArrivedRequest;
-pub use capacity_admission::CapacityAdmission;
+pub use capacity_admission::{BindingService, CapacityAdmission};
 pub use cold_limit::ColdLimit;
 pub use crash::{
     AnsweredRequests, CallLoss, CrashEvidence, CrashMark, CrashSettings, CrashTable, CrashVerdict, EndedCall,
--- a/crates/policy/tests/capacity_admission.rs
+++ b/crates/policy/tests/capacity_admission.rs
@@ -172,6 +172,24 @@
     assert_that!(shares[2], lt(0.05));
 }
 
+/// Operators ask which service a request was refused for.
+#[gtest]
+fn the_service_that_limits_a_route_is_named() {
+    let at_deep = vec![demand("browse", 6, 80), demand("confirm", 2, 60), demand("view", 6, 0)];
+    let deep = Target { service: "deep", capacity: 100, demand: at_deep };
+    let middle =
+        Target { service: "middle", capacity: 30, demand: vec![demand("view", 6, 60), demand("browse", 6, 5)] };
+    let mut admission = with_known_costs(&[deep, middle], 1.0);
+    admission.admitted_share(&route("browse"), Rank(6), NOW);
+    let named = |name: &str, rank| {
+        let binding = admission.binding_service(&route(name), Rank(rank))?;
+        Some((binding.service.to_string(), binding.capacity_slots.round(), binding.demand_slots.round()))
+    };
+    expect_that!(named("browse", 6), some(eq(&("deep".to_owned(), 100.0, 140.0))));
+    expect_that!(named("view", 6), some(eq(&("middle".to_owned(), 30.0, 65.0))));
+    expect_that!(named("confirm", 2), none());
+}
+
 #[gtest]
 fn outdated_reports_are_ignored() {
     let target = Target { service: "deep", capacity: 10, demand: vec![demand("browse", 6, 100)] };
