A route that was charged for the calls of others by mistake is admitted again

Hypothesis: calls of others raise the measured cost of a restricted route, so that one of less than half the usual cost refutes it. Change: costs are also measured while a route is restricted, apart, and replace the usual ones only if they refute them.

--- a/crates/policy/src/capacity_admission.rs
+++ b/crates/policy/src/capacity_admission.rs
@@ -12,7 +12,7 @@
 
 use fulmartrestle_core::{RouteId, Service, TimeUs, VmId};
 
-use crate::route_costs::RouteCosts;
+use crate::route_costs::{AdmittedDemand, RouteCosts};
 use crate::{DemandReport, Rank, RouteArrivals};
 
 pub use allocation::BindingService;
@@ -21,7 +21,7 @@
 /// Age in milliseconds from which on a report is ignored: two lost messages and some delay.
 const REPORT_VALID_MS: u64 = 2_600;
 
-/// Admitted share of a route's requests below which its costs are not measured. Calls that are attributed to the wrong
+/// Admitted share of a route's requests below which its costs count as restricted. Calls that are attributed to the wrong
 /// route do not become fewer when its requests are shed, and would count many times.
 const MIN_MEASURED_SHARE: f64 = 0.2;
 
@@ -66,12 +66,6 @@
         let offered = self.offered_per_s.iter().filter(|((other, _), _)| other == route);
         admitted_per_s >= offered.map(|(_, per_s)| per_s).sum::<f64>() * MIN_MEASURED_SHARE
     }
-
-    /// Returns the admitted requests per second of the routes whose costs can be measured.
-    fn measurable(&self) -> Vec<(&RouteId, f64)> {
-        let admitted = self.admitted_per_s.iter().map(|(route, per_s)| (route, *per_s));
-        admitted.filter(|(route, per_s)| self.is_measurable(route, *per_s)).collect()
-    }
 }
 
 /// Capacity, and demand of the admitted requests by route, summed over the targets of one service, in slots.
@@ -172,9 +166,13 @@
 
     fn record_costs(&mut self, services: &HashMap<Service, ServiceDemand>, ingress: &IngressRates, elapsed_s: f64) {
         for (service, reported) in services {
-            for (route, admitted_per_s) in ingress.measurable() {
-                let slots = reported.demand_slots.get(route).copied().unwrap_or_default();
-                self.costs.record_demand(service, route, slots, admitted_per_s, elapsed_s);
+            for (route, admitted_per_s) in &ingress.admitted_per_s {
+                let demand = AdmittedDemand {
+                    slots: reported.demand_slots.get(route).copied().unwrap_or_default(),
+                    admitted_per_s: *admitted_per_s,
+                    is_restricted: !ingress.is_measurable(route, *admitted_per_s),
+                };
+                self.costs.record_demand(service, route, demand, elapsed_s);
             }
         }
     }
--- a/crates/policy/tests/capacity_admission.rs
+++ b/crates/policy/tests/capacity_admission.rs
@@ -172,6 +172,45 @@
     assert_that!(shares[2], lt(0.05));
 }
 
+/// In the first seconds of a surge, calls of browsing are attributed to views, which make none. Views are refused for it, and
+/// then only those of a few tenants with precedence run. Guards against refusing views for as long as the surge lasts.
+#[gtest]
+fn route_that_was_charged_by_mistake_is_admitted_again() {
+    const VIEWS_PER_S: f64 = 300.0;
+    const PRECEDENCE_SHARE: f64 = 0.1;
+    const MISTAKEN_SLOTS: f64 = 40.0;
+    let mut admission = CapacityAdmission::default();
+    let mut shares = [1.0; 3];
+    let routes = [("confirm", 514, 800.0, 0.27), ("browse", 518, 600.0, 0.14), ("view", 518, VIEWS_PER_S, 0.0)];
+    for step in 0..150 {
+        let now = NOW.plus_ms(step * 100);
+        let mut demand = Vec::new();
+        let mut arrivals = Vec::new();
+        for ((name, rank, offered_per_s, cost), share) in routes.into_iter().zip(shares) {
+            let share = share * (1.0 - PRECEDENCE_SHARE) + PRECEDENCE_SHARE;
+            let mistaken = if name == "view" && step < 30 { MISTAKEN_SLOTS * share } else { 0.0 };
+            let slots = offered_per_s * share * cost + mistaken;
+            demand.push(RouteDemand { route: route(name), slots_milli: (slots * 1e3) as u32 });
+            arrivals.push(RouteArrivals {
+                route: route(name),
+                rank: Rank(rank),
+                offered_milli: (offered_per_s * 1e3) as u32,
+                admitted_milli: (offered_per_s * share * 1e3) as u32,
+            });
+        }
+        let report = DemandReport { service: service("deep"), capacity_milli: 210_000, routes: demand };
+        admission.record_report(VmId(1), Some(report), arrivals, now);
+        shares = routes.map(|(name, rank, ..)| admission.admitted_share(&route(name), Rank(rank), now));
+        if step == 29 {
+            expect_that!(shares[2], lt(0.1), "the mistake has no effect");
+        }
+        if step >= 60 {
+            expect_that!(shares[2], ge(0.95), "step {step}");
+            expect_that!(shares[1], lt(0.1), "step {step}");
+        }
+    }
+}
+
 /// Operators ask which service a request was refused for.
 #[gtest]
 fn the_service_that_limits_a_route_is_named() {
