Targets report the capacity that their callers leave unused

Hypothesis: the capacity can be raised in small steps while demand fills it and hardly any calls wait, and lowered while many do. Change: CapacityCorrection, a type of its own, may rise to 1.12.

--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -5,6 +5,8 @@
 //! it never exceeds the slots. Arrivals are counted instead, weighted by the time that calls of their route
 //! usually hold a slot.
 
+mod capacity_correction;
+
 use std::collections::HashMap;
 
 use fulmartrestle_core::{RouteId, Service, TimeUs};
@@ -12,6 +14,8 @@
 
 use crate::Rank;
 
+use capacity_correction::CapacityCorrection;
+
 /// Length of the windows in which arrivals are counted, in microseconds.
 pub(crate) const WINDOW_US: u64 = 200_000;
 
@@ -36,18 +40,6 @@
 /// then.
 const FULL_LOAD: f64 = 0.9;
 
-/// Waiting calls, as a share of the slots, above which the capacity estimate is lowered unless demand
-/// exceeds the estimate anyway.
-const MAX_WAITING_SHARE: f64 = 0.5;
-
-/// Factors by which the capacity correction changes in each window, down while too many calls wait and up
-/// otherwise.
-const CAPACITY_DECREASE_FACTOR: f64 = 0.95;
-const CAPACITY_INCREASE_FACTOR: f64 = 1.04;
-
-/// Lowest capacity correction. Calls that still wait then have another cause than the capacity.
-const MIN_CAPACITY_CORRECTION: f64 = 0.6;
-
 const MILLI: f64 = 1e3;
 
 /// Route and rank of the external request that a call serves.
@@ -111,30 +103,17 @@
 }
 
 /// Measures the demand on one target.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct DemandMeter {
     mean_hold_us: HashMap<RouteId, f64>,
     route_slots: HashMap<RouteId, SmoothedSlots>,
     window_started: TimeUs,
-    capacity_correction: f64,
+    capacity_correction: CapacityCorrection,
     /// Slots that the admitted calls should use by the mean hold times, and slots that are in use.
     expected_slots: SmoothedSlots,
     used_slots: f64,
 }
 
-impl Default for DemandMeter {
-    fn default() -> Self {
-        Self {
-            mean_hold_us: HashMap::new(),
-            route_slots: HashMap::new(),
-            window_started: TimeUs::default(),
-            capacity_correction: 1.0,
-            expected_slots: SmoothedSlots::default(),
-            used_slots: 0.0,
-        }
-    }
-}
-
 impl DemandMeter {
     /// Counts a call on `route` that serves an external request. Only first attempts are counted: a call
     /// that another target refused is part of the demand already.
@@ -168,16 +147,14 @@
         self.expected_slots.close_window(elapsed_us as f64, weight);
         self.used_slots += (f64::from(running + waiting) - self.used_slots) * weight;
         self.route_slots.retain(|_, smoothed| smoothed.slots >= MIN_REPORTED_SLOTS / 10.0);
-        let has_long_queue = f64::from(waiting) > f64::from(limit) * MAX_WAITING_SHARE;
         let demand: f64 = self.route_slots.values().map(|smoothed| smoothed.slots).sum();
-        let fits_capacity = demand * self.hold_time_ratio(limit) <= self.capacity(limit);
-        let factor = if has_long_queue && fits_capacity { CAPACITY_DECREASE_FACTOR } else { CAPACITY_INCREASE_FACTOR };
-        self.capacity_correction = (self.capacity_correction * factor).clamp(MIN_CAPACITY_CORRECTION, 1.0);
+        let demand_load = demand * self.hold_time_ratio(limit) / self.capacity(limit);
+        self.capacity_correction.update(demand_load, f64::from(waiting) / f64::from(limit));
         true
     }
 
     fn capacity(&self, limit: u32) -> f64 {
-        f64::from(limit) * MAX_DEMAND_LOAD * self.capacity_correction
+        f64::from(limit) * MAX_DEMAND_LOAD * self.capacity_correction.factor()
     }
 
     /// Returns the ratio of present to usual hold times, at most 1. Calls that wait for child calls hold
--- a/crates/policy/tests/capacity_admission.rs
+++ b/crates/policy/tests/capacity_admission.rs
@@ -424,6 +424,43 @@
     assert_that!(meter.report(&service("deep"), 10).capacity_milli, lt(initial));
 }
 
+/// More is offered than a target has capacity for, and its callers balance their calls so well that hardly any wait. The
+/// reported capacity follows until calls wait, and returns when they do.
+#[gtest]
+fn capacity_that_callers_do_not_use_is_reported() {
+    const SLOTS: u32 = 40;
+    struct Case {
+        name: &'static str,
+        calls_per_ms: f64,
+        waiting: u32,
+        /// Reported capacity after three seconds, as a share of the one at the beginning.
+        share: std::ops::RangeInclusive<f64>,
+    }
+    let cases = [
+        Case { name: "full without waiting calls", calls_per_ms: 1.0, waiting: 1, share: 1.08..=1.13 },
+        Case { name: "half full", calls_per_ms: 0.5, waiting: 0, share: 1.0..=1.0 },
+        Case { name: "some calls wait", calls_per_ms: 1.0, waiting: 10, share: 1.0..=1.0 },
+    ];
+    for case in cases {
+        let mut meter = DemandMeter::default();
+        meter.record_hold_time(&route("index"), 40_000);
+        let origin = Origin { route: route("browse"), rank: Rank(6) };
+        let initial = f64::from(meter.report(&service("deep"), SLOTS).capacity_milli);
+        let step = |meter: &mut DemandMeter, ms: u64, waiting: u32| {
+            if (ms as f64 * case.calls_per_ms).fract() < case.calls_per_ms {
+                meter.record_arrival(&route("index"), &origin);
+            }
+            meter.close_elapsed_window(SLOTS, SLOTS - 1, waiting, TimeUs::from_ms(ms));
+        };
+        (0..3_000).for_each(|ms| step(&mut meter, ms, case.waiting));
+        let share = f64::from(meter.report(&service("deep"), SLOTS).capacity_milli) / initial;
+        expect_that!(case.share.contains(&share), eq(true), "{}: {share}", case.name);
+        (3_000..5_000).for_each(|ms| step(&mut meter, ms, SLOTS));
+        let after_queue = f64::from(meter.report(&service("deep"), SLOTS).capacity_milli) / initial;
+        expect_that!(after_queue, le(1.0), "{}", case.name);
+    }
+}
+
 /// Calls of a middle service held their slots for 500 ms while a downstream service was overloaded, and
 /// hold them for 50 ms now: 100 calls per second use five slots, not fifty.
 #[gtest]
