--- a/crates/timeline/src/bound/bound_error.rs
+++ b/crates/timeline/src/bound/bound_error.rs
@@ -11,7 +11,7 @@
             display("{}", detail)
         }
         /// A value is out of range; holds the file, the field, the value and what is expected.
-        Value(file: String, field: String, value: f64, expected: &'static str) {
+        Value(file: String, field: String, value: String, expected: &'static str) {
             display("{}: {}: expected {}: {}", file, field, expected, value)
         }
         /// No route of the deployment is in the logs; holds its routes.
--- a/crates/timeline/src/bound/deployment.rs
+++ b/crates/timeline/src/bound/deployment.rs
@@ -1,6 +1,7 @@
 //! What the operator knows of a deployment: the capacity of its services and the work of its routes.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 
 use fulmartrestle_config::jsonc::parse_document;
 use fulmartrestle_derive::record;
@@ -78,30 +79,30 @@
     }
 
     fn check(&self, file: &str) -> Result<(), BoundError> {
-        let check = |field: String, value: f64, is_valid: bool, expected: &'static str| match is_valid {
+        let check = |field: String, value: &dyn Display, is_valid: bool, expected: &'static str| match is_valid {
             true => Ok(()),
-            false => Err(BoundError::Value(file.to_owned(), field, value, expected)),
+            false => Err(BoundError::Value(file.to_owned(), field, value.to_string(), expected)),
         };
         for (name, service) in &self.services {
-            check(format!("services.{name}.speed"), service.speed, service.speed > 0.0, "a number above 0")?;
+            check(format!("services.{name}.speed"), &service.speed, service.speed > 0.0, "a number above 0")?;
         }
         for (name, route) in &self.routes {
             for (field, credit) in [("credit", route.credit), ("late_credit", route.late_credit)] {
-                check(format!("routes.{name}.{field}"), credit, credit >= 0.0, "0 or more")?;
+                check(format!("routes.{name}.{field}"), &credit, credit >= 0.0, "0 or more")?;
             }
             for (service, work_ms) in &route.work_ms {
                 let field = format!("routes.{name}.work_ms.{service}");
-                check(field.clone(), *work_ms, *work_ms >= 0.0, "0 or more")?;
-                check(field, *work_ms, self.services.contains_key(service), "a service of this file")?;
+                check(field.clone(), work_ms, *work_ms >= 0.0, "0 or more")?;
+                check(field, work_ms, self.services.contains_key(service), "a service of this file")?;
             }
         }
         for (index, outage) in self.outages.iter().enumerate() {
             let field = |name: &str| format!("outages[{index}].{name}");
             let share = outage.capacity_share;
-            check(field("capacity_share"), share, (0.0..=FULL_SHARE).contains(&share), "0 to 1")?;
+            check(field("capacity_share"), &share, (0.0..=FULL_SHARE).contains(&share), "0 to 1")?;
             let is_known = self.services.contains_key(&outage.service);
-            check(field("service"), f64::NAN, is_known, "a service of this file")?;
-            check(field("to_s"), outage.to_s as f64, outage.to_s > outage.from_s, "a time after from_s")?;
+            check(field("service"), &outage.service, is_known, "a service of this file")?;
+            check(field("to_s"), &outage.to_s, outage.to_s > outage.from_s, "a time after from_s")?;
         }
         Ok(())
     }
@@ -114,7 +115,7 @@
             .filter(|outage| (outage.from_s..outage.to_s).contains(&at_s))
             .map(|outage| outage.capacity_share)
             .fold(FULL_SHARE, f64::min);
-        f64::from(capacity.targets * capacity.slots) * capacity.speed * lowest
+        f64::from(capacity.targets) * f64::from(capacity.slots) * capacity.speed * lowest
     }
 }
 
--- a/crates/timeline/tests/bound.rs
+++ b/crates/timeline/tests/bound.rs
@@ -121,6 +121,13 @@
     }
 }
 
+#[gtest]
+fn large_deployments_do_not_overflow() {
+    let text = DEPLOYMENT.replacen("\"targets\": 2, \"slots\": 5", "\"targets\": 100000, \"slots\": 100000", 1);
+    let deployment = Deployment::parse("deployment.jsonc", &text).unwrap();
+    assert_that!(deployment.capacity_s("departures", 0), near(1.2e10, 1.0));
+}
+
 #[gtest]
 fn bad_deployments_are_named() {
     struct Case {
@@ -138,6 +145,10 @@
             error: "routes.search.work_ms.archive: expected a service of this file: 64",
         },
         Case { change: ("\"to_s\": 7", "\"to_s\": 5"), error: "outages[0].to_s: expected a time after from_s: 5" },
+        Case {
+            change: ("\"service\": \"departures\"", "\"service\": \"archive\""),
+            error: "outages[0].service: expected a service of this file: archive",
+        },
         Case { change: ("\"slots\": 5", "\"slot\": 5"), error: "deployment.jsonc:4" },
     ];
     for case in cases {
