--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -32,11 +32,13 @@
     pub body_bytes: usize,
     /// Bytes after which the worker breaks off.
     pub cut_after: Option<usize>,
+    /// Whether a refusal that belongs to no request follows, late: where the next response on the connection is expected.
+    pub late_refusal: bool,
 }
 
 impl Answer {
     pub fn quick() -> Self {
-        Self { work_ms: 5, body_bytes: 200, cut_after: None }
+        Self { work_ms: 5, body_bytes: 200, cut_after: None, late_refusal: false }
     }
 }
 
@@ -54,6 +56,8 @@
     pub beats_acknowledged: AtomicU64,
     pub beats: AtomicBool,
     sequence: AtomicU64,
+    streams: Mutex<Vec<TcpStream>>,
+    ended: AtomicBool,
     behaviour: Behaviour,
 }
 
@@ -80,11 +84,17 @@
             beats_acknowledged: AtomicU64::new(0),
             beats: AtomicBool::new(true),
             sequence: AtomicU64::new(0),
+            streams: Mutex::default(),
+            ended: AtomicBool::new(false),
             behaviour,
         });
         let accepting = Arc::clone(&worker);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.ended.load(Ordering::Relaxed) {
+                    // Closes the port.
+                    return;
+                }
                 let worker = Arc::clone(&accepting);
                 // Errors end the connection.
                 std::thread::spawn(move || worker.serve(stream));
@@ -124,10 +134,23 @@
         exchange(self.control, request.as_bytes()).map_or(0, |response| response.status())
     }
 
+    /// Ends the worker. Its port and its connections close.
+    pub fn exit(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        for stream in self.streams.lock().expect("not poisoned").drain(..) {
+            // It may be closed already.
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect(self.address);
+    }
+
     fn serve(&self, stream: TcpStream) -> Result<()> {
         stream.set_nodelay(true)?;
+        self.streams.lock().expect("not poisoned").push(stream.try_clone()?);
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
+        let mut late_refusal = false;
         while let Some(mut request) = read_head(&mut reader)? {
             read_body(&mut reader, &mut request, false)?;
             if !request.complete {
@@ -146,6 +169,10 @@
                 writer.write_all(refusal.as_bytes())?;
                 continue;
             }
+            if std::mem::take(&mut late_refusal) {
+                writer
+                    .write_all(b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")?;
+            }
             let text = |name: &str| request.header(name).unwrap_or_default().to_owned();
             let run = Run {
                 id: text("request-id"),
@@ -165,6 +192,7 @@
             );
             writer.write_all(head.as_bytes())?;
             writer.write_all(&vec![b'x'; answer.cut_after.unwrap_or(answer.body_bytes)])?;
+            late_refusal = answer.late_refusal;
             if answer.cut_after.is_some() {
                 return Ok(());
             }
