--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -20,6 +20,33 @@
 const FIRST_PORT: u16 = 21_000;
 const LAST_PORT: u16 = 31_000;
 
+/// The processes that run, for the case that the scenario does not end by itself.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes of a scenario that has run for too long, and this one.
+pub fn end_after(limit: Duration) {
+    std::thread::sleep(limit);
+    for id in RUNNING.lock().expect("not poisoned").iter() {
+        // It may have ended meanwhile.
+        let _ = Command::new("kill").args(["-KILL".to_owned(), id.to_string()]).status();
+    }
+    eprintln!("the scenario did not end in time");
+    std::process::exit(2);
+}
+
+/// Starts a process that is ended with this one.
+fn spawn(command: &mut Command) -> Child {
+    let child = command.spawn().expect("the program starts");
+    RUNNING.lock().expect("not poisoned").push(child.id());
+    child
+}
+
+/// Waits for a process to end.
+fn wait(child: &mut Child) {
+    let _ = child.wait();
+    RUNNING.lock().expect("not poisoned").retain(|id| *id != child.id());
+}
+
 /// One machine: a node and a worker.
 pub struct Machine {
     pub service: String,
@@ -53,11 +80,7 @@
         let folder = std::env::temp_dir().join(format!("fulmartrestle-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let record = File::create(Path::new(case_folder).join("record.txt")).expect("the record can be written");
-        let mut store_process = Command::new(STORE)
-            .args(["--listen", "127.0.0.1:0"])
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the store starts");
+        let mut store_process = spawn(Command::new(STORE).args(["--listen", "127.0.0.1:0"]).stdout(Stdio::piped()));
         let mut line = String::new();
         let output = store_process.stdout.take().expect("standard output is piped");
         BufReader::new(output).read_line(&mut line).expect("the store is ready");
@@ -154,7 +177,7 @@
     pub fn start_again(&mut self, index: usize) {
         let machine = &mut self.machines[index];
         if let Some(mut node) = machine.node.take() {
-            let _ = node.wait();
+            wait(&mut node);
         }
         // Only the first start of the whole system is marked as such.
         let text = fs::read_to_string(&machine.settings).expect("settings can be read");
@@ -171,7 +194,7 @@
 
 fn start_node(settings: &Path) -> Child {
     let log = File::create(settings.with_extension("log")).expect("a log file");
-    Command::new(SIDECAR).arg(settings).stdout(log).spawn().expect("the node starts")
+    spawn(Command::new(SIDECAR).arg(settings).stdout(log))
 }
 
 impl Drop for Fleet {
@@ -179,11 +202,11 @@
         for machine in &mut self.machines {
             if let Some(mut node) = machine.node.take() {
                 let _ = node.kill();
-                let _ = node.wait();
+                wait(&mut node);
             }
         }
         let _ = self.store_process.kill();
-        let _ = self.store_process.wait();
+        wait(&mut self.store_process);
         if std::env::var("KEEP").is_err() {
             let _ = fs::remove_dir_all(&self.folder);
         }
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -12,6 +12,10 @@
 mod worker;
 
 use std::process::exit;
+use std::time::Duration;
+
+/// Longest duration of a scenario.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -20,6 +24,7 @@
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    std::thread::spawn(|| fleet::end_after(TIME_LIMIT));
     // A panic means that the case could not run.
     let result = std::panic::catch_unwind(|| cases::run(case, folder, trouble));
     exit(match result {
