--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -126,7 +126,7 @@
             rank,
             origin,
             tenant,
-            caller: state.gate.target_service().unwrap_or_else(|| state.settings().service.clone()),
+            caller: state.settings().service.clone(),
             repeatable: route.repeatable,
             attempts: route.attempts,
             deadline,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -23,7 +23,7 @@
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
 use crate::clock::BootClock;
 use crate::event_log::{EventLog, LogLine};
-use crate::local_target::{Announcement, AnnouncementResult};
+use crate::local_target::{Announcement, AnnouncementResult, ExpectedTarget};
 use crate::metrics::Metrics;
 use crate::platform::{TargetMetadata, WireProtocol};
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
@@ -100,8 +100,17 @@
         }
     }
 
-    /// Applies an announcement of the local target. Returns whether the other nodes should be notified at once.
-    pub fn apply_announcement(&self, announcement: Announcement) -> bool {
+    /// Applies an announcement that names `service` and this gate's address. Returns whether the other nodes should be
+    /// notified at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the value that shows that the announcement is not one of the local target. It has no effect then.
+    pub fn apply_announcement(&self, announcement: Announcement, service: &Service) -> Result<bool, String> {
+        let expected = ExpectedTarget { service: service.clone(), address: self.address };
+        if let Some(contradiction) = expected.contradicting_value(&announcement) {
+            return Err(contradiction);
+        }
         let now = self.clock.now();
         let mut state = lock(&self.state);
         let was_usable = state.target.usable(now).is_some();
@@ -144,7 +153,7 @@
         }
         drop(state);
         self.log_cold_state("announcement");
-        changed
+        Ok(changed)
     }
 
     /// Applies the notice that the local target has stopped. `started_unix_ms` is the start of the run that
@@ -194,11 +203,6 @@
         lock(&self.state).report(now)
     }
 
-    /// Returns the service of the last announced target.
-    pub fn target_service(&self) -> Option<Service> {
-        lock(&self.state).target.last_announcement().map(|announcement| announcement.service.clone())
-    }
-
     /// Returns whether the target was withdrawn or has stopped announcing itself.
     pub fn has_lost_target(&self) -> bool {
         let now = self.clock.now();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -49,7 +49,7 @@
 pub use crash_marks::{CrashMarkLog, CrashNotice, CrashNotices};
 pub use event_log::{EventLog, LogLine, write_blocks};
 pub use large_response_limit::LargeResponseLimit;
-pub use local_target::{Announcement, AnnouncementResult, ColdState, LocalTarget};
+pub use local_target::{Announcement, AnnouncementResult, ColdState, ExpectedTarget, LocalTarget};
 pub use metrics::Metrics;
 pub use node::{MeshNode, MeshOptions};
 pub use outcome_meter::{OutcomeMeter, RequestEnd, RequestRoute, RouteOutcomes};
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -1,6 +1,7 @@
 //! State of the target beside this node. See `docs/DRAIN.md`.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use fulmartrestle_core::{Service, TimeUs};
 use fulmartrestle_derive::{record, value};
@@ -24,6 +25,8 @@
     pub seq: u64,
     /// The service that the target provides.
     pub service: Service,
+    /// Address on which the target listens.
+    pub address: SocketAddr,
     /// Requests that the target can run concurrently.
     pub slots: u32,
     /// Whether the target is draining and must receive no further requests.
@@ -32,6 +35,26 @@
     pub cold_left_ms: u64,
 }
 
+/// What the settings say about the target beside the node.
+#[record]
+pub struct ExpectedTarget {
+    /// The service that the target provides.
+    pub service: Service,
+    /// Address on which the target listens.
+    pub address: SocketAddr,
+}
+
+impl ExpectedTarget {
+    /// Returns the first value of an announcement that contradicts the settings; `None` if it is one of this target.
+    pub fn contradicting_value(&self, announcement: &Announcement) -> Option<String> {
+        if announcement.service != self.service {
+            return Some(format!("service is {}, expected {}", announcement.service, self.service));
+        }
+        let differs = announcement.address != self.address;
+        differs.then(|| format!("address is {}, expected {}", announcement.address, self.address))
+    }
+}
+
 /// Effect of an announcement on the known state.
 #[value]
 pub enum AnnouncementResult {
--- a/crates/mesh/src/outcome_log.rs
+++ b/crates/mesh/src/outcome_log.rs
@@ -44,11 +44,13 @@
         });
     }
     let SlotSamples { samples, running, waiting, limit } = std::mem::take(samples);
-    let Some(service) = state.gate.target_service().filter(|_| running + waiting > 0) else { return };
+    if running + waiting == 0 {
+        return;
+    }
     let mean_milli = |sum: u64| sum * 1_000 / samples.max(1);
     let line = line("target_use")
         .text("zone", &settings.availability_zone)
-        .text("service", &service)
+        .text("service", &settings.service)
         .number("running_milli", mean_milli(running))
         .number("waiting_milli", mean_milli(waiting))
         .number("limit", limit / samples.max(1));
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -167,8 +167,7 @@
     pub fn apply_cold_limit(&self) {
         let settings = self.settings();
         let limit = settings.bounds.cold_bounds().and_then(|(overage, slack)| {
-            let service = self.gate.target_service().unwrap_or_else(|| settings.service.clone());
-            match self.config().map(|config| config.cold_rate(&service)) {
+            match self.config().map(|config| config.cold_rate(&settings.service)) {
                 None | Some(Some(RateMilliPerS(0))) => Some(ColdLimit::for_unknown_rate(slack)),
                 Some(cold_rate) => cold_rate.map(|cold_rate| ColdLimit::new(cold_rate, overage, slack)),
             }
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -1,7 +1,7 @@
 //! Tests a node's local state: its local target and the age of its configuration.
 
 use fulmartrestle_core::{TimeUs, Version};
-use fulmartrestle_mesh::{Announcement, AnnouncementResult, ConfigFreshness, LocalTarget};
+use fulmartrestle_mesh::{Announcement, AnnouncementResult, ConfigFreshness, ExpectedTarget, LocalTarget};
 use googletest::prelude::*;
 
 const NOW: TimeUs = TimeUs::from_ms(10_000);
@@ -12,6 +12,7 @@
         started_unix_ms,
         seq,
         service: "deep".parse().expect("a valid name"),
+        address: ([127, 0, 0, 1], 8_080).into(),
         slots: 10,
         draining,
         cold_left_ms: 0,
@@ -219,3 +220,40 @@
         expect_that!(target.is_cold(now), eq(case.cold), "{}", case.name);
     }
 }
+
+/// Guards against announcements of another writer that replace the target which the settings name.
+#[gtest]
+fn announcements_that_contradict_the_settings_are_those_of_another_target() {
+    struct Case {
+        name: &'static str,
+        service: &'static str,
+        port: u16,
+        contradiction: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "the target", service: "deep", port: 8_080, contradiction: None },
+        Case {
+            name: "another service",
+            service: "warehouse",
+            port: 8_080,
+            contradiction: Some("service is warehouse, expected deep"),
+        },
+        Case {
+            name: "another address",
+            service: "deep",
+            port: 9,
+            contradiction: Some("address is 127.0.0.1:9, expected 127.0.0.1:8080"),
+        },
+    ];
+    let own = announcement("a", 5, 1, false);
+    let expected = ExpectedTarget { service: own.service.clone(), address: own.address };
+    for case in cases {
+        let heard = Announcement {
+            service: case.service.parse().expect("a valid name"),
+            address: ([127, 0, 0, 1], case.port).into(),
+            ..own.clone()
+        };
+        let contradiction = expected.contradicting_value(&heard);
+        expect_that!(contradiction.as_deref(), eq(case.contradiction), "{}", case.name);
+    }
+}
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use fulmartrestle_platform_log::KeyedRecord;
+use std::time::Duration;
+
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet};
+use support::{CallerRequest, SidecarFleet, wait_until};
 
 /// Stream of the registrations of nodes, and of the operator's records.
 const NODES_STREAM: &str = "keyed.nodes";
@@ -116,3 +118,121 @@
         fleet.wait_for_status(vm, &request, 200).await;
     }
 }
+
+/// A heartbeat that no target of the VM has sent.
+struct ForeignHeartbeat {
+    name: &'static str,
+    /// VM whose node receives it.
+    vm: usize,
+    instance: &'static str,
+    service: &'static str,
+    /// Whether it names the address of the VM's own target.
+    own_address: bool,
+    /// Start of the run relative to the own target's, in milliseconds.
+    started_later_ms: i64,
+    seq: u64,
+    state: &'static str,
+}
+
+impl ForeignHeartbeat {
+    const UNNAMED_SERVICE: Self = Self {
+        name: "unnamed service",
+        vm: 0,
+        instance: "i-other",
+        service: "warehouse",
+        own_address: true,
+        started_later_ms: 3_600_000,
+        seq: 1,
+        state: "ready",
+    };
+
+    async fn send(&self, fleet: &SidecarFleet) -> u16 {
+        let address = match self.own_address {
+            true => fleet.vms[self.vm].target_address.to_string(),
+            false => "127.0.0.1:9".to_owned(),
+        };
+        let body = json!({
+            "addr": address, "born": support::FIRST_START_UNIX_MS + self.started_later_ms,
+            "info": {"service": self.service, "version": "v1", "zone": "milano", "slots": 10},
+            "status": {"state": self.state, "seq": self.seq, "cold_left_ms": 0}
+        });
+        fleet.send_heartbeat(self.vm, self.instance, body.to_string()).await
+    }
+}
+
+/// Guards against requests that claim to begin at a service which does not run on their VM, and against a target that gets
+/// no requests any more because its node follows the heartbeat of another writer.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn heartbeat_of_another_writer_replaces_the_target() {
+    const REQUESTS: usize = 20;
+    let unnamed = ForeignHeartbeat::UNNAMED_SERVICE;
+    let own_run = ForeignHeartbeat { instance: "i-1", started_later_ms: 0, seq: 1_000_000, vm: 1, ..unnamed };
+    let cases = [
+        ForeignHeartbeat { name: "unnamed service at the calling VM", ..unnamed },
+        ForeignHeartbeat { name: "unnamed service at a serving VM", vm: 1, ..unnamed },
+        ForeignHeartbeat { name: "named service at the calling VM", service: "trips", ..unnamed },
+        ForeignHeartbeat { name: "named service at a serving VM", service: "front", vm: 1, ..unnamed },
+        ForeignHeartbeat {
+            name: "right service, another address",
+            service: "trips",
+            own_address: false,
+            vm: 1,
+            ..unnamed
+        },
+        ForeignHeartbeat { name: "the own run, unnamed service", ..own_run },
+        ForeignHeartbeat { name: "the own run, another address", service: "trips", own_address: false, ..own_run },
+        ForeignHeartbeat { name: "the own run, unnamed service, draining", state: "draining", ..own_run },
+        ForeignHeartbeat { name: "unnamed service, draining", state: "draining", vm: 1, ..unnamed },
+    ];
+    for case in cases {
+        let fleet = SidecarFleet::start(&["front", "trips", "trips"], &config()).await;
+        for vm in 0..3 {
+            fleet.wait_for_status(vm, &request("before"), 200).await;
+        }
+        expect_that!(case.send(&fleet).await, eq(400), "{}", case.name);
+        // The own targets announce themselves again meanwhile.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for vm in 0..3 {
+            for number in 0..REQUESTS {
+                let id = format!("after-{vm}-{number}");
+                expect_that!(fleet.send(vm, &request(&id)).await.status, eq(200), "{}: {id}", case.name);
+            }
+        }
+        let mut callers = Vec::new();
+        for vm in &fleet.vms {
+            for run in vm.target.runs.lock().expect("not poisoned").iter() {
+                let Some(caller) = run.request_id.strip_prefix("after-").and_then(|rest| rest.split_once('-')) else {
+                    continue;
+                };
+                let service = if caller.0 == "0" { "front" } else { "trips" };
+                let is_right = run.headers.get("caller-service").is_some_and(|value| value == service);
+                callers.push((run.request_id.clone(), is_right));
+            }
+        }
+        callers.retain(|(_, is_right)| !is_right);
+        expect_that!(callers.len(), eq(0), "{}: runs with a wrong caller", case.name);
+        for vm in 1..3 {
+            let runs = fleet.vms[vm].target.runs.lock().expect("not poisoned");
+            let served = runs.iter().filter(|run| run.request_id.starts_with("after-")).count();
+            expect_that!(served, gt(0), "{}: requests at target {vm}", case.name);
+        }
+    }
+}
+
+/// Guards against requests that name the service which ran on their VM before its settings changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_name_the_service_of_a_target_that_was_replaced() {
+    let fleet = SidecarFleet::start(&["front", "trips"], &config()).await;
+    fleet.wait_for_status(0, &request("before"), 200).await;
+    fleet.change_setting(0, "service", json!("back"));
+    wait_until("requests name the service of the settings", || async {
+        let number = fleet.vms[1].target.runs.lock().expect("not poisoned").len();
+        let id = format!("after-{number}");
+        assert_eq!(fleet.send(0, &request(&id)).await.status, 200);
+        let runs = fleet.vms[1].target.runs.lock().expect("not poisoned");
+        let run = runs.iter().find(|run| run.request_id == id).expect("the target has run the request");
+        run.headers.get("caller-service").is_some_and(|value| value == "back").then_some(())
+    })
+    .await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,6 @@
 pub use fleet::{Fleet, FleetSpec, TargetSpec, wait_until};
 pub use process::Process;
 pub use sidecar::{
-    Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, EndOfConnections, EndOfPort, Ending, LastWords, RawResponse,
-    RecordedRun, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour,
+    Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, EndOfConnections, EndOfPort, Ending, FIRST_START_UNIX_MS,
+    LastWords, RawResponse, RecordedRun, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour,
 };
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -58,7 +58,7 @@
 const FRAME_BYTES: usize = 16_384;
 
 /// Start of the first run of each target.
-const FIRST_START_UNIX_MS: i64 = 1_700_000_000_000;
+pub const FIRST_START_UNIX_MS: i64 = 1_700_000_000_000;
 
 /// How a target handles the requests that it receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -253,6 +253,7 @@
     settings_file: String,
     /// Address at which the other nodes reach the node.
     pub peer_address: SocketAddr,
+    pub target_address: SocketAddr,
 }
 
 /// A running fleet. Dropping it kills all its processes.
@@ -368,7 +369,13 @@
             refusals: AtomicUsize::new(0),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
-        tokio::spawn(send_heartbeats(addresses[2], service.to_owned(), zone.to_owned(), Arc::clone(&target)));
+        let heartbeat = HeartbeatSource {
+            control_address: addresses[2],
+            target_address,
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+        };
+        tokio::spawn(send_heartbeats(heartbeat, Arc::clone(&target)));
         let settings_file = file.display().to_string();
         let [caller_address, ready_address, control_address, peer_address, metrics_address] = addresses[..] else {
             panic!("five addresses")
@@ -382,6 +389,7 @@
             metrics_address,
             settings_file,
             peer_address,
+            target_address,
         });
     }
 
@@ -509,8 +517,17 @@
     }
 }
 
+/// What a target says of itself in all its heartbeats, and where it sends them.
+struct HeartbeatSource {
+    control_address: SocketAddr,
+    target_address: SocketAddr,
+    service: String,
+    zone: String,
+}
+
 /// Sends heartbeats of a target to its node until the test ends.
-async fn send_heartbeats(control_address: SocketAddr, service: String, zone: String, target: Arc<Target>) {
+async fn send_heartbeats(source: HeartbeatSource, target: Arc<Target>) {
+    let HeartbeatSource { control_address, target_address, service, zone } = source;
     let client = Client::new();
     let is_down = || *target.is_down.lock().expect("not poisoned");
     for seq in 1_u64.. {
@@ -526,7 +543,7 @@
         let cold_left = target.cold_until.lock().expect("not poisoned").saturating_duration_since(Instant::now());
         let slots = target.slots.load(Ordering::Relaxed);
         let body = serde_json::json!({
-            "addr": "127.0.0.1:1", "born": started_unix_ms,
+            "addr": target_address.to_string(), "born": started_unix_ms,
             "info": {"service": service, "version": "v1", "zone": zone, "slots": slots},
             "status": {"state": state, "seq": seq, "cold_left_ms": cold_left.as_millis() as u64}
         });
