A run of a target that leaves is not chosen again after a plain report

A node that was told by a sender that its target leaves kept the notice and went on using the target for its own callers.

Change: once a run is known to leave, no report takes that back (policy::NoticedRuns); the gate takes a sender's word that the run leaves as a withdrawal, before the call is admitted.

--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -174,13 +174,18 @@
         self.notify_waiters(now);
     }
 
-    /// Takes over what the sender of a call knows about the run of the target, if this node has not heard a response of
-    /// it.
+    /// Takes over what the sender of a call knows about the run of the target: that it leaves, and the rest if this node has
+    /// not heard a response of it.
     fn adopt_notices(&mut self, head: &CallRequestHead, now: TimeUs) {
-        let known = self.notices.is_some();
-        let Some(noticed) = head.noticed.as_ref().filter(|_| !known) else { return };
+        let Some(noticed) = &head.noticed else { return };
         let target = self.target.last_announcement().filter(|target| target.instance == head.instance);
-        if target.is_some_and(|target| target.started_unix_ms == noticed.started_unix_ms) {
+        if target.is_none_or(|target| target.started_unix_ms != noticed.started_unix_ms) {
+            return;
+        }
+        if noticed.notices.leaving {
+            self.target.apply_withdrawal(&head.instance, Some(noticed.started_unix_ms));
+        }
+        if self.notices.is_none() {
             self.set_notices(Some(noticed.notices), now);
         }
     }
@@ -281,9 +286,9 @@
         if state.closed {
             return Err(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS)));
         }
+        state.adopt_notices(head, now);
         state.target_for(&head.service, now)?;
         state.update_cold_limit(now);
-        state.adopt_notices(head, now);
         if let (Some(origin), false) = (&head.origin, head.is_retry) {
             state.demand.record_arrival(&head.route, origin);
         }
--- a/crates/policy/src/load_balancer.rs
+++ b/crates/policy/src/load_balancer.rs
@@ -362,6 +362,11 @@
         self.noticed_runs.notices(&self.targets.get(&node)?.report)
     }
 
+    /// Returns the runs of targets that are known to leave, by name and start in milliseconds since the Unix epoch.
+    pub fn leaving_runs(&self) -> impl Iterator<Item = (&str, i64)> {
+        self.noticed_runs.leaving_runs()
+    }
+
     /// Returns the zone of a node that has a target.
     pub fn zone(&self, node: VmId) -> Option<&AvailabilityZone> {
         self.targets.get(&node).map(|target| &target.zone)
--- a/crates/policy/src/noticed_runs.rs
+++ b/crates/policy/src/noticed_runs.rs
@@ -10,7 +10,7 @@
 const NOTICE_VALID_MS: u64 = 60_000;
 
 /// Notices of runs of targets that have said anything. A node that starts again does not know what its target has said,
-/// but those that have forwarded its responses are still bound by it.
+/// but those that have forwarded its responses are still bound by it. A run that leaves never takes that back.
 #[derive(Debug, Default)]
 pub struct NoticedRuns {
     runs: FxHashMap<(String, i64), (TargetNotices, TimeUs)>,
@@ -24,6 +24,8 @@
             return;
         }
         let run = (report.instance.clone(), report.started_unix_ms);
+        let known = self.runs.get(&run).map(|(known, _)| *known);
+        let notices = merge(known, notices);
         if notices == TargetNotices::default() {
             self.runs.remove(&run);
         } else {
@@ -34,10 +36,21 @@
 
     /// Returns what the run of a report has said about itself, as far as it is known.
     pub fn notices(&self, report: &TargetReport) -> Option<TargetNotices> {
-        if report.notices.is_some() || self.runs.is_empty() {
+        if self.runs.is_empty() {
             return report.notices;
         }
-        let known = self.runs.get(&(report.instance.clone(), report.started_unix_ms));
-        known.map(|(notices, _)| *notices)
+        let known = self.runs.get(&(report.instance.clone(), report.started_unix_ms)).map(|(known, _)| *known);
+        report.notices.map_or(known, |reported| Some(merge(known, reported)))
     }
+
+    /// Returns the runs that are known to leave, by name and start.
+    pub fn leaving_runs(&self) -> impl Iterator<Item = (&str, i64)> {
+        let leaving = self.runs.iter().filter(|(_, (notices, _))| notices.leaving);
+        leaving.map(|((instance, started_unix_ms), _)| (instance.as_str(), *started_unix_ms))
+    }
+}
+
+/// Returns what is known of a run after it has been reported with `reported`.
+fn merge(known: Option<TargetNotices>, reported: TargetNotices) -> TargetNotices {
+    TargetNotices { leaving: reported.leaving || known.is_some_and(|known| known.leaving), ..reported }
 }
--- a/crates/policy/tests/load_balancer.rs
+++ b/crates/policy/tests/load_balancer.rs
@@ -1,7 +1,7 @@
 //! Tests load balancing over targets whose nodes report their load.
 
 use fulmartrestle_core::{AvailabilityZone, RateMilliPerS, Service, TimeUs, VmId};
-use fulmartrestle_policy::{ContactCheck, LoadBalancer, TargetReport};
+use fulmartrestle_policy::{ContactCheck, LoadBalancer, TargetNotices, TargetReport};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -279,3 +279,40 @@
     balancer.set_evacuated(Default::default());
     expect_that!(count_choices(&balancer), eq([1_000, 0]));
 }
+
+/// Guards against a target that has said that it leaves, and is chosen again because its node has started again and
+/// reports a response without that notice.
+#[gtest]
+fn a_run_that_leaves_is_not_chosen_whatever_its_node_reports_later() {
+    struct Case {
+        name: &'static str,
+        notices: &'static [Option<TargetNotices>],
+        started_unix_ms: i64,
+        chosen: bool,
+    }
+    const PLAIN: TargetNotices = TargetNotices { max_rate: None, leaving: false };
+    const LIMITED: TargetNotices = TargetNotices { max_rate: Some(RateMilliPerS(9_000)), leaving: false };
+    const LEAVING: TargetNotices = TargetNotices { max_rate: None, leaving: true };
+    let cases = [
+        Case { name: "no notice", notices: &[None, Some(PLAIN)], started_unix_ms: 0, chosen: true },
+        Case { name: "it leaves", notices: &[Some(LEAVING)], started_unix_ms: 0, chosen: false },
+        Case { name: "its node knows of none", notices: &[Some(LEAVING), None], started_unix_ms: 0, chosen: false },
+        Case {
+            name: "its node heard a response without one",
+            notices: &[Some(LEAVING), None, Some(PLAIN), Some(LIMITED), Some(PLAIN), None],
+            started_unix_ms: 0,
+            chosen: false,
+        },
+        Case { name: "the next run", notices: &[Some(LEAVING), None], started_unix_ms: 1, chosen: true },
+    ];
+    for case in cases {
+        let mut balancer = LoadBalancer::default();
+        let last = case.notices.len() - 1;
+        for (index, notices) in case.notices.iter().enumerate() {
+            let started_unix_ms = if index == last { case.started_unix_ms } else { 0 };
+            let report = TargetReport { notices: *notices, started_unix_ms, ..report(0, 20_000) };
+            balancer.record_report(VmId(0), &zone("near"), Some(report), NOW);
+        }
+        expect_that!(count_choices(&balancer)[0] > 0, eq(case.chosen), "{}", case.name);
+    }
+}
