A node that starts while the store is silent introduces itself to the others

Callers of a node that was killed while the store did not answer got 503 until the store was back, although the other nodes had the configuration.

Cause: status messages leave out names that the receiver has confirmed. The run before had confirmed them, the new one can't complete the messages, and since it learns addresses from the store or from complete messages only, it never answered, so that the names were never sent again. Seen in a test of leaving targets with the store silent (timed out waiting until a node is ready, the log has registry_failed only).

Change: a message that can't be completed makes its sender known, and the node sends it its status at once; the sender then sends its names to the new run. No message changes.

--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -18,7 +18,7 @@
 use crate::event_log::LogLine;
 use crate::node_messages::ConfigResponse;
 use crate::peer_streams::CONFIG_PATH;
-use crate::peer_table::StatusEffect;
+use crate::peer_table::{Registration, StatusEffect};
 use crate::state::{MeshState, NodePhase};
 use crate::status_message::{NodeIdentity, NodeStatus, StatusMessage, TargetLoad, index_arrivals, index_demand};
 
@@ -94,8 +94,9 @@
         match decode_exact::<StatusMessage>(&buffer[..length]) {
             Ok(message) => {
                 let status = lock(&state.peers).complete_status(message, sender);
-                if let Some(status) = status {
-                    apply_status(&state, &status);
+                match status {
+                    Some(status) => apply_status(&state, &status),
+                    None => introduce(&state, sender),
                 }
             }
             Err(error) => state.log(LogLine::new("status_unreadable").text("peer", sender).text("detail", error)),
@@ -103,6 +104,16 @@
     }
 }
 
+/// Makes this run known to a node that takes it for the run before, which knew the node's names. The store may not answer,
+/// so that this node would not learn of the other one at all.
+fn introduce(state: &MeshState, sender: SocketAddr) {
+    let mut peers = lock(&state.peers);
+    if peers.get(&sender).is_none() {
+        peers.register(&[Registration { address: sender, zone: None }], state.now());
+        state.status_due.notify_one();
+    }
+}
+
 /// Records the state of this node in the load balancer and in capacity admission, like the status of another node.
 fn record_own_status(state: &MeshState, now: TimeUs) {
     let zone = state.settings().availability_zone.clone();
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -15,9 +15,11 @@
 const DRAIN_MS: u64 = 2_000;
 
 fn config(version: u32, api_keys: &[&str]) -> Value {
-    let route = json!({"name": "view", "host": "trips.example", "prefix": "/view/", "kind": "safe", "timeout_ms": 1_000,
-        "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": false});
-    json!({"version": format!("{version:08x}"), "routes": [route], "services": [{"name": "trips", "max_conns": 100}],
+    let route = |name: &str, prefix: &str, public: bool| {
+        json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": "safe", "timeout_ms": 1_000,
+        "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": public})
+    };
+    json!({"version": format!("{version:08x}"), "routes": [route("view", "/view/", false), route("open", "/open/", true)], "services": [{"name": "trips", "max_conns": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
         "tenants": [{"name": "agency", "api_keys": api_keys, "rate_per_s": 1_000, "burst": 1_000}]})
@@ -111,3 +113,14 @@
         expect_that!(late, eq(0), "{nodes:?}");
     }
 }
+
+/// Guards against a node that stays without a configuration because the store does not answer, although the other nodes
+/// have one: their messages left out what the run before had confirmed, and were not readable.
+#[tokio::test]
+async fn node_that_starts_while_the_store_is_silent_gets_no_configuration() {
+    let mut fleet = start_fleet().await;
+    fleet.store.suspend();
+    fleet.restart_node(0).await;
+    let request = CallerRequest { path: "/open/1", ..request("key-1", "after".to_owned()) };
+    fleet.wait_for_status(0, &request, 200).await;
+}
