--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -23,7 +23,7 @@
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
 use crate::clock::BootClock;
 use crate::event_log::{EventLog, LogLine};
-use crate::local_target::{Announcement, AnnouncementResult, ExpectedTarget};
+use crate::local_target::{Announcement, AnnouncementResult, ExpectedTarget, TargetRun};
 use crate::metrics::Metrics;
 use crate::platform::{TargetMetadata, WireProtocol};
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
@@ -164,6 +164,39 @@
         self.event_log.write(LogLine::new("target_withdrawn").text("instance", instance), now);
     }
 
+    /// Returns the last `max_count` runs of the target that have left or are draining, the latest start first.
+    pub fn left_runs(&self, max_count: usize) -> Vec<TargetRun> {
+        lock(&self.state).target.left_runs(max_count)
+    }
+
+    /// Applies that runs of other nodes' targets, or of this one, have left, as another node says.
+    pub fn apply_left_runs_elsewhere(&self, runs: Vec<TargetRun>) {
+        lock(&self.state).target.apply_left_runs_elsewhere(runs);
+    }
+
+    /// Applies that runs of the target have left, as the store says.
+    pub fn apply_left_runs(&self, runs: &[TargetRun]) {
+        let mut state = lock(&self.state);
+        for TargetRun { instance, started_unix_ms } in runs {
+            state.target.apply_withdrawal(instance, Some(*started_unix_ms));
+        }
+    }
+
+    /// Lets calls reach the target, because the runs that had left before this node started are known. Returns whether they
+    /// were not known before.
+    pub fn set_left_runs_known(&self) -> bool {
+        let was_known = std::mem::replace(&mut lock(&self.state).knows_left_runs, true);
+        if !was_known {
+            self.status_due.notify_one();
+        }
+        !was_known
+    }
+
+    /// Returns whether the runs are known that had left before this node started.
+    pub fn knows_left_runs(&self) -> bool {
+        lock(&self.state).knows_left_runs
+    }
+
     /// Reports the target as not ready, so that other nodes send their calls elsewhere. Calls that still arrive
     /// are accepted.
     pub fn start_draining(&self) {
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -34,6 +34,8 @@
 /// Mutable state of a gate: its target, the slots and the admitted calls.
 pub struct GateState {
     pub target: LocalTarget,
+    /// Whether this node knows which runs of the target had left before it started. Until then the target is not used.
+    pub knows_left_runs: bool,
     pub slots: SlotQueue,
     pub parents: RunningParents,
     pub demand: DemandMeter,
@@ -88,6 +90,7 @@
     fn default() -> Self {
         Self {
             target: LocalTarget::default(),
+            knows_left_runs: false,
             slots: SlotQueue::new(INITIAL_SLOTS),
             parents: RunningParents::default(),
             demand: DemandMeter::default(),
@@ -138,7 +141,7 @@
             instance: announcement.instance.clone(),
             started_unix_ms: announcement.started_unix_ms,
             notices: self.reported_notices(announcement),
-            ready: !self.draining && !self.evacuated && self.target.usable(now).is_some(),
+            ready: !self.draining && !self.evacuated && self.usable_target(now).is_some(),
             limit: load.limit,
             running: load.running,
             waiting: load.waiting,
@@ -216,10 +219,14 @@
         }
     }
 
+    fn usable_target(&self, now: TimeUs) -> Option<&Announcement> {
+        self.target.usable(now).filter(|_| self.knows_left_runs)
+    }
+
     /// Returns the announcement of the target that accepts calls for `service`.
     fn target_for(&self, service: &Service, now: TimeUs) -> Result<&Announcement, Refusal> {
         self.check_evacuation()?;
-        let target = self.target.usable(now).filter(|target| target.service == *service);
+        let target = self.usable_target(now).filter(|target| target.service == *service);
         let no_target = Refusal::not_run(Reason::NoTarget, Some(NO_TARGET_RETRY_AFTER_MS));
         target.ok_or(no_target)
     }
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -1,6 +1,6 @@
 //! State of the target beside this node. See `docs/DRAIN.md`.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use fulmartrestle_core::{Service, TimeUs};
@@ -10,9 +10,9 @@
 /// and may be several seconds late.
 const ANNOUNCEMENT_TTL_MS: u64 = 8_000;
 
-/// Maximum number of withdrawn runs that are remembered. Late announcements of a run arrive within seconds, so
-/// older entries are not needed.
-const MAX_WITHDRAWN_RUNS: usize = 256;
+/// Maximum number of runs that are remembered as having left. Late announcements of a run arrive within seconds, so older
+/// entries are not needed.
+const MAX_LEFT_RUNS: usize = 256;
 
 /// Announcement that a target sends about itself.
 #[record]
@@ -35,6 +35,13 @@
     pub cold_left_ms: u64,
 }
 
+impl Announcement {
+    /// Returns the run that announces itself.
+    pub fn run(&self) -> TargetRun {
+        TargetRun { instance: self.instance.clone(), started_unix_ms: self.started_unix_ms }
+    }
+}
+
 /// What the settings say about the target beside the node.
 #[record]
 pub struct ExpectedTarget {
@@ -55,6 +62,16 @@
     }
 }
 
+/// One run of a target.
+#[record]
+#[derive(Eq, Hash)]
+pub struct TargetRun {
+    /// Name of the instance.
+    pub instance: String,
+    /// Start of the run, in milliseconds since the Unix epoch.
+    pub started_unix_ms: i64,
+}
+
 /// Effect of an announcement on the known state.
 #[value]
 pub enum AnnouncementResult {
@@ -109,13 +126,16 @@
 #[derive(Debug, Default)]
 pub struct LocalTarget {
     target: Option<AnnouncedTarget>,
-    withdrawn_runs: HashMap<String, i64>,
+    /// The latest start of each instance's runs that have left.
+    left_runs: HashMap<String, i64>,
+    /// Runs that other nodes have seen leave. Most are those of other nodes' targets.
+    left_runs_elsewhere: HashSet<TargetRun>,
 }
 
 impl LocalTarget {
     /// Applies an announcement that was received at `now`.
     pub fn apply_announcement(&mut self, announcement: Announcement, now: TimeUs) -> AnnouncementResult {
-        if self.is_withdrawn(&announcement.instance, announcement.started_unix_ms) {
+        if self.has_left(&announcement.instance, announcement.started_unix_ms) {
             return AnnouncementResult::Outdated;
         }
         let cold_until = Some(now.plus_ms(announcement.cold_left_ms));
@@ -138,7 +158,12 @@
                 return AnnouncementResult::Current;
             }
         }
-        self.target = Some(AnnouncedTarget { announcement, last_announced: now, cold_until, reachable: true });
+        let target = AnnouncedTarget { announcement, last_announced: now, cold_until, reachable: true };
+        if let Some(AnnouncedTarget { announcement: earlier, .. }) = self.target.replace(target)
+            && earlier.draining
+        {
+            self.record_left_run(earlier.instance, earlier.started_unix_ms);
+        }
         AnnouncementResult::NewRun
     }
 
@@ -147,14 +172,8 @@
     pub fn apply_withdrawal(&mut self, instance: &str, started_unix_ms: Option<i64>) {
         let known = self.target.as_ref().filter(|target| target.announcement.instance == instance);
         let started_unix_ms = started_unix_ms.or(known.map(|target| target.announcement.started_unix_ms));
-        if self.withdrawn_runs.len() >= MAX_WITHDRAWN_RUNS {
-            // The map does not record which entries are the oldest, so all are removed. Late announcements of
-            // any of them are rare by now.
-            self.withdrawn_runs.clear();
-        }
-        let started_unix_ms = started_unix_ms.unwrap_or(i64::MIN);
-        let entry = self.withdrawn_runs.entry(instance.to_owned()).or_insert(started_unix_ms);
-        *entry = started_unix_ms.max(*entry);
+        let Some(started_unix_ms) = started_unix_ms else { return };
+        self.record_left_run(instance.to_owned(), started_unix_ms);
         if let Some(target) = &mut self.target
             && target.announcement.instance == instance
             && target.announcement.started_unix_ms <= started_unix_ms
@@ -163,6 +182,15 @@
         }
     }
 
+    /// Applies that other nodes have seen `runs` leave, among which there may be runs of this target.
+    pub fn apply_left_runs_elsewhere(&mut self, runs: Vec<TargetRun>) {
+        self.left_runs_elsewhere.extend(runs);
+        let elsewhere = &self.left_runs_elsewhere;
+        if let Some(AnnouncedTarget { announcement, .. }) = &mut self.target {
+            announcement.draining |= elsewhere.contains(&announcement.run());
+        }
+    }
+
     /// Records whether the target accepts connections. One that does not may have ended, and is cold when it is back.
     pub fn set_reachable(&mut self, reachable: bool) {
         if let Some(target) = &mut self.target {
@@ -214,7 +242,34 @@
         }
     }
 
-    fn is_withdrawn(&self, instance: &str, started_unix_ms: i64) -> bool {
-        self.withdrawn_runs.get(instance).is_some_and(|withdrawn_start_ms| started_unix_ms <= *withdrawn_start_ms)
+    /// Returns the last `max_count` runs that have left or are draining, the latest start first.
+    pub fn left_runs(&self, max_count: usize) -> Vec<TargetRun> {
+        let run =
+            |(instance, start): (&String, &i64)| TargetRun { instance: instance.clone(), started_unix_ms: *start };
+        let mut runs: Vec<_> = self.left_runs.iter().map(run).collect();
+        if let Some(known) = self.last_announcement().filter(|known| known.draining).map(Announcement::run)
+            && !runs.contains(&known)
+        {
+            runs.push(known);
+        }
+        runs.sort_by(|a, b| b.started_unix_ms.cmp(&a.started_unix_ms).then_with(|| a.instance.cmp(&b.instance)));
+        runs.truncate(max_count);
+        runs
+    }
+
+    fn record_left_run(&mut self, instance: String, started_unix_ms: i64) {
+        let entry = self.left_runs.entry(instance).or_insert(started_unix_ms);
+        *entry = started_unix_ms.max(*entry);
+        if self.left_runs.len() > MAX_LEFT_RUNS
+            && let Some(earliest) = self.left_runs.iter().min_by_key(|(_, start)| **start).map(|(name, _)| name.clone())
+        {
+            self.left_runs.remove(&earliest);
+        }
+    }
+
+    fn has_left(&self, instance: &str, started_unix_ms: i64) -> bool {
+        let run = TargetRun { instance: instance.to_owned(), started_unix_ms };
+        self.left_runs.get(instance).is_some_and(|left_start_ms| started_unix_ms <= *left_start_ms)
+            || self.left_runs_elsewhere.contains(&run)
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -29,6 +29,7 @@
 use crate::gate::{Gate, GateOptions};
 use crate::handled_counts::HandledCounts;
 use crate::large_response_limit::LargeResponseLimit;
+use crate::left_runs::{learn_left_runs, save_left_runs};
 use crate::metrics::Metrics;
 use crate::outcome_log::{SlotSamples, log_outcomes};
 use crate::peer_streams::PeerStreamHandler;
@@ -141,6 +142,8 @@
         let store = options.store;
         tasks.spawn(follow_config(Arc::clone(&state), Arc::clone(&store), options.layout));
         tasks.spawn(run_registry(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
+        tasks.spawn(save_left_runs(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
+        tasks.spawn(learn_left_runs(Arc::clone(&state)));
         tasks.spawn(fetch_crash_marks(Arc::clone(&state)));
         tasks.spawn(watch_processor(Arc::clone(&state)));
         tasks.spawn(run_maintenance(Arc::clone(&state), options.settings_path.clone()));
@@ -283,6 +286,8 @@
         large_responses,
         tenant_division: Mutex::default(),
         handled: HandledCounts::default(),
+        left_runs_due: Notify::new(),
+        saved_left_runs: watch::Sender::new(None),
     }
 }
 
--- a/crates/mesh/src/node_messages.rs
+++ b/crates/mesh/src/node_messages.rs
@@ -1,8 +1,10 @@
-//! Messages that nodes exchange apart from calls and their status: rate tokens and the configuration.
+//! Messages that nodes exchange apart from calls and their status: rate tokens, the configuration and runs that have left.
 
 use fulmartrestle_core::Tenant;
 use fulmartrestle_derive::record;
 
+use crate::local_target::TargetRun;
+
 /// Request for tokens of a tenant's rate.
 #[record]
 pub enum TokenRequest {
@@ -39,3 +41,10 @@
     /// The bytes as the operator wrote them; empty if the sender has no configuration.
     pub bytes: Vec<u8>,
 }
+
+/// Response to a request for the runs of targets that have left.
+#[record]
+pub struct LeftRunsResponse {
+    /// Runs that the sender has seen leave, also those of other nodes' targets.
+    pub runs: Vec<TargetRun>,
+}
--- a/crates/mesh/src/peer_streams.rs
+++ b/crates/mesh/src/peer_streams.rs
@@ -17,6 +17,7 @@
 
 use crate::call_messages::CallRequestHead;
 use crate::crash_marks::crash_marks_response;
+use crate::left_runs::left_runs_response;
 use crate::node_messages::{ConfigResponse, TokenRequest};
 use crate::state::MeshState;
 use crate::tokens::answer_token_request;
@@ -33,6 +34,9 @@
 /// Path of streams that request all crash marks.
 pub const CRASH_MARKS_PATH: &str = "/crash-marks";
 
+/// Path of streams that request the runs of targets that are known to have left.
+pub const LEFT_RUNS_PATH: &str = "/left-runs";
+
 /// Largest token request, in bytes: a tenant's name, with room to spare.
 const MAX_TOKEN_REQUEST_BYTES: usize = 4_096;
 
@@ -78,6 +82,7 @@
                 let bytes = self.state.config_bytes();
                 send_response(respond, &ConfigResponse { bytes: bytes.as_ref().clone() }).await
             }
+            LEFT_RUNS_PATH => send_response(respond, &left_runs_response(&self.state)).await,
             CRASH_MARKS_PATH => send_response(respond, &crash_marks_response(&self.state)).await,
             _ => {
                 let mut response = Response::new(());
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -23,6 +23,7 @@
 use crate::gate::Gate;
 use crate::handled_counts::HandledCounts;
 use crate::large_response_limit::LargeResponseLimit;
+use crate::local_target::TargetRun;
 use crate::metrics::Metrics;
 use crate::outcome_meter::OutcomeMeter;
 use crate::peer_table::PeerTable;
@@ -123,6 +124,10 @@
     pub tenant_division: Mutex<TenantDivision>,
     /// Calls and requests that this node has handled.
     pub handled: HandledCounts,
+    /// Wakes the writer of the runs of the target that have left.
+    pub left_runs_due: Notify,
+    /// The runs of the target that have left, as the store holds them; `None` while that is not known.
+    pub saved_left_runs: watch::Sender<Option<Vec<TargetRun>>>,
 }
 
 impl MeshState {
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet};
+use support::{CallerRequest, SidecarFleet, wait_until};
 
 /// Time for which requests are sent after a restart, in milliseconds. It covers the first status messages of all nodes.
 const WATCH_MS: u64 = 3_000;
@@ -90,27 +90,95 @@
     }
 }
 
+/// How a target says that it leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    Deregistered,
+    /// By one heartbeat. Late ones still call it ready afterwards.
+    Draining,
+    /// By a header of its responses.
+    Response,
+}
+
+async fn leave(fleet: &SidecarFleet, leaving: Leaving) {
+    let target = &fleet.vms[1].target;
+    match leaving {
+        Leaving::Deregistered => fleet.deregister_target(1).await,
+        Leaving::Draining => {
+            let body = json!({
+                "addr": fleet.vms[1].target_address.to_string(), "born": support::FIRST_START_UNIX_MS,
+                "info": {"service": "trips", "version": "v1", "zone": "milano", "slots": 10},
+                "status": {"state": "draining", "seq": 1_000_000, "cold_left_ms": 0}
+            });
+            assert_eq!(fleet.send_heartbeat(1, &target.instance_id, body.to_string()).await, 200);
+        }
+        Leaving::Response => {
+            *target.notices.lock().expect("not poisoned") = vec![("server-leaving", "1".to_owned())];
+            wait_until("the target has said that it leaves", || async {
+                let runs = || target.runs.lock().expect("not poisoned").len();
+                let before = runs();
+                let _ = fleet.try_send(1, &request("key-1", format!("leaving-{before}"))).await;
+                (runs() > before).then_some(())
+            })
+            .await;
+            // Later responses say nothing, as those to requests that began earlier.
+            target.notices.lock().expect("not poisoned").clear();
+        }
+    }
+}
+
 /// Guards against a target that had left and is chosen again because its heartbeats, sent before, still call it ready.
 #[googletest::test]
 #[tokio::test]
 async fn target_that_had_left_is_not_used_after_a_restart() {
-    for nodes in [Restart::One, Restart::All] {
+    struct Case {
+        leaving: Leaving,
+        nodes: Restart,
+        /// Time from the acknowledgement to the restart, in milliseconds.
+        after_ms: u64,
+        /// Whether the store does not answer from before the target leaves until the end.
+        store_silent: bool,
+    }
+    let case = |leaving, nodes, after_ms| Case { leaving, nodes, after_ms, store_silent: false };
+    let cases = [
+        case(Leaving::Deregistered, Restart::One, DRAIN_MS),
+        case(Leaving::Deregistered, Restart::All, DRAIN_MS),
+        case(Leaving::Deregistered, Restart::One, 0),
+        case(Leaving::Deregistered, Restart::All, 0),
+        case(Leaving::Draining, Restart::One, 0),
+        case(Leaving::Draining, Restart::All, 0),
+        case(Leaving::Response, Restart::One, DRAIN_MS),
+        case(Leaving::Response, Restart::All, DRAIN_MS),
+        Case { store_silent: true, ..case(Leaving::Deregistered, Restart::One, DRAIN_MS) },
+        Case { store_silent: true, ..case(Leaving::Draining, Restart::One, DRAIN_MS) },
+    ];
+    for Case { leaving, nodes, after_ms, store_silent } in cases {
         let mut fleet = start_fleet().await;
-        fleet.deregister_target(1).await;
-        tokio::time::sleep(Duration::from_millis(DRAIN_MS)).await;
-        let bound = Instant::now();
+        if store_silent {
+            fleet.store.suspend();
+        }
+        leave(&fleet, leaving).await;
+        let left = Instant::now();
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
         restart(&mut fleet, nodes).await;
         let until = Instant::now() + Duration::from_millis(WATCH_MS);
+        let mut served = 0;
         for number in 0.. {
             if Instant::now() > until {
                 break;
             }
-            let _ = fleet.try_send(number % 3, &request("key-1", format!("after-{number}"))).await;
+            // While the store is silent, keys can't be confirmed.
+            let request = CallerRequest { path: "/open/1", ..request("key-1", format!("after-{number}")) };
+            let response = fleet.try_send(number % 3, &request).await;
+            served += usize::from(response.is_ok_and(|response| response.status == 200));
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
+        let bound = left + Duration::from_millis(if after_ms == 0 { 0 } else { DRAIN_MS });
         let runs = fleet.vms[1].target.runs.lock().expect("not poisoned").clone();
         let late = runs.iter().filter(|run| run.started >= bound).count();
-        expect_that!(late, eq(0), "{nodes:?}");
+        let name = format!("{leaving:?}, {nodes:?}, after {after_ms} ms, store silent: {store_silent}");
+        expect_that!(late, eq(0), "{name}");
+        expect_that!(served, ge(100), "{name}");
     }
 }
 
