A node that stops refuses requests that can't end before it does

Requests whose last bytes came late in the grace period were passed on, ran, and lost their connections without an answer when the node ended (LOST, reported by operators; shown by a test here). They may not be repeated.

Cause: nothing compared the time that a request takes with what is left of the grace period; only the gate closed for calls of other nodes, and calls in its queue were started later all the same.

Change: policy::StopAdmission learns by route and service how long requests take and decides, with now as an argument, which of them can end in time. The entry asks it before each attempt, the gate before a call is sent to the target. Refused requests get 503 with Retry-After and have not run.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -107,8 +107,17 @@
             return Err(progress.give_up());
         }
         let Some(node) = select_target(state, request, &progress).await else { return Err(progress.give_up()) };
+        let passed_on = state.now();
+        let (route, service) = (&request.route, &request.service);
+        if !lock(&state.stop_admission).can_complete(route, service, request.deadline, passed_on) {
+            return Err(progress.final_refusal(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS))));
+        }
         progress.tried_nodes.push(node);
         let outcome = run_attempt(state, request, &progress, &mut body).await;
+        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }) {
+            let now = state.now();
+            lock(&state.stop_admission).record_completion(route, service, now.us_since(passed_on), now);
+        }
         let reason = match outcome {
             AttemptOutcome::Answered(response) => {
                 credit_retry_budgets(state, request);
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -15,7 +15,9 @@
 use std::time::Duration;
 
 use fulmartrestle_core::{Reason, Refusal, RouteId, Service, TimeUs, VmId, lock};
-use fulmartrestle_policy::{AttemptEnd, CallLoss, CrashTable, DemandReport, Origin, ProbeResult, ProcessorWork};
+use fulmartrestle_policy::{
+    AttemptEnd, CallLoss, CrashTable, DemandReport, Origin, ProbeResult, ProcessorWork, StopTimes,
+};
 use fulmartrestle_transport::{ByteBody, ReplayBody};
 use http::{Method, Request, Uri};
 use tokio::sync::{Notify, Semaphore};
@@ -203,6 +205,11 @@
         lock(&self.state).draining = true;
     }
 
+    /// Starts the stop of this node: calls that can't end before it does are refused.
+    pub fn start_stop(&self, stop: StopTimes) {
+        lock(&self.state).stop_admission.start_stop(stop);
+    }
+
     /// Refuses all further calls, because this node stops.
     pub fn close(&self) {
         lock(&self.state).closed = true;
@@ -300,7 +307,13 @@
         }
         // While the body was read or the process was paused, the zone may have been evacuated or the target have left.
         self.wait_after_pause().await;
-        let checked = lock(&self.state).check_target(&head.service, &admitted, self.clock.now());
+        let checked = {
+            let (state, now) = (lock(&self.state), self.clock.now());
+            let can_complete = state.stop_admission.can_complete(&head.route, &head.service, deadline, now);
+            let stopping = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
+            let checked = state.check_target(&head.service, &admitted, now);
+            checked.and(if can_complete { Ok(()) } else { Err(stopping) })
+        };
         if let Err(refusal) = checked {
             return self.refuse(&head, refusal, false);
         }
@@ -315,7 +328,10 @@
         let may_send = || self.confirm_start(call);
         let watched = WatchedCall::start(Arc::clone(self), call, head.fingerprint, admitted.turn.is_some());
         let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started, may_send);
-        match tokio::time::timeout(self.clock.duration_until(deadline), sending).await {
+        let sent = tokio::time::timeout(self.clock.duration_until(deadline), sending).await;
+        let now = self.clock.now();
+        lock(&self.state).stop_admission.record_completion(&head.route, &head.service, now.us_since(started), now);
+        match sent {
             Err(_) => {
                 let mut watched = watched;
                 watched.record_loss(CallLoss::Unobserved);
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -5,7 +5,7 @@
 use fulmartrestle_core::{CallId, Reason, Refusal, Service, TimeUs, lock};
 use fulmartrestle_policy::{
     Admission, ColdLimit, DemandMeter, FailureMeter, PaceEstimate, PauseGuard, QueueEvent, RunWatch, RunningParents,
-    SlotQueue, SlotRequest, TargetNotices, TargetReport,
+    SlotQueue, SlotRequest, StopAdmission, TargetNotices, TargetReport,
 };
 use fulmartrestle_transport::{AdmissionResult, AdmissionWaiters};
 use tokio::sync::oneshot;
@@ -65,6 +65,8 @@
     pub pace: PaceEstimate,
     /// Attempts that failed at the target.
     pub failures: FailureMeter,
+    /// Decides which calls reach the target while this node stops.
+    pub stop_admission: StopAdmission,
 }
 
 /// A call that was admitted, and the target instance that runs it.
@@ -108,6 +110,7 @@
             pause_guard: PauseGuard::default(),
             pace: PaceEstimate::default(),
             failures: FailureMeter::default(),
+            stop_admission: StopAdmission::default(),
         }
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -7,7 +7,7 @@
 
 use fulmartrestle_core::{TimeUs, VmId, lock};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
-use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets};
+use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets, StopTimes};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
     ListenerLimits, PeerConnectionPool, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
@@ -182,6 +182,10 @@
         state.phase.send_replace(NodePhase::Draining);
         state.status_due.notify_one();
         let callers_left_at = started.plus_ms(CALLER_DRAIN_MS.min(grace_ms / 2));
+        let end_at = started.plus_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
+        let stop = StopTimes { callers_left_at, end_at };
+        lock(&state.stop_admission).start_stop(stop);
+        state.gate.start_stop(stop);
         let lead_us = GATE_CLOSE_LEAD_MS * 1_000;
         tokio::time::sleep(state.clock.duration_until(TimeUs(callers_left_at.0.saturating_sub(lead_us)))).await;
         state.gate.start_draining();
@@ -195,7 +199,6 @@
         state.phase.send_replace(NodePhase::Closing);
         // Sending fails only if the listener's task has already ended.
         let _ = self.stopping.send(true);
-        let end_at = started.plus_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
         let closed = tokio::time::timeout(state.clock.duration_until(end_at), self.wait_until_closed()).await;
         // A VM that is taken away loses its target first; one that is only restarted keeps it.
         if state.gate.has_lost_target() {
@@ -286,6 +289,7 @@
         large_responses,
         tenant_division: Mutex::default(),
         handled: HandledCounts::default(),
+        stop_admission: Mutex::default(),
         left_runs_due: Notify::new(),
         saved_left_runs: watch::Sender::new(None),
     }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -5,7 +5,7 @@
 
 use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
-    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets, TenantDivision,
+    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets, StopAdmission, TenantDivision,
 };
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
@@ -124,6 +124,8 @@
     pub tenant_division: Mutex<TenantDivision>,
     /// Calls and requests that this node has handled.
     pub handled: HandledCounts,
+    /// Decides which requests are passed on while this node stops.
+    pub stop_admission: Mutex<StopAdmission>,
     /// Wakes the writer of the runs of the target that have left.
     pub left_runs_due: Notify,
     /// The runs of the target that have left, as the store holds them; `None` while that is not known.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod retry;
 mod route_costs;
 mod slot_queue;
+mod stop_admission;
 mod target;
 mod target_notices;
 mod tenant_demand;
@@ -73,6 +74,7 @@
 };
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
+pub use stop_admission::{StopAdmission, StopTimes};
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
 pub use target_notices::TargetNotices;
 pub use tenant_division::TenantDivision;
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -30,7 +30,7 @@
 
 fn config() -> Value {
     let route = |name: &str, prefix: &str, kind: &str| {
-        json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": kind, "timeout_ms": 5_000,
+        json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": kind, "timeout_ms": 15_000,
             "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true})
     };
     json!({"version": "00000001",
@@ -243,3 +243,100 @@
     let exit_code = tokio::task::block_in_place(|| fleet.vms[2].node.terminate());
     assert_that!(exit_code, some(eq(0)));
 }
+
+/// Time from SIGTERM up to which a request may be sent that its target may still be at work on at the end of the grace
+/// period, in milliseconds.
+const EARLY_MS: u64 = 3_000;
+
+/// Sends a booking whose last bytes follow its head after `late_ms`, and returns what the caller reads until the connection
+/// ends or the response is whole.
+async fn send_in_parts(address: SocketAddr, request_id: &str, deadline_ms: u64, late_ms: u64) -> String {
+    const BODY_BYTES: usize = 3_000;
+    let mut caller = TcpStream::connect(address).await.expect("the node listens");
+    let head = format!(
+        "POST /book/{request_id} HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {request_id}\r\ndeadline: {deadline_ms}\r\n\
+        content-length: {BODY_BYTES}\r\n\r\n"
+    );
+    let sent = async {
+        caller.write_all(head.as_bytes()).await?;
+        caller.write_all(&[b'b'; BODY_BYTES - 10]).await?;
+        tokio::time::sleep(Duration::from_millis(late_ms)).await;
+        caller.write_all(&[b'b'; 10]).await
+    };
+    // The write fails if the connection was closed, which the response shows.
+    let _ = sent.await;
+    let mut text = String::new();
+    let mut buffer = vec![0; 4_096];
+    let reading = async {
+        while !text.ends_with("whole") {
+            match caller.read(&mut buffer).await {
+                Ok(bytes_read) if bytes_read > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..bytes_read])),
+                _ => break,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(RESPONSE_LIMIT_MS), reading).await;
+    text
+}
+
+/// Guards against requests that arrive late in the grace period, are passed on, and are cut off at its end without an
+/// answer while their target is at work.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_arrive_late_in_the_grace_period_are_cut_off() {
+    struct Case {
+        name: &'static str,
+        /// VMs of the fleet, the first one of which stops.
+        services: &'static [&'static str],
+        work_ms: u64,
+        deadline_ms: u64,
+    }
+    let cases = [
+        Case { name: "long work", services: &["front", "trips"], work_ms: 2_000, deadline_ms: 15_000 },
+        Case { name: "short work", services: &["front", "trips"], work_ms: 900, deadline_ms: 15_000 },
+        Case { name: "its own target, too", services: &["trips", "trips"], work_ms: 2_000, deadline_ms: 15_000 },
+        Case { name: "at the other's target", services: &["trips", "front"], work_ms: 2_000, deadline_ms: 15_000 },
+    ];
+    for Case { name, services, work_ms, deadline_ms } in cases {
+        let mut fleet = SidecarFleet::start(services, &config()).await;
+        for vm in &fleet.vms {
+            *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(work_ms);
+            vm.target.slots.store(100, Ordering::Relaxed);
+        }
+        // Both nodes have seen how long the work takes.
+        for vm in 0..2 {
+            fleet.wait_for_status(vm, &booking(&format!("first-{vm}"), 5_000), 200).await;
+            fleet.wait_for_status(vm, &booking(&format!("second-{vm}"), 5_000), 200).await;
+        }
+        let late_ms: Vec<u64> = (0..24).map(|number| 200 + number * 220).collect();
+        // One half enters at the node that stops, the other half at the other one.
+        let sending = late_ms.iter().enumerate().map(|(number, late_ms)| {
+            let address = fleet.vms[number % 2].caller_address;
+            async move { send_in_parts(address, &format!("late-{number}"), deadline_ms, *late_ms).await }
+        });
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            fleet.vms[0].node.send_sigterm();
+        };
+        let (responses, ()) = tokio::join!(join_all(sending), stop);
+        let ran = |number: usize| {
+            let id = format!("late-{number}");
+            fleet
+                .vms
+                .iter()
+                .any(|vm| vm.target.runs.lock().expect("not poisoned").iter().any(|run| run.request_id == id))
+        };
+        for (number, response) in responses.iter().enumerate() {
+            let is_whole = response.starts_with("HTTP/1.1 200") && response.ends_with("whole");
+            let is_refused = response.starts_with("HTTP/1.1 503") && response.contains("retry-after") && !ran(number);
+            // The process ends 500 ms before the grace period does.
+            let is_unread = response.is_empty() && late_ms[number] > 5_200 && !ran(number);
+            let case = format!("{name}, last byte {} ms after the head: {response:?}", late_ms[number]);
+            expect_that!(is_whole || is_refused || is_unread, eq(true), "{case}");
+            if late_ms[number] + work_ms < EARLY_MS && number % 2 == 0 {
+                expect_that!(is_whole, eq(true), "{case}");
+            }
+        }
+        expect_that!(tokio::task::block_in_place(|| fleet.vms[0].node.terminate()), some(eq(0)), "{name}");
+    }
+}
