--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -18,6 +18,7 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use hyper::Request;
+use hyper::body::Body;
 
 use crate::attempt::send_request;
 use crate::event_log::LogLine;
@@ -105,6 +106,7 @@
             }
         };
         let deadline = response_deadline(arrived, metadata.deadline_ms, route.timeout_ms);
+        let announced_bytes = body.size_hint().exact();
         let body = self.read_body(body, &config).await?;
         if tenant.is_some() {
             // The key may have been revoked while the body arrived or while the process was paused.
@@ -132,7 +134,7 @@
             deadline,
             method,
             path,
-            headers: self.forwarded_headers(&parts.headers),
+            headers: self.forwarded_headers(&parts.headers, announced_bytes.filter(|_| body.is_streamed())),
             is_child_call,
         };
         let request_bytes = request_body_bytes(&parts.headers, &body);
@@ -237,10 +239,16 @@
         })
     }
 
-    fn forwarded_headers(&self, headers: &HeaderMap) -> ForwardedHeaders {
-        ForwardedHeaders::new(headers, |name| {
+    /// Returns the headers that are forwarded to the target. `streamed_bytes` is the length of a body that the gate can't
+    /// measure because it is forwarded while it arrives.
+    fn forwarded_headers(&self, headers: &HeaderMap, streamed_bytes: Option<u64>) -> ForwardedHeaders {
+        let mut forwarded = ForwardedHeaders::new(headers, |name| {
             name != CONTENT_LENGTH && name != EXPECT && !self.state.wire_protocol.is_reserved(name)
-        })
+        });
+        if let Some(bytes) = streamed_bytes {
+            forwarded.insert(CONTENT_LENGTH, HeaderValue::from(bytes));
+        }
+        forwarded
     }
 
     /// Builds the response to a caller. A body that is not known to be short may have no end, so it must end by
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -19,7 +19,9 @@
     AttemptEnd, CallLoss, CrashTable, DemandReport, Origin, ProbeResult, ProcessorWork, StopTimes,
 };
 use fulmartrestle_transport::{ByteBody, ReplayBody};
-use http::{Method, Request, Uri};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderValue, Method, Request, Uri};
+use hyper::body::Body;
 use tokio::sync::{Notify, Semaphore};
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
@@ -433,10 +435,17 @@
         deadline: TimeUs,
     ) -> Result<Request<ByteBody>, Refusal> {
         let bad_request = || Refusal::not_run(Reason::BadRequest, None);
+        let is_measured = body.size_hint().exact().is_some();
         let mut request = Request::new(body);
         *request.method_mut() = Method::from_bytes(head.method.as_bytes()).map_err(|_| bad_request())?;
         *request.uri_mut() = head.path.parse::<Uri>().map_err(|_| bad_request())?;
         *request.headers_mut() = head.headers.clone().into_map();
+        // For methods that usually have no body, `hyper` sends one of unknown length only if a header says so.
+        match is_measured {
+            true => drop(request.headers_mut().remove(CONTENT_LENGTH)),
+            false if request.headers().contains_key(CONTENT_LENGTH) => {}
+            false => drop(request.headers_mut().insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
+        }
         let deadline_ms = deadline.ms_since(self.clock.now());
         if deadline_ms == 0 {
             return Err(Refusal::not_run(Reason::Deadline, None));
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -4,7 +4,7 @@
 use fulmartrestle_policy::CallLoss;
 use fulmartrestle_transport::{ByteBody, ForwardedHeaders, ReplayBody, WatchedBody, empty_body, incoming_body};
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH};
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -67,11 +67,19 @@
             }
             (_, Ok(Ok(body))) => body,
         };
+        let measured_length = match &body {
+            ReplayBody::Buffered(bytes) => Some(bytes.len() as u64),
+            ReplayBody::Streamed { .. } => announced_bytes,
+        };
+        let measured_length = measured_length.map(HeaderValue::from);
         match class {
             ResponseClass::Valid => {
+                // The response to HEAD states the length of a body that it does not have.
+                let is_head = head.method == Method::HEAD.as_str();
+                let length = if is_head { parts.headers.get(CONTENT_LENGTH).cloned() } else { measured_length };
                 let head = (parts.status, &parts.headers);
                 let call = AnsweredCall { admitted, watched, connection };
-                self.forward_response(call, head, body, is_identified, announced_bytes)
+                self.forward_response(call, head, body, is_identified, length)
             }
             ResponseClass::NotRun | ResponseClass::WrongInstance | ResponseClass::Invalid => {
                 watched.cancel();
@@ -85,24 +93,20 @@
     }
 
     /// Forwards the target's response. A short body has been read completely and frees the slot at once; a long
-    /// one occupies the slot until its end. It is forwarded with the length that the target announced, if any: a caller
-    /// that does not know chunked transfer can't tell otherwise that it was cut.
+    /// one occupies the slot until its end. It is forwarded with its `length`, if it is known: a caller that does not know
+    /// chunked transfer can't tell otherwise that it was cut.
     fn forward_response(
         &self,
         call: AnsweredCall,
         (status, headers): (StatusCode, &HeaderMap),
         mut body: ReplayBody,
         is_identified: bool,
-        announced_bytes: Option<u64>,
+        length: Option<HeaderValue>,
     ) -> (CallResponseHead, ByteBody) {
         let mut forwarded = ForwardedHeaders::new(headers, |name| name != CONTENT_LENGTH);
         let is_buffered = matches!(body, ReplayBody::Buffered(_));
-        let length = match &body {
-            ReplayBody::Buffered(bytes) => Some(bytes.len() as u64),
-            ReplayBody::Streamed { .. } => announced_bytes,
-        };
         if let Some(length) = length {
-            forwarded.insert(CONTENT_LENGTH, HeaderValue::from(length));
+            forwarded.insert(CONTENT_LENGTH, length);
         }
         let body = body.next_attempt().unwrap_or_else(empty_body);
         let body = if is_buffered {
--- a/crates/transport/src/replay_body.rs
+++ b/crates/transport/src/replay_body.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns whether a part of the body is forwarded while it arrives.
+    pub fn is_streamed(&self) -> bool {
+        matches!(self, Self::Streamed { .. })
+    }
+
     /// Returns whether the body can be sent again.
     pub fn has_next_attempt(&self) -> bool {
         match self {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -378,7 +378,7 @@
         assert_that!(count_runs(&fleet, case.name), eq(1), "{}", case.name);
     }
     let sizes = fleet.vms.iter().flat_map(|vm| vm.target.runs.lock().expect("not poisoned").clone());
-    assert_that!(sizes.map(|run| run.body_bytes).collect::<Vec<_>>(), each(eq(&UPLOAD_BYTES)));
+    assert_that!(sizes.map(|run| run.body.len()).collect::<Vec<_>>(), each(eq(&UPLOAD_BYTES)));
 }
 
 /// A caller on a weak link leaves in the middle of its upload. No target may take the part for the whole.
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -184,8 +184,9 @@
 #[derive(Clone, Debug)]
 pub struct RecordedRun {
     pub request_id: String,
+    pub method: String,
     pub headers: http::HeaderMap,
-    pub body_bytes: usize,
+    pub body: Bytes,
     pub started: Instant,
 }
 
@@ -676,8 +677,9 @@
         if step.runs {
             let run = RecordedRun {
                 request_id: request_id.clone(),
+                method: String::new(),
                 headers: http::HeaderMap::new(),
-                body_bytes: 0,
+                body: Bytes::new(),
                 started: Instant::now(),
             };
             target.runs.lock().expect("not poisoned").push(run);
@@ -707,8 +709,8 @@
     target: Arc<Target>,
 ) -> Result<hyper::Response<TargetBody>, std::io::Error> {
     let (parts, body) = request.into_parts();
-    let body_bytes = match body.collect().await {
-        Ok(body) => body.to_bytes().len(),
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
         Err(_) => return Err(std::io::Error::other("the request body was aborted")),
     };
     let header_text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
@@ -727,8 +729,9 @@
     }
     target.runs.lock().expect("not poisoned").push(RecordedRun {
         request_id: request_id.clone(),
+        method: parts.method.to_string(),
         headers: parts.headers,
-        body_bytes,
+        body,
         started: Instant::now(),
     });
     match behaviour {
