An empty list of tenants makes no key valid

Cause: whether keys are required was decided by the number of tenants, so that an empty list was taken for a configuration without tenants. A list of another type made the configuration unreadable as a whole.

Change: keys are required unless the field is missing. An empty list denies every key, an unreadable one refuses them for now. It depends on the version in force alone, so that restarted nodes decide alike. The test configuration of odd_entries says that its route is public, as it had an empty list.

--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -336,7 +336,7 @@
 }
 
 fn requires_key(config: &MeshConfig, public: bool) -> bool {
-    config.has_tenants() && !public
+    config.requires_keys() && !public
 }
 
 /// Returns the size of a request body. Of a long one without a stated length only the first part counts.
--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -39,6 +39,7 @@
     tenants: Vec<TenantConfig>,
     by_key: HashMap<ApiKey, usize>,
     unreadable_tenants: usize,
+    requires_keys: bool,
     positions: HashMap<RouteId, u32>,
     cold_rates: HashMap<Service, RateMilliPerS>,
 }
@@ -59,7 +60,19 @@
         }
         let positions = (0..).zip(&routes).map(|(position, route)| (route.id.clone(), position)).collect();
         let cold_rates = HashMap::new();
-        Self { version, limits, routes, by_host, tenants, by_key, unreadable_tenants: 0, positions, cold_rates }
+        let requires_keys = !tenants.is_empty();
+        Self {
+            version,
+            limits,
+            routes,
+            by_host,
+            tenants,
+            by_key,
+            unreadable_tenants: 0,
+            requires_keys,
+            positions,
+            cold_rates,
+        }
     }
 
     /// Sets the rates that targets handle while they are cold. A rate of 0 stands for one that could not be read.
@@ -109,9 +122,15 @@
         self.by_key.get(key).and_then(|index| self.tenants.get(*index))
     }
 
-    /// Returns whether any tenant is configured. If so, routes that are not public require a key.
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty() || self.has_unreadable_tenants()
+    /// Sets whether the configuration lists tenants, even if the list is empty.
+    pub fn with_required_keys(mut self, requires_keys: bool) -> Self {
+        self.requires_keys = requires_keys;
+        self
+    }
+
+    /// Returns whether routes that are not public require a key. A list of tenants without any means that no key is valid.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// Returns the rate limit of every tenant.
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -16,7 +16,7 @@
 fn config() -> Value {
     json!({"version": "00000001",
         "routes": [{"name": "view", "host": "trips.example", "prefix": "/view/", "kind": "safe", "timeout_ms": 1_000,
-            "priority": 1, "service": "trips", "attempts": 2}],
+            "priority": 1, "service": "trips", "attempts": 2, "public": true}],
         "tenants": []})
 }
 
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -60,17 +60,26 @@
         name: &'static str,
         older_store: bool,
         nodes: Restart,
+        /// Whether the tenant is removed with its last key, and not only the key replaced.
+        last_tenant: bool,
     }
+    let case = |name, nodes| Case { name, older_store: false, nodes, last_tenant: false };
     let cases = [
-        Case { name: "one node", older_store: false, nodes: Restart::One },
-        Case { name: "all nodes", older_store: false, nodes: Restart::All },
-        Case { name: "one node, older store", older_store: true, nodes: Restart::One },
+        case("one node", Restart::One),
+        case("all nodes", Restart::All),
+        Case { older_store: true, ..case("one node, older store", Restart::One) },
+        Case { last_tenant: true, ..case("the last tenant, one node", Restart::One) },
+        Case { last_tenant: true, ..case("the last tenant, all nodes", Restart::All) },
     ];
     for case in cases {
         let mut fleet = start_fleet().await;
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let published = Instant::now();
-        fleet.publish_config(&config(2, &["key-2"])).await;
+        let mut next = config(2, &["key-2"]);
+        if case.last_tenant {
+            next["tenants"] = json!([]);
+        }
+        fleet.publish_config(&next).await;
         for vm in 0..3 {
             fleet.wait_for_status(vm, &request("key-1", format!("revoked-{vm}")), 401).await;
         }
