A run with an earlier start is used once the known run is silent

Cause: any announcement with an earlier start than the known one counted as late, for ever. Late ones come within seconds.

Change: once the known run has not announced itself for the 8 s for which an announcement is valid, an earlier start is a new run, unless it has left.

--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -139,9 +139,11 @@
             return AnnouncementResult::Outdated;
         }
         let cold_until = Some(now.plus_ms(announcement.cold_left_ms));
+        let is_silent = self.is_silent(now);
         if let Some(target) = &mut self.target {
             let known = &target.announcement;
-            if announcement.started_unix_ms < known.started_unix_ms {
+            // An earlier start is either late or that of a target whose clock was stepped back.
+            if announcement.started_unix_ms < known.started_unix_ms && !is_silent {
                 return AnnouncementResult::Outdated;
             }
             let same_run =
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -257,3 +257,46 @@
         expect_that!(contradiction.as_deref(), eq(case.contradiction), "{}", case.name);
     }
 }
+
+/// Guards against a target that is passed over until its node starts again, because its clock was stepped back before it
+/// started anew.
+#[gtest]
+fn a_run_with_an_earlier_start_is_used_once_the_known_run_is_silent() {
+    struct Case {
+        name: &'static str,
+        /// Time from the last announcement of the known run to the one of the run with an earlier start, in milliseconds.
+        silent_ms: u64,
+        later: Announcement,
+        result: AnnouncementResult,
+    }
+    let earlier = announcement("a", 5, 1, false);
+    let cases = [
+        Case { name: "late", silent_ms: 7_999, later: earlier.clone(), result: AnnouncementResult::Outdated },
+        Case { name: "restarted", silent_ms: 8_000, later: earlier.clone(), result: AnnouncementResult::NewRun },
+        Case {
+            name: "another instance",
+            silent_ms: 8_000,
+            later: announcement("b", 5, 1, false),
+            result: AnnouncementResult::NewRun,
+        },
+        Case {
+            name: "a run that has left",
+            silent_ms: 60_000,
+            later: announcement("c", 4, 1, false),
+            result: AnnouncementResult::Outdated,
+        },
+        Case {
+            name: "the known run",
+            silent_ms: 60_000,
+            later: announcement("a", 9, 2, false),
+            result: AnnouncementResult::Current,
+        },
+    ];
+    for case in cases {
+        let mut target = LocalTarget::default();
+        target.apply_withdrawal("c", Some(4));
+        target.apply_announcement(announcement("a", 9, 1, false), NOW);
+        let result = target.apply_announcement(case.later, NOW.plus_ms(case.silent_ms));
+        expect_that!(result, eq(case.result), "{}", case.name);
+    }
+}
