--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -139,6 +139,9 @@
         };
         let request_bytes = request_body_bytes(&parts.headers, &body);
         let response = send_request(state, &admitted, body).await?;
+        if content_length(&response.headers).is_none_or(|bytes| bytes > REPLAY_LIMIT_BYTES as u64) {
+            lock(&state.large_routes).record_large_response(&admitted.route, state.now());
+        }
         self.limit_large_response(watch_transfer(&self.state, &admitted, request_bytes, response))
     }
 
@@ -305,7 +308,11 @@
         let config = self.state.config();
         let host = request_host(&request.headers, request.uri.host());
         let route = config.as_ref().and_then(|config| config.find_route(&host, request.uri.path()));
-        request.method.is_safe() && route.is_some_and(|route| route.repeatable)
+        // A large response may break off, and the requests behind it would be lost with the connection.
+        let is_large = |route: &Route| {
+            route.large_responses || lock(&self.state.large_routes).is_large(&route.id, self.state.now())
+        };
+        request.method.is_safe() && route.is_some_and(|route| route.repeatable && !is_large(route))
     }
 
     async fn handle(&self, _caller: SocketAddr, request: Request<ByteBody>) -> CallerResponse {
--- a/crates/mesh/src/config/route.rs
+++ b/crates/mesh/src/config/route.rs
@@ -23,6 +23,8 @@
     pub prefix: String,
     /// Whether a request may be sent again after an unknown outcome.
     pub repeatable: bool,
+    /// Whether the operator says that the responses are large.
+    pub large_responses: bool,
     /// Services that share the requests; at least one.
     pub backends: Vec<Backend>,
     /// Maximum number of targets that one request may be sent to.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -289,6 +289,7 @@
         large_responses,
         tenant_division: Mutex::default(),
         handled: HandledCounts::default(),
+        large_routes: Mutex::default(),
         stop_admission: Mutex::default(),
         left_runs_due: Notify::new(),
         saved_left_runs: watch::Sender::new(None),
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -5,7 +5,8 @@
 
 use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
-    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LoadBalancer, RetryBudgets, StopAdmission, TenantDivision,
+    ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LargeRoutes, LoadBalancer, RetryBudgets, StopAdmission,
+    TenantDivision,
 };
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
@@ -124,6 +125,8 @@
     pub tenant_division: Mutex<TenantDivision>,
     /// Calls and requests that this node has handled.
     pub handled: HandledCounts,
+    /// Routes whose responses are forwarded while they arrive.
+    pub large_routes: Mutex<LargeRoutes>,
     /// Decides which requests are passed on while this node stops.
     pub stop_admission: Mutex<StopAdmission>,
     /// Wakes the writer of the runs of the target that have left.
--- a/crates/mesh/tests/routes.rs
+++ b/crates/mesh/tests/routes.rs
@@ -19,6 +19,7 @@
         timeout_ms: None,
         priority: 1,
         objective_ms: None,
+        large_responses: false,
         public: false,
     }
 }
--- a/crates/mesh/tests/status_message.rs
+++ b/crates/mesh/tests/status_message.rs
@@ -77,6 +77,7 @@
         timeout_ms: None,
         priority: 1,
         objective_ms: None,
+        large_responses: false,
         public: false,
     }
 }
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -7,7 +7,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet, TargetBehaviour};
+use support::{Announced, CallerRequest, SidecarFleet, TargetBehaviour};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -20,7 +20,8 @@
             "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true})
     };
     json!({"version": "00000001",
-        "routes": [route("view", "/view/", "safe"), route("pairings", "/pairings/", "unsafe")],
+        "routes": [route("view", "/view/", "safe"), route("pairings", "/pairings/", "unsafe"),
+            route("list", "/list/", "download"), route("pictures", "/pictures/", "safe")],
         "services": [{"name": "trips"}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
@@ -159,3 +160,46 @@
     expect_that!(started(&fleet, sent).len(), eq(requests.len()));
     expect_that!(fleet.vms[0].node.terminate(), some(eq(0)));
 }
+
+/// Guards against requests that have run and get no answer, because the response before them on the connection broke off
+/// while it was forwarded.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_a_response_that_may_break_off_are_not_passed_on() {
+    const LARGE_BYTES: usize = 200_000;
+    struct Case {
+        name: &'static str,
+        first: &'static str,
+        second: &'static str,
+        /// Whether a whole response of the route has shown that its responses are large.
+        seen: bool,
+    }
+    let cases = [
+        Case { name: "download", first: "GET /list/a1", second: "GET /view/a2", seen: false },
+        Case { name: "large responses", first: "GET /pictures/b1", second: "GET /view/b2", seen: true },
+    ];
+    for Case { name, first, second, seen } in cases {
+        let fleet = start_fleet().await;
+        let set = |behaviour| *fleet.vms[0].target.behaviour.lock().expect("not poisoned") = behaviour;
+        if seen {
+            set(TargetBehaviour::LargeResponse(LARGE_BYTES));
+            let request = CallerRequest {
+                method: "GET",
+                path: "/pictures/0",
+                request_id: "seen".to_owned(),
+                api_key: "",
+                deadline_ms: 4_000,
+            };
+            assert_eq!(fleet.send(0, &request).await.body.len(), LARGE_BYTES);
+        }
+        set(TargetBehaviour::CutResponse { sent_bytes: LARGE_BYTES / 2, announced: Announced::Length(LARGE_BYTES) });
+        let mut caller = send(&fleet, &[first, second]).await;
+        let mut text = Vec::new();
+        // The connection ends with an error or without one.
+        let _ = caller.read_to_end(&mut text).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let runs = fleet.vms[0].target.runs.lock().expect("not poisoned");
+        let ran = |id: &str| runs.iter().any(|run| id.ends_with(&run.request_id));
+        expect_that!((ran(first), ran(second)), eq((true, false)), "{name}");
+    }
+}
