--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -114,7 +114,7 @@
         }
         progress.tried_nodes.push(node);
         let outcome = run_attempt(state, request, &progress, &mut body).await;
-        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { .. }) {
+        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. }) {
             let now = state.now();
             lock(&state.stop_admission).record_completion(route, service, now.us_since(passed_on), now);
         }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -173,12 +173,12 @@
         lock(&self.state).target.left_runs(max_count)
     }
 
-    /// Applies that runs of other nodes' targets, or of this one, have left, as another node says.
+    /// Applies that runs of other nodes' targets, or of this one, have left, as another node reports.
     pub fn apply_left_runs_elsewhere(&self, runs: Vec<TargetRun>) {
         lock(&self.state).target.apply_left_runs_elsewhere(runs);
     }
 
-    /// Applies that runs of the target have left, as the store says.
+    /// Applies that runs of the target have left, as the store holds it.
     pub fn apply_left_runs(&self, runs: &[TargetRun]) {
         let mut state = lock(&self.state);
         for TargetRun { instance, started_unix_ms } in runs {
@@ -331,8 +331,10 @@
         let watched = WatchedCall::start(Arc::clone(self), call, head.fingerprint, admitted.turn.is_some());
         let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started, may_send);
         let sent = tokio::time::timeout(self.clock.duration_until(deadline), sending).await;
-        let now = self.clock.now();
-        lock(&self.state).stop_admission.record_completion(&head.route, &head.service, now.us_since(started), now);
+        if matches!(sent, Ok(Ok(_)) | Err(_)) {
+            let now = self.clock.now();
+            lock(&self.state).stop_admission.record_completion(&head.route, &head.service, now.us_since(started), now);
+        }
         match sent {
             Err(_) => {
                 let mut watched = watched;
--- a/crates/mesh/src/left_runs.rs
+++ b/crates/mesh/src/left_runs.rs
@@ -1,8 +1,8 @@
 //! Runs of the target that have left. A node that starts again must not use them, whatever late announcements say. See
 //! `docs/DRAIN.md`.
 //!
-//! The store keeps them in a record for each node. While it does not answer, a starting node asks others, which have heard
-//! of leaving runs in status messages.
+//! The store keeps them in a record for each node. While it does not answer, a starting node asks others, to which
+//! status messages have reported leaving runs.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 const MAX_SAVED_RUNS: usize = 4;
 
 /// Longest time that an acknowledgement waits until the store holds the run, in milliseconds. Targets wait a second for it.
-/// After that the run is bound by this process and by what the other nodes hear of it.
+/// After that the run is known to this process, and to the other nodes by its status.
 const SAVE_LIMIT_MS: u64 = 600;
 
 /// Longest time until a run that was not announced as leaving is saved, in milliseconds.
--- a/crates/policy/src/stop_admission.rs
+++ b/crates/policy/src/stop_admission.rs
@@ -71,7 +71,7 @@
 }
 
 impl StopAdmission {
-    /// Records that a request which was passed on `took_us` ago has ended.
+    /// Records that a request which was passed on `took_us` ago was answered, or has passed its deadline.
     pub fn record_completion(&mut self, route: &RouteId, service: &Service, took_us: u64, now: TimeUs) {
         let new_time = || CompletionTime::new(took_us, now);
         let record = |time: &mut CompletionTime| time.record(took_us, now);
