--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -38,19 +38,27 @@
             true => ResponseClass::Invalid,
             false => self.wire_protocol.classify_response(request_id, head.repeatable, parts.status, &parts.headers),
         };
+        let is_identified = self.wire_protocol.bears_request_id(&parts.headers);
+        let class = match class {
+            // Bytes behind an earlier response look like the response to this request, which would then run twice or be
+            // answered with another's response.
+            ResponseClass::NotRun | ResponseClass::WrongInstance if head.repeatable => class,
+            _ if is_identified || !connection.is_reused() => class,
+            _ => ResponseClass::Invalid,
+        };
         // A response of another instance says nothing about the expected one.
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             self.record_notices(head, &admitted, &parts.headers);
             self.record_load_metrics(head, &admitted, &parts.headers, class == ResponseClass::Valid);
         }
-        let is_identified = self.wire_protocol.bears_request_id(&parts.headers);
         let announced_bytes = body.size_hint().exact();
         let body = incoming_body(body);
         let read = tokio::time::timeout(self.clock.duration_until(deadline), ReplayBody::read(body, u64::MAX));
         let body = match (class, read.await) {
             (ResponseClass::Invalid, _) => {
                 self.pool.mark_suspect(self.clock.now());
-                self.log_target_event(head, "target_answer_unusable", parts.status.as_str());
+                let origin = if is_identified { "" } else { ", without the ID of the request" };
+                self.log_target_event(head, "target_answer_unusable", &format!("{}{origin}", parts.status.as_str()));
                 drop(connection);
                 let crashed = watched.lose(CallLoss::Unobserved).await;
                 return self.report_unknown(head, Reason::BadAnswer, crashed);
--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -95,9 +95,18 @@
     usable_until: TimeUs,
     /// Whether a second copy of the last response would be recognised by the ID that it bears.
     is_identified: bool,
+    /// Whether the connection has carried a request before the present one.
+    is_reused: bool,
     driver: JoinHandle<()>,
 }
 
+impl TargetConnection {
+    /// Returns whether bytes on the connection may belong to an earlier response.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
 impl Drop for TargetConnection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -197,6 +206,7 @@
         }
         let keep_alive_ms = keep_alive_s.map(|seconds| (seconds as f64 * 1e3 * KEEP_ALIVE_SHARE) as u64);
         connection.is_identified &= is_identified;
+        connection.is_reused = true;
         connection.usable_until = now.plus_ms(keep_alive_ms.unwrap_or(IDLE_TIMEOUT_MS).min(IDLE_TIMEOUT_MS));
         lock(&self.idle).push(connection);
     }
@@ -315,5 +325,5 @@
             log::debug!("target: connection failed: {error}");
         }
     });
-    Ok(TargetConnection { sender, usable_until: TimeUs::default(), is_identified: true, driver })
+    Ok(TargetConnection { sender, usable_until: TimeUs::default(), is_identified: true, is_reused: false, driver })
 }
--- a/tests/late_responses.rs
+++ b/tests/late_responses.rs
@@ -19,6 +19,7 @@
 const LATE_NOT_RUN_WITH_ID: &str =
     "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nrequest-id: earlier\r\ncontent-length: 0\r\n\r\n";
 const SUCCESS: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: s\r\ncontent-length: 5\r\n\r\nwhole";
+const SUCCESS_WITHOUT_ID: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: s\r\ncontent-length: 5\r\n\r\nother";
 const LATE_SUCCESS: &str =
     "HTTP/1.1 200 OK\r\nrequest-id: earlier\r\nresponse-stamp: s\r\ncontent-length: 5\r\n\r\nother";
 const WRONG_INSTANCE: &str = "HTTP/1.1 421 Misdirected\r\ninstance-id: i-9\r\ncontent-length: 0\r\n\r\n";
@@ -32,9 +33,11 @@
 const NOT_RUN_TWICE_WITH_ID: &str = "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n\
     HTTP/1.1 503 Busy\r\nnot-executed: 1\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n";
 
-/// The last three come last, because a response that is recognised as a late one keeps later requests off used connections
-/// for a while.
-const CASES: [Case; 9] = [
+const CASES: [Case; 13] = [
+    Case { name: "not run without an ID, behind a response with one", script: &[runs(SUCCESS), runs(NOT_RUN)] },
+    Case { name: "too many without an ID, behind one with one", script: &[runs(SUCCESS), runs(TOO_MANY)] },
+    Case { name: "wrong instance, behind one with an ID", script: &[runs(SUCCESS), runs(WRONG_INSTANCE)] },
+    Case { name: "success without an ID, behind one with one", script: &[runs(SUCCESS), runs(SUCCESS_WITHOUT_ID)] },
     Case { name: "not run, without an ID", script: &[refuses(NOT_RUN), runs(NOT_RUN)] },
     Case { name: "wrong instance", script: &[refuses(WRONG_INSTANCE), runs(WRONG_INSTANCE)] },
     Case { name: "too many, without an ID", script: &[refuses(TOO_MANY), runs(TOO_MANY)] },
@@ -81,11 +84,12 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn second_copy_of_a_response_is_not_given_to_the_next_request() {
-    let fleet = SidecarFleet::start(&["pairings", "pairings"], &config()).await;
-    for vm in 0..2 {
-        fleet.wait_for_status(vm, &request(format!("first-{vm}")), 200).await;
-    }
     for case in CASES {
+        // A response that is recognised as a late one keeps later requests off used connections for a while.
+        let fleet = SidecarFleet::start(&["pairings", "pairings"], &config()).await;
+        for vm in 0..2 {
+            fleet.wait_for_status(vm, &request(format!("first-{vm}")), 200).await;
+        }
         // The next request opens a new connection, which follows the script.
         fleet.vms[1].target.close_connections();
         *fleet.vms[1].target.script.lock().expect("not poisoned") = Some(case.script);
@@ -111,6 +115,12 @@
         }
         let is_done = fleet.vms[1].target.script.lock().expect("not poisoned").is_none();
         expect_that!(is_done, eq(true), "the scripted target was never chosen: {}", case.name);
+        // After a refusal without an ID, the connection carries no request that must run once.
+        if case.script[0].runs {
+            let runs = fleet.vms[1].target.runs.lock().expect("not poisoned");
+            let reached = runs.iter().filter(|run| run.headers.is_empty()).count();
+            expect_that!(reached, eq(case.script.len()), "steps of the script that were reached: {}", case.name);
+        }
     }
 }
 
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -667,8 +667,10 @@
     while !head.ends_with(b"\r\n\r\n") {
         head.push(tcp.read_u8().await?);
     }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    Ok(head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default().to_owned())
+    let head = String::from_utf8_lossy(&head);
+    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+    let request_id = headers.find(|(name, _)| name.eq_ignore_ascii_case("request-id"));
+    Ok(request_id.map(|(_, value)| value.to_owned()).unwrap_or_default())
 }
 
 async fn respond_by_script(mut tcp: TcpStream, script: &[ScriptStep], target: &Target) -> std::io::Result<()> {
