--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -265,18 +265,7 @@
     };
     // The write fails if the connection was closed, which the response shows.
     let _ = sent.await;
-    let mut text = String::new();
-    let mut buffer = vec![0; 4_096];
-    let reading = async {
-        while !text.ends_with("whole") {
-            match caller.read(&mut buffer).await {
-                Ok(bytes_read) if bytes_read > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..bytes_read])),
-                _ => break,
-            }
-        }
-    };
-    let _ = tokio::time::timeout(Duration::from_millis(RESPONSE_LIMIT_MS), reading).await;
-    text
+    read_response(&mut caller).await
 }
 
 /// Guards against requests that arrive late in the grace period, are passed on, and are cut off at its end without an
