--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -316,7 +316,10 @@
     /// Appends a record to a stream of the store, as another writer does.
     pub async fn write_record(&self, stream: &str, record: Vec<u8>) {
         let stream: StreamName = stream.parse().expect("a valid name");
-        self.store_client.append(&stream, vec![record]).await.expect("the store accepts the record");
+        let started = Instant::now();
+        if let Err(error) = self.store_client.append(&stream, vec![record]).await {
+            panic!("the store has not accepted the record after {} ms: {error}", started.elapsed().as_millis());
+        }
     }
 
     /// Sends a heartbeat with any body to the node of a VM, and returns the status of the response.
