crash_requests starts its fleets one after the other

Cause: three fleets run in one test on one thread, and starting a process blocks it until its ready line. Six starts in a row of another fleet let the timeout of the write pass before its response was looked at; that the timeout was seen 537 ms late shows that the thread was blocked.

Change: the fleets of the test start in turn, so that no write is waited for while processes start.

--- a/tests/crash_requests.rs
+++ b/tests/crash_requests.rs
@@ -210,9 +210,13 @@
             callers_leave_after_ms: 50,
         },
     ];
+    // Starting processes blocks the thread. A write to the store of another fleet that starts meanwhile would time out.
+    let starting = tokio::sync::Mutex::new(());
     let failures: Vec<Vec<String>> = stream::iter(cases)
-        .map(|case| async move {
+        .map(async |case| {
+            let turn = starting.lock().await;
             let fleet = start_fleet(&["front", "trips", "trips", "trips", "trips", "trips"]).await;
+            drop(turn);
             for vm in &fleet.vms {
                 *vm.target.ending.lock().expect("not poisoned") = case.ending;
             }
