--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a worker. The query of a request's path says what it does: `work` is how long it works before its answer,
-//! `bytes` the length of the body, and `stream` how long it takes to send the body, in milliseconds.
+//! `bytes` the length of the body, `stream` how long it takes to send the body, in milliseconds, and `cut` whether the worker
+//! breaks the body off half-way, as a faulty one does.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -24,7 +25,7 @@
     Answered,
     /// The connection was closed before.
     Cut,
-    /// The worker itself exited.
+    /// The worker itself exited or broke off.
     Exited,
 }
 
@@ -197,7 +198,10 @@
         let written = writer.write_all(head.as_bytes()).and_then(|()| {
             let part = vec![b'x'; (bytes / BODY_PARTS) as usize];
             let rest = vec![b'x'; (bytes % BODY_PARTS) as usize];
-            for _ in 0..BODY_PARTS {
+            for index in 0..BODY_PARTS {
+                if parameter("cut") == 1 && index == BODY_PARTS / 2 {
+                    writer.shutdown(std::net::Shutdown::Both)?;
+                }
                 writer.write_all(&part)?;
                 std::thread::sleep(Duration::from_micros(stream_ms * 1_000 / BODY_PARTS));
             }
