Read the store in time when nobody confirms the configuration any more

Cause: a node relied on others until their status was 2.6 s old, or its last proven confirmation 3 s; both follow from revoke_ms. config_apply_ms was not in the settings. Proofs count from echoed stamps and are up to 2 s old in steady state, so they can't have a shorter limit.

The new lines store_role and config_unconfirmed and the counter store_reads tell a late notice from a late read.

Change: an estimate of the last confirmation, by the arrival of the message and bounded by the echoed stamp, triggers a read of the node's own at 55 to 75 % of config_apply_ms, spread by node; the first readers confirm for the others. Keys still need the proof.

--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -12,7 +12,7 @@
 use crate::event_log::LogLine;
 use crate::platform::{DecodedConfig, StoreLayout};
 use crate::state::{ActiveConfig, MeshState};
-use crate::store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
+use crate::store_polling::{ReadReason, StoreBackoff, StoreRole, StoreStep, StoreView};
 
 /// Maximum number of records requested in one read.
 const MAX_READ_RECORDS: usize = 64;
@@ -22,6 +22,7 @@
 
 /// Follows the configuration and the evacuated zones until the task is aborted.
 pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, layout: StoreLayout) {
+    let draw = state.random_unit();
     let mut follower = ConfigFollower {
         state,
         store,
@@ -29,6 +30,8 @@
         config_key: layout.config_key,
         position: ConfigPosition::default(),
         last_read_at: None,
+        last_role: None,
+        draw,
         evacuation_key_prefix: layout.evacuation_key_prefix,
     };
     let mut connected = None;
@@ -117,16 +120,25 @@
     config_key: String,
     position: ConfigPosition,
     last_read_at: Option<TimeUs>,
+    last_role: Option<StoreRole>,
+    /// Spreads the reads of nodes that miss a confirmation at the same time.
+    draw: f64,
     evacuation_key_prefix: String,
 }
 
 impl ConfigFollower {
     async fn step(&mut self) -> Result<StepOutcome, LogError> {
         let now = self.state.now();
-        match StoreStep::next(self.view(now), self.state.settings().bounds.revoke_ms) {
-            StoreStep::Read { wait_ms } => {
-                let result = self.read_next(wait_ms, now).await;
-                self.last_read_at = Some(self.state.now());
+        let view = self.view(now);
+        self.log_role(view.role);
+        match StoreStep::next(view, self.state.settings().bounds.store_bounds()) {
+            StoreStep::Read { wait_ms, reason } => {
+                self.record_reason(view, reason);
+                let confirms_for_others = view.role == StoreRole::Confirming || reason == ReadReason::Unconfirmed;
+                let result = self.read_next(wait_ms, view, confirms_for_others, now).await;
+                if !matches!(result, Ok(StepOutcome::NotRead)) {
+                    self.last_read_at = Some(self.state.now());
+                }
                 result
             }
             StoreStep::Sleep { for_ms } => {
@@ -137,6 +149,23 @@
         }
     }
 
+    fn log_role(&mut self, role: StoreRole) {
+        if self.last_role.replace(role) != Some(role) {
+            self.state.log(LogLine::new("store_role").text("role", role.as_str()));
+        }
+    }
+
+    fn record_reason(&self, view: StoreView, reason: ReadReason) {
+        self.state.metrics.increment("store_reads", reason.as_str());
+        if reason == ReadReason::Unconfirmed {
+            let line = LogLine::new("config_unconfirmed")
+                .text("role", view.role.as_str())
+                .optional_text("config_age_ms", view.age_ms)
+                .optional_text("estimated_age_ms", view.estimated_age_ms);
+            self.state.log(line);
+        }
+    }
+
     fn view(&mut self, now: TimeUs) -> StoreView {
         let must_read_evacuation = lock(&self.state.evacuation).must_read();
         let peers = lock(&self.state.peers);
@@ -144,6 +173,8 @@
         StoreView {
             role: StoreRole::of(self.state.node_id, &peers.live_store_readers(now)),
             age_ms: self.state.config_age_ms(now),
+            estimated_age_ms: lock(&self.state.freshness).estimated_age_ms(now),
+            draw: self.draw,
             since_read_ms: self.last_read_at.map(|read_at| now.ms_since(read_at)),
             is_behind: peers.highest_version(now) > own_version
                 || self.position.next_offset(self.store.era(), now).is_none()
@@ -152,11 +183,17 @@
     }
 
     /// Reads new records. Only a read that reaches the end of the log proves that no newer version exists, and
-    /// only as of the moment the read started.
-    async fn read_next(&mut self, wait_ms: u64, started: TimeUs) -> Result<StepOutcome, LogError> {
+    /// only as of the moment the read started. If it `confirms_for_others`, they are told at once.
+    async fn read_next(
+        &mut self,
+        wait_ms: u64,
+        view: StoreView,
+        confirms_for_others: bool,
+        started: TimeUs,
+    ) -> Result<StepOutcome, LogError> {
         let Some(from) = self.position.next_offset(self.store.era(), started) else {
             let page = self.store.read_latest(&self.stream).await?;
-            if self.apply_records(&page.records, page.end_offset, true, started) {
+            if self.apply_records(&page.records, page.end_offset, true, confirms_for_others, started) {
                 let era = self.store.era().unwrap_or_default();
                 let prefix = &self.evacuation_key_prefix;
                 apply_evacuation_listing(&self.state, prefix, era, page.end_offset, &page.records);
@@ -166,7 +203,7 @@
         let long_poll = self.store.read_long_poll(&self.stream, from, MAX_READ_RECORDS, wait_ms);
         let read = tokio::select! {
             read = long_poll => read,
-            () = self.wait_until_due(), if wait_ms > 0 => return Ok(StepOutcome::NotRead),
+            () = self.wait_until_due(view), if wait_ms > 0 => return Ok(StepOutcome::NotRead),
         };
         let page = match read {
             Err(LogError::Trimmed { .. } | LogError::BadRequest(_)) => {
@@ -177,7 +214,13 @@
             read => read?,
         };
         let records: Vec<_> = page.records.iter().filter_map(KeyedRecord::decode).collect();
-        if self.apply_records(&records, page.next_offset, page.next_offset >= page.end_offset, started) {
+        if self.apply_records(
+            &records,
+            page.next_offset,
+            page.next_offset >= page.end_offset,
+            confirms_for_others,
+            started,
+        ) {
             let era = self.store.era().unwrap_or_default();
             let end_offset = Some(page.next_offset).filter(|next_offset| *next_offset >= page.end_offset);
             apply_evacuation_records(&self.state, &self.evacuation_key_prefix, era, &records, end_offset);
@@ -187,11 +230,15 @@
 
     /// Waits until the last confirmation is so old that this node must read without waiting, or until another node
     /// has a newer version.
-    async fn wait_until_due(&self) {
-        let max_age_ms = direct_read_age_ms(self.state.settings().bounds.revoke_ms);
+    async fn wait_until_due(&self, view: StoreView) {
         loop {
-            let age_ms = self.state.config_age_ms(self.state.now()).unwrap_or(max_age_ms);
-            let left = Duration::from_millis(max_age_ms.saturating_sub(age_ms));
+            let now = self.state.now();
+            let (age_ms, estimated_age_ms) = {
+                let freshness = lock(&self.state.freshness);
+                (freshness.age_ms(now), freshness.estimated_age_ms(now))
+            };
+            let view = StoreView { age_ms, estimated_age_ms, ..view };
+            let left = Duration::from_millis(view.confirmed_for_ms(self.state.settings().bounds.store_bounds()));
             if left.is_zero() || tokio::time::timeout(left, self.state.store_due.notified()).await.is_ok() {
                 return;
             }
@@ -205,6 +252,7 @@
         records: &[KeyedRecord],
         next_offset: LogOffset,
         at_end: bool,
+        confirms_for_others: bool,
         started: TimeUs,
     ) -> bool {
         let mut all_valid = true;
@@ -228,10 +276,7 @@
         // A node that has just started can't tell whether the store came back from an older copy before.
         if all_valid && at_end && knows_versions && self.position.proves_newest(versions, now) {
             lock(&self.state.freshness).record_confirmation(started);
-            // The others rely on recent confirmations.
-            if StoreRole::of(self.state.node_id, &lock(&self.state.peers).live_store_readers(now))
-                == StoreRole::Confirming
-            {
+            if confirms_for_others {
                 self.state.status_due.notify_one();
             }
         }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -62,4 +62,4 @@
     IndexedArrivals, IndexedDemand, NodeIdentity, NodeStatus, StatusMessage, TargetLoad, TargetPhase, index_arrivals,
     index_demand,
 };
-pub use store_polling::{StoreBackoff, StoreRole, StoreStep, StoreView, direct_read_age_ms};
+pub use store_polling::{ReadReason, StoreBackoff, StoreBounds, StoreRole, StoreStep, StoreView};
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -9,12 +9,20 @@
 use fulmartrestle_derive::record;
 use fulmartrestle_policy::ZoneTrafficSettings;
 
+use crate::store_polling::StoreBounds;
+
+/// Time within which a new version of the configuration must be in force if the settings name none, in milliseconds.
+const DEFAULT_CONFIG_APPLY_MS: u64 = 2_000;
+
 /// Bounds that the operator sets for the whole deployment.
 #[record]
 #[derive(Copy)]
 pub struct DeploymentBounds {
     /// Time within which a revoked key must stop working, in milliseconds.
     pub revoke_ms: u64,
+    /// Time within which a new version of the configuration must be in force, in milliseconds. `None` counts as
+    /// two seconds.
+    pub config_apply_ms: Option<u64>,
     /// Time from the stop signal to the end of the process, in seconds.
     pub grace_s: f64,
     /// Requests by which one tenant may exceed its rate and burst over the whole fleet.
@@ -88,7 +96,10 @@
     /// Returns an error that names the position of the syntax error, or the field that has an invalid value.
     pub fn parse(file_name: &str, text: &str) -> Result<Self, SettingsError> {
         let settings: Self = parse_document(file_name, text)?;
-        let DeploymentBounds { grace_s, quota_slack, .. } = settings.bounds;
+        let DeploymentBounds { grace_s, quota_slack, config_apply_ms, .. } = settings.bounds;
+        if config_apply_ms == Some(0) {
+            return Err(invalid_value(file_name, "bounds.config_apply_ms", 0.0, "expected more than 0"));
+        }
         if grace_s <= 0.0 {
             return Err(invalid_value(file_name, "bounds.grace_s", grace_s, "expected more than 0"));
         }
@@ -116,6 +127,12 @@
 }
 
 impl DeploymentBounds {
+    /// Returns the bounds within which a change on the store must have an effect.
+    pub fn store_bounds(&self) -> StoreBounds {
+        let config_apply_ms = self.config_apply_ms.unwrap_or(DEFAULT_CONFIG_APPLY_MS);
+        StoreBounds { revoke_ms: self.revoke_ms, config_apply_ms }
+    }
+
     /// Returns the overage and the slack for cold targets, or `None` if they have no limit. A missing one of the two takes
     /// its most restrictive value.
     pub fn cold_bounds(&self) -> Option<(f64, f64)> {
--- a/crates/mesh/src/status_exchange.rs
+++ b/crates/mesh/src/status_exchange.rs
@@ -270,7 +270,8 @@
         state.status_due.notify_one();
     }
     if let (Some(echo_us), Some(age_ms)) = (message.echo_us, message.config_age_ms) {
-        lock(&state.freshness).record_peer_confirmation(TimeUs(echo_us), age_ms, message.version, own_version);
+        let mut freshness = lock(&state.freshness);
+        freshness.record_peer_confirmation(TimeUs(echo_us), age_ms, message.version, own_version, now);
     }
     if message.version > own_version {
         state.store_due.notify_one();
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -159,11 +159,36 @@
     for case in cases {
         let mut freshness = ConfigFreshness::default();
         // The stamp was sent a second ago. The delay of the response does not matter.
-        freshness.record_peer_confirmation(TimeUs::from_ms(9_000), case.age_ms, case.peer_version, case.own_version);
+        freshness.record_peer_confirmation(
+            TimeUs::from_ms(9_000),
+            case.age_ms,
+            case.peer_version,
+            case.own_version,
+            NOW,
+        );
         expect_that!(freshness.age_ms(NOW), eq(case.expected_age_ms), "{}", case.name);
     }
 }
 
+/// Guards against a configuration that counts as just confirmed because the message that says so was delayed.
+#[gtest]
+fn estimated_age_grows_with_the_age_of_the_echoed_stamp() {
+    struct Case {
+        stamped_ms: u64,
+        expected_age_ms: u64,
+    }
+    let cases = [
+        Case { stamped_ms: 9_900, expected_age_ms: 300 },
+        Case { stamped_ms: 9_000, expected_age_ms: 300 },
+        Case { stamped_ms: 8_500, expected_age_ms: 800 },
+    ];
+    for Case { stamped_ms, expected_age_ms } in cases {
+        let mut freshness = ConfigFreshness::default();
+        freshness.record_peer_confirmation(TimeUs::from_ms(stamped_ms), 300, Version(7), Version(7), NOW);
+        expect_that!(freshness.estimated_age_ms(NOW), some(eq(expected_age_ms)), "stamped at {stamped_ms} ms");
+    }
+}
+
 #[gtest]
 fn older_confirmation_does_not_replace_newer() {
     let mut freshness = ConfigFreshness::default();
--- a/crates/mesh/tests/settings.rs
+++ b/crates/mesh/tests/settings.rs
@@ -38,6 +38,19 @@
     expect_that!(negative.expect_err("a negative slack").to_string(), contains_substring("bounds.cold_slack"));
 }
 
+/// Guards against settings of earlier deployments that are rejected because they do not name the bound.
+#[gtest]
+fn bound_of_configuration_is_optional_and_checked() {
+    let config_apply_ms = |further_bounds| {
+        let settings = MeshSettings::parse("test", &settings(further_bounds)).expect(further_bounds);
+        settings.bounds.store_bounds().config_apply_ms
+    };
+    expect_that!(config_apply_ms(""), eq(2_000));
+    expect_that!(config_apply_ms(", \"config_apply_ms\": 2500"), eq(2_500));
+    let zero = MeshSettings::parse("test", &settings(", \"config_apply_ms\": 0"));
+    expect_that!(zero.expect_err("no time at all").to_string(), contains_substring("bounds.config_apply_ms"));
+}
+
 /// Returns settings with `zone_traffic` as it is written, if any.
 fn parse(zone_traffic: Option<&str>) -> std::result::Result<Option<ZoneTrafficSettings>, String> {
     let zone_traffic = zone_traffic.map(|text| format!(", \"zone_traffic\": {text}")).unwrap_or_default();
