Bind a notice of leaving that does not name its run

Cause: LocalTarget::apply_withdrawal needed the start of a run, from the notice or from the known run. A node that has just started knows none, kept nothing, and acknowledged.

Evidence: target_that_leaves_before_its_node_has_heard_of_it_is_not_used on the code before: 13 to 53 late requests in each of four cases. The store got no record of the run.

Change: such a notice binds all runs of the instance that have started by its arrival, saved and compared like any other start. The same for a notice while only an earlier run of the name is known, and for a late heartbeat that says draining, which was acknowledged and dropped.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -161,11 +161,17 @@
     }
 
     /// Applies the notice that the local target has stopped. `started_unix_ms` is the start of the run that
-    /// stopped, if known.
+    /// stopped; if the notice does not name it, it binds all runs of `instance` that have started by now.
     pub fn apply_withdrawal(&self, instance: &str, started_unix_ms: Option<i64>) {
         let now = self.clock.now();
-        lock(&self.state).target.apply_withdrawal(instance, started_unix_ms);
-        self.event_log.write(LogLine::new("target_withdrawn").text("instance", instance), now);
+        let is_named = started_unix_ms.is_some();
+        let started_unix_ms =
+            lock(&self.state).target.apply_withdrawal(instance, started_unix_ms, self.clock.unix_ms());
+        let line = LogLine::new("target_withdrawn")
+            .text("instance", instance)
+            .number("started_unix_ms", started_unix_ms.unsigned_abs())
+            .flag("names_run", is_named);
+        self.event_log.write(line, now);
     }
 
     /// Returns the last `max_count` runs of the target that have left or are draining, the latest start first.
@@ -182,7 +188,7 @@
     pub fn apply_left_runs(&self, runs: &[TargetRun]) {
         let mut state = lock(&self.state);
         for TargetRun { instance, started_unix_ms } in runs {
-            state.target.apply_withdrawal(instance, Some(*started_unix_ms));
+            state.target.apply_left_run(instance, *started_unix_ms);
         }
     }
 
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -189,7 +189,7 @@
             return;
         }
         if noticed.notices.leaving {
-            self.target.apply_withdrawal(&head.instance, Some(noticed.started_unix_ms));
+            self.target.apply_left_run(&head.instance, noticed.started_unix_ms);
         }
         if self.notices.is_none() {
             self.set_notices(Some(noticed.notices), now);
--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -23,7 +23,7 @@
         let before = state.notices.unwrap_or_default();
         state.set_notices(Some(notices), now);
         if notices.leaving {
-            state.target.apply_withdrawal(&admitted.instance, Some(admitted.started_unix_ms));
+            state.target.apply_left_run(&admitted.instance, admitted.started_unix_ms);
         }
         if notices == before {
             return;
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -144,12 +144,17 @@
             let known = &target.announcement;
             // An earlier start is either late or that of a target whose clock was stepped back.
             if announcement.started_unix_ms < known.started_unix_ms && !is_silent {
+                // It is acknowledged, and the known run may turn silent.
+                if announcement.draining {
+                    self.record_left_run(announcement.instance, announcement.started_unix_ms);
+                }
                 return AnnouncementResult::Outdated;
             }
             let same_run =
                 announcement.instance == known.instance && announcement.started_unix_ms == known.started_unix_ms;
             if same_run {
                 if announcement.seq <= known.seq {
+                    target.announcement.draining |= announcement.draining;
                     return AnnouncementResult::Outdated;
                 }
                 let draining = known.draining || announcement.draining;
@@ -169,12 +174,19 @@
         AnnouncementResult::NewRun
     }
 
-    /// Applies the notice that a target has stopped. If `started_unix_ms` is `None`, the notice refers to the known
-    /// run of `instance`.
-    pub fn apply_withdrawal(&mut self, instance: &str, started_unix_ms: Option<i64>) {
+    /// Applies the notice that a run of `instance` leaves, and returns the latest start that it binds. A notice that does
+    /// not name the run binds every run that has started by `now_unix_ms`, also one that has not announced itself here:
+    /// its announcements may be delayed, or may have reached an earlier run of this node.
+    pub fn apply_withdrawal(&mut self, instance: &str, started_unix_ms: Option<i64>, now_unix_ms: i64) -> i64 {
         let known = self.target.as_ref().filter(|target| target.announcement.instance == instance);
-        let started_unix_ms = started_unix_ms.or(known.map(|target| target.announcement.started_unix_ms));
-        let Some(started_unix_ms) = started_unix_ms else { return };
+        let known_start_ms = known.map_or(now_unix_ms, |target| target.announcement.started_unix_ms);
+        let started_unix_ms = started_unix_ms.unwrap_or(now_unix_ms.max(known_start_ms));
+        self.apply_left_run(instance, started_unix_ms);
+        started_unix_ms
+    }
+
+    /// Applies that the runs of `instance` which have started by `started_unix_ms` leave.
+    pub fn apply_left_run(&mut self, instance: &str, started_unix_ms: i64) {
         self.record_left_run(instance.to_owned(), started_unix_ms);
         if let Some(target) = &mut self.target
             && target.announcement.instance == instance
@@ -250,7 +262,7 @@
             |(instance, start): (&String, &i64)| TargetRun { instance: instance.clone(), started_unix_ms: *start };
         let mut runs: Vec<_> = self.left_runs.iter().map(run).collect();
         if let Some(known) = self.last_announcement().filter(|known| known.draining).map(Announcement::run)
-            && !runs.contains(&known)
+            && self.left_runs.get(&known.instance).is_none_or(|left_start_ms| *left_start_ms < known.started_unix_ms)
         {
             runs.push(known);
         }
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -75,44 +75,89 @@
     }
 }
 
+/// Guards against a run that was withdrawn and is used again, above all one that the node had not heard of, and against a
+/// later run that is kept waiting for it.
 #[gtest]
 fn withdrawn_run_is_never_used_again() {
+    const WITHDRAWN_UNIX_MS: i64 = 100;
     struct Case {
         name: &'static str,
+        known: Option<Announcement>,
         started_unix_ms: Option<i64>,
-        later_announcement: Announcement,
-        usable: bool,
+        later: Announcement,
+        usable: Option<&'static str>,
     }
+    let known = Some(announcement("a", 5, 1, false));
+    let late = announcement("a", 5, 9, false);
     let cases = [
+        Case { name: "late", known: known.clone(), started_unix_ms: None, later: late.clone(), usable: None },
+        Case { name: "named", known: known.clone(), started_unix_ms: Some(5), later: late.clone(), usable: None },
+        Case {
+            name: "named and restarted",
+            known: known.clone(),
+            started_unix_ms: Some(5),
+            later: announcement("a", 6, 1, false),
+            usable: Some("a"),
+        },
+        Case { name: "never heard of", known: None, started_unix_ms: None, later: late.clone(), usable: None },
+        Case { name: "named, never heard of", known: None, started_unix_ms: Some(5), later: late, usable: None },
         Case {
-            name: "late announcement",
+            name: "a later run than the known one, not heard of yet",
+            known: known.clone(),
             started_unix_ms: None,
-            later_announcement: announcement("a", 5, 9, false),
-            usable: false,
+            later: announcement("a", 60, 1, false),
+            usable: None,
         },
         Case {
-            name: "late announcement, start time given",
-            started_unix_ms: Some(5),
-            later_announcement: announcement("a", 5, 9, false),
-            usable: false,
+            name: "started after the notice",
+            known: known.clone(),
+            started_unix_ms: None,
+            later: announcement("a", 101, 1, false),
+            usable: Some("a"),
         },
         Case {
-            name: "restarted",
-            started_unix_ms: Some(5),
-            later_announcement: announcement("a", 6, 1, false),
-            usable: true,
+            name: "another instance, started before the notice",
+            known: None,
+            started_unix_ms: None,
+            later: announcement("b", 60, 1, false),
+            usable: Some("b"),
+        },
+        Case {
+            name: "clock of the node behind that of the target",
+            known: Some(announcement("a", 150, 1, false)),
+            started_unix_ms: None,
+            later: announcement("a", 150, 2, false),
+            usable: None,
         },
     ];
     for case in cases {
         let mut target = LocalTarget::default();
-        target.apply_announcement(announcement("a", 5, 1, false), NOW);
-        target.apply_withdrawal("a", case.started_unix_ms);
+        if let Some(known) = case.known {
+            target.apply_announcement(known, NOW);
+        }
+        target.apply_withdrawal("a", case.started_unix_ms, WITHDRAWN_UNIX_MS);
         expect_that!(target.usable(NOW), none(), "{}", case.name);
-        target.apply_announcement(case.later_announcement, NOW);
-        expect_that!(target.usable(NOW).is_some(), eq(case.usable), "{}", case.name);
+        expect_that!(target.left_runs(4), len(eq(1)), "{}", case.name);
+        target.apply_announcement(case.later, NOW);
+        let usable = target.usable(NOW).map(|usable| usable.instance.as_str());
+        expect_that!(usable, eq(case.usable), "{}", case.name);
     }
 }
 
+/// Guards against a run that said that it leaves in a heartbeat which came late, and is used again once the run after it is
+/// silent.
+#[gtest]
+fn late_announcement_of_a_leaving_run_binds() {
+    const SILENT_MS: u64 = 9_000;
+    let mut target = LocalTarget::default();
+    target.apply_announcement(announcement("b", 9, 1, false), NOW);
+    let leaving = target.apply_announcement(announcement("a", 5, 7, true), NOW);
+    expect_that!(leaving, eq(AnnouncementResult::Outdated));
+    let later = NOW.plus_ms(SILENT_MS);
+    expect_that!(target.apply_announcement(announcement("a", 5, 8, false), later), eq(AnnouncementResult::Outdated));
+    expect_that!(target.usable(later), none());
+}
+
 #[gtest]
 fn unreachable_or_silent_target_is_not_usable() {
     let mut target = LocalTarget::default();
@@ -319,7 +364,7 @@
     ];
     for case in cases {
         let mut target = LocalTarget::default();
-        target.apply_withdrawal("c", Some(4));
+        target.apply_left_run("c", 4);
         target.apply_announcement(announcement("a", 9, 1, false), NOW);
         let result = target.apply_announcement(case.later, NOW.plus_ms(case.silent_ms));
         expect_that!(result, eq(case.result), "{}", case.name);
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet, wait_until};
+use support::{CallerRequest, FIRST_START_UNIX_MS, SidecarFleet, wait_until};
 
 /// Time for which requests are sent after a restart, in milliseconds. It covers the first status messages of all nodes.
 const WATCH_MS: u64 = 3_000;
@@ -114,12 +114,8 @@
     match leaving {
         Leaving::Deregistered => fleet.deregister_target(1).await,
         Leaving::Draining => {
-            let body = json!({
-                "addr": fleet.vms[1].target_address.to_string(), "born": support::FIRST_START_UNIX_MS,
-                "info": {"service": "trips", "version": "v1", "zone": "milano", "slots": 10},
-                "status": {"state": "draining", "seq": 1_000_000, "cold_left_ms": 0}
-            });
-            assert_eq!(fleet.send_heartbeat(1, &target.instance_id, body.to_string()).await, 200);
+            let body = fleet.heartbeat_body(1, FIRST_START_UNIX_MS, "draining", 1_000_000);
+            assert_eq!(fleet.send_heartbeat(1, &target.instance_id, body).await, 200);
         }
         Leaving::Response => {
             *target.notices.lock().expect("not poisoned") = vec![("server-leaving", "1".to_owned())];
@@ -191,6 +187,74 @@
     }
 }
 
+/// Sends requests through all nodes for a time. Returns how many were served, and how many reached the target of VM 1.
+async fn send_for(fleet: &SidecarFleet, duration_ms: u64) -> (usize, usize) {
+    let runs = || fleet.vms[1].target.runs.lock().expect("not poisoned").len();
+    let (runs_before, until) = (runs(), Instant::now() + Duration::from_millis(duration_ms));
+    let mut served = 0;
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let request = CallerRequest { path: "/open/1", ..request("key-1", format!("r-{runs_before}-{number}")) };
+        let response = fleet.try_send(number % 3, &request).await;
+        served += usize::from(response.is_ok_and(|response| response.status == 200));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    (served, runs() - runs_before)
+}
+
+fn unix_ms() -> i64 {
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a time after the epoch");
+    time.as_millis() as i64
+}
+
+/// Guards against a run that is used again by a late heartbeat, because it had left before its restarted node heard of it,
+/// and against a new run at its address that is kept waiting for that.
+#[googletest::test]
+#[tokio::test]
+async fn target_that_leaves_before_its_node_has_heard_of_it_is_not_used() {
+    const NEW_RUN_WITHIN_MS: u64 = 1_000;
+    struct Case {
+        name: &'static str,
+        terminated: bool,
+        /// Heartbeats that were sent before the target left and arrive after it.
+        late_heartbeats: &'static [u64],
+        /// Name of the next run at the address.
+        next_instance: &'static str,
+    }
+    let case =
+        |name, terminated, late_heartbeats, next_instance| Case { name, terminated, late_heartbeats, next_instance };
+    let cases = [
+        case("stopped", true, &[1_000], "i-next"),
+        case("killed", false, &[1_000], "i-next"),
+        case("twice the same heartbeat", true, &[1_000, 1_000], "i-next"),
+        case("two late heartbeats, the next run has the same name", true, &[1_000, 1_001], "i-1"),
+    ];
+    for Case { name, terminated, late_heartbeats, next_instance } in cases {
+        let mut fleet = start_fleet().await;
+        let instance = fleet.vms[1].target.instance_id.clone();
+        fleet.stop_heartbeats(1).await;
+        if terminated {
+            fleet.vms[1].node.terminate();
+        }
+        fleet.restart_node(1).await;
+        fleet.deregister_target(1).await;
+        let left = Instant::now();
+        for seq in late_heartbeats {
+            let body = fleet.heartbeat_body(1, FIRST_START_UNIX_MS, "ready", *seq);
+            assert_eq!(fleet.send_heartbeat(1, &instance, body).await, 200);
+            let (served, late) = send_for(&fleet, 1_500).await;
+            expect_that!(late, eq(0), "{name}, {:?} after the acknowledgement", left.elapsed());
+            expect_that!(served, ge(50), "{name}");
+        }
+        let next = fleet.heartbeat_body(1, unix_ms(), "ready", 1);
+        assert_eq!(fleet.send_heartbeat(1, next_instance, next).await, 200);
+        let (_, runs) = send_for(&fleet, NEW_RUN_WITHIN_MS).await;
+        expect_that!(runs, ge(1), "{name}: the next run");
+    }
+}
+
 /// Guards against a node that stays without a configuration because the store does not answer, although the other nodes
 /// have one: their messages left out what the run before had confirmed, and were not readable.
 #[tokio::test]
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -328,6 +328,22 @@
         self.client.try_send(&Request::post(url, body)).await.expect("a response of the node").status
     }
 
+    /// Returns the body of a heartbeat of the target of a VM, which runs the service "trips", as a run with the given start.
+    pub fn heartbeat_body(&self, vm: usize, started_unix_ms: i64, state: &str, seq: u64) -> String {
+        let body = serde_json::json!({
+            "addr": self.vms[vm].target_address.to_string(), "born": started_unix_ms,
+            "info": {"service": "trips", "version": "v1", "zone": DEFAULT_ZONE, "slots": 10},
+            "status": {"state": state, "seq": seq, "cold_left_ms": 0}
+        });
+        body.to_string()
+    }
+
+    /// Lets the target of a VM send no heartbeats for a minute.
+    pub async fn stop_heartbeats(&self, vm: usize) {
+        let interval_ms = self.vms[vm].target.heartbeat_interval_ms.swap(60_000, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(2 * interval_ms)).await;
+    }
+
     async fn start_vm(&mut self, service: &str, zone: &str) {
         let index = self.vms.len();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
