Verify a run that may have left before its node started

Cause: the acknowledgement was held by processes alone. A node that starts took the store's list, or what other nodes answered that had just started too, for complete, and a late heartbeat for a new one.

Change: a run that is older than the node is used once a health check names it as serving, or once it announces itself when no announcement from before the start can be late (8 s). A run that started after the node does not wait.

--- a/crates/mesh/src/config/mesh_config.rs
+++ b/crates/mesh/src/config/mesh_config.rs
@@ -5,6 +5,7 @@
 use fulmartrestle_core::{RateMilliPerS, RouteId, Service, Version};
 use fulmartrestle_derive::record;
 use fulmartrestle_quota::TenantLimit;
+use http::Uri;
 
 use super::{ApiKey, Route, TenantConfig};
 
@@ -42,6 +43,7 @@
     requires_keys: bool,
     positions: HashMap<RouteId, u32>,
     cold_rates: HashMap<Service, RateMilliPerS>,
+    health_paths: HashMap<Service, Uri>,
 }
 
 impl MeshConfig {
@@ -72,9 +74,21 @@
             requires_keys,
             positions,
             cold_rates,
+            health_paths: HashMap::new(),
         }
     }
 
+    /// Sets the paths at which targets say whether they serve.
+    pub fn with_health_paths(mut self, health_paths: HashMap<Service, Uri>) -> Self {
+        self.health_paths = health_paths;
+        self
+    }
+
+    /// Returns the path at which the targets of a service say whether they serve.
+    pub fn health_path(&self, service: &Service) -> Option<&Uri> {
+        self.health_paths.get(service)
+    }
+
     /// Sets the rates that targets handle while they are cold. A rate of 0 stands for one that could not be read.
     pub fn with_cold_rates(mut self, cold_rates: HashMap<Service, RateMilliPerS>) -> Self {
         self.cold_rates = cold_rates;
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod cold;
 mod crashes;
+mod health;
 mod load_metrics;
 mod notices;
 mod responses;
@@ -29,6 +30,7 @@
 use crate::event_log::{EventLog, LogLine};
 use crate::local_target::{Announcement, AnnouncementResult, ExpectedTarget, TargetRun};
 use crate::metrics::Metrics;
+use crate::node_start::NodeStart;
 use crate::platform::{TargetMetadata, WireProtocol};
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
 
@@ -62,6 +64,8 @@
     pub crashes: Arc<Mutex<CrashTable>>,
     /// Wakes the sender of status messages.
     pub status_due: Arc<Notify>,
+    /// Whether the whole deployment is starting for the first time.
+    pub first_start: bool,
 }
 
 /// The admission gate of one node.
@@ -81,12 +85,25 @@
     is_probing: AtomicBool,
     /// Wakes lost calls when an end of the target was counted.
     end_counted: Notify,
+    /// Notified when a run announces itself that must be verified.
+    run_unverified: Notify,
 }
 
 impl Gate {
     /// Returns a gate that refuses all calls until a target announces itself.
     pub fn new(options: GateOptions) -> Self {
-        let GateOptions { clock, node_id, address, wire_protocol, event_log, metrics, crashes, status_due } = options;
+        let GateOptions {
+            clock,
+            node_id,
+            address,
+            wire_protocol,
+            event_log,
+            metrics,
+            crashes,
+            status_due,
+            first_start,
+        } = options;
+        let node_start = (!first_start).then(|| NodeStart { at: clock.now(), unix_ms: clock.unix_ms() });
         Self {
             clock,
             node_id,
@@ -96,11 +113,12 @@
             metrics,
             crashes,
             status_due,
-            state: Mutex::default(),
+            state: Mutex::new(GateState::new(node_start)),
             pool: TargetConnectionPool::default(),
             suspect_turn: Arc::new(Semaphore::new(1)),
             is_probing: AtomicBool::new(false),
             end_counted: Notify::new(),
+            run_unverified: Notify::new(),
         }
     }
 
@@ -155,6 +173,9 @@
             let usable = state.target.usable(now).is_some();
             self.event_log.write(LogLine::new("target_changed").flag("usable", usable), now);
         }
+        if state.target.unverified_run().is_some() {
+            self.run_unverified.notify_one();
+        }
         drop(state);
         self.log_cold_state("announcement");
         Ok(changed)
@@ -255,7 +276,18 @@
     pub fn has_lost_target(&self) -> bool {
         let now = self.clock.now();
         let state = lock(&self.state);
-        state.target.last_announcement().is_some() && state.target.usable(now).is_none()
+        state.target.is_lost(now)
+    }
+
+    /// Waits until a run announces itself that must be verified.
+    pub async fn wait_for_unverified_run(&self) {
+        self.run_unverified.notified().await;
+    }
+
+    /// Returns whether announcements that arrive now may have been sent before this node started.
+    pub fn may_hear_late_announcements(&self) -> bool {
+        let now = self.clock.now();
+        lock(&self.state).target.may_hear_late_announcements(now)
     }
 
     /// Returns whether no call is running or waiting.
--- a/crates/mesh/src/gate/admission.rs
+++ b/crates/mesh/src/gate/admission.rs
@@ -15,6 +15,7 @@
 use super::{Gate, NO_TARGET_RETRY_AFTER_MS, TARGET_REFUSED_RETRY_AFTER_MS};
 use crate::call_messages::{CallRequestHead, GateReport};
 use crate::local_target::{Announcement, LocalTarget};
+use crate::node_start::NodeStart;
 
 /// Share of the target's slots that is used. Targets slow down when they are nearly full, and a new connection or
 /// a health check occupies a slot for a moment.
@@ -88,10 +89,11 @@
     admission_result: Option<oneshot::Receiver<AdmissionResult>>,
 }
 
-impl Default for GateState {
-    fn default() -> Self {
+impl GateState {
+    /// Returns the state of a node that started at `node_start`, which is `None` at the first start of the deployment.
+    pub fn new(node_start: Option<NodeStart>) -> Self {
         Self {
-            target: LocalTarget::default(),
+            target: LocalTarget::new(node_start),
             knows_left_runs: false,
             slots: SlotQueue::new(INITIAL_SLOTS),
             parents: RunningParents::default(),
@@ -113,9 +115,7 @@
             stop_admission: StopAdmission::default(),
         }
     }
-}
 
-impl GateState {
     /// Notifies waiting calls that were started or dropped.
     pub fn notify_waiters(&mut self, now: TimeUs) {
         loop {
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -6,6 +6,8 @@
 use fulmartrestle_core::{Service, TimeUs};
 use fulmartrestle_derive::{record, value};
 
+use crate::node_start::NodeStart;
+
 /// Time for which an announcement is valid, in milliseconds. Targets announce themselves every one or two seconds
 /// and may be several seconds late.
 const ANNOUNCEMENT_TTL_MS: u64 = 8_000;
@@ -90,6 +92,14 @@
     /// When the target will be warm; `None` if it is not known whether it is cold.
     cold_until: Option<TimeUs>,
     reachable: bool,
+    /// Whether the run is known not to have left before this node started.
+    is_verified: bool,
+}
+
+impl AnnouncedTarget {
+    fn is_lost(&self, now: TimeUs) -> bool {
+        self.announcement.draining || !self.reachable || now.ms_since(self.last_announced) >= ANNOUNCEMENT_TTL_MS
+    }
 }
 
 /// Whether the target beside this node is cold, as far as the node knows.
@@ -126,6 +136,8 @@
 #[derive(Debug, Default)]
 pub struct LocalTarget {
     target: Option<AnnouncedTarget>,
+    /// When this node started; `None` at the first start of the deployment, before which no target can have left.
+    node_start: Option<NodeStart>,
     /// The latest start of each instance's runs that have left.
     left_runs: HashMap<String, i64>,
     /// Runs that other nodes have seen leave. Most are those of other nodes' targets.
@@ -133,12 +145,19 @@
 }
 
 impl LocalTarget {
+    /// Returns the state of a node that started at `node_start`, which is `None` at the first start of the deployment.
+    pub fn new(node_start: Option<NodeStart>) -> Self {
+        Self { node_start, ..Self::default() }
+    }
+
     /// Applies an announcement that was received at `now`.
     pub fn apply_announcement(&mut self, announcement: Announcement, now: TimeUs) -> AnnouncementResult {
         if self.has_left(&announcement.instance, announcement.started_unix_ms) {
             return AnnouncementResult::Outdated;
         }
         let cold_until = Some(now.plus_ms(announcement.cold_left_ms));
+        let start_ms = announcement.started_unix_ms;
+        let is_verified = self.node_start.is_none_or(|start| !start.allows_earlier_leaving(start_ms, now));
         let is_silent = self.is_silent(now);
         if let Some(target) = &mut self.target {
             let known = &target.announcement;
@@ -162,10 +181,11 @@
                 target.last_announced = now;
                 target.cold_until = cold_until;
                 target.reachable = true;
+                target.is_verified |= is_verified;
                 return AnnouncementResult::Current;
             }
         }
-        let target = AnnouncedTarget { announcement, last_announced: now, cold_until, reachable: true };
+        let target = AnnouncedTarget { announcement, last_announced: now, cold_until, reachable: true, is_verified };
         if let Some(AnnouncedTarget { announcement: earlier, .. }) = self.target.replace(target)
             && earlier.draining
         {
@@ -225,11 +245,31 @@
 
     /// Returns the last announcement if the target may receive requests.
     pub fn usable(&self, now: TimeUs) -> Option<&Announcement> {
-        let target = self.target.as_ref()?;
-        let usable = !target.announcement.draining
-            && target.reachable
-            && now.ms_since(target.last_announced) < ANNOUNCEMENT_TTL_MS;
-        usable.then_some(&target.announcement)
+        let target = self.target.as_ref().filter(|target| target.is_verified && !target.is_lost(now))?;
+        Some(&target.announcement)
+    }
+
+    /// Returns whether the target has announced itself and has left, ended or become silent.
+    pub fn is_lost(&self, now: TimeUs) -> bool {
+        self.target.as_ref().is_some_and(|target| target.is_lost(now))
+    }
+
+    /// Returns the run that has announced itself and may have left before this node started.
+    pub fn unverified_run(&self) -> Option<TargetRun> {
+        let target = self.target.as_ref().filter(|target| !target.is_verified && !target.announcement.draining)?;
+        Some(target.announcement.run())
+    }
+
+    /// Records that `run` has said, since this node started, that it serves. Returns whether it is the run that has
+    /// announced itself.
+    pub fn set_verified(&mut self, run: &TargetRun) -> bool {
+        let target = self.target.as_mut().filter(|target| target.announcement.run() == *run);
+        target.map(|target| target.is_verified = true).is_some()
+    }
+
+    /// Returns whether an announcement that arrives at `now` may have been sent before this node started.
+    pub fn may_hear_late_announcements(&self, now: TimeUs) -> bool {
+        self.node_start.is_some_and(|start| start.may_hear_late_announcements(now))
     }
 
     /// Returns whether the target announced itself once and has stopped.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -40,6 +40,7 @@
 use crate::settings::MeshSettings;
 use crate::state::{ActiveConfig, MeshState, NodePhase};
 use crate::status_exchange::{receive_status, send_status};
+use crate::target_verification::verify_target;
 use crate::zone_traffic::update_zone_traffic;
 
 /// Interval of the periodic maintenance, in milliseconds. It measures demand, decides on the traffic between zones,
@@ -144,6 +145,7 @@
         tasks.spawn(run_registry(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
         tasks.spawn(save_left_runs(Arc::clone(&state), Arc::clone(&store), nodes_stream.clone()));
         tasks.spawn(learn_left_runs(Arc::clone(&state)));
+        tasks.spawn(verify_target(Arc::clone(&state)));
         tasks.spawn(fetch_crash_marks(Arc::clone(&state)));
         tasks.spawn(watch_processor(Arc::clone(&state)));
         tasks.spawn(run_maintenance(Arc::clone(&state), options.settings_path.clone()));
@@ -251,6 +253,7 @@
         metrics: Arc::clone(&metrics),
         crashes: Arc::clone(&crashes),
         status_due: Arc::clone(&status_due),
+        first_start: settings.first_start,
     });
     MeshState {
         node_id,
--- /dev/null
+++ b/crates/mesh/src/node_start.rs
@@ -0,0 +1,36 @@
+//! What the start of a node means for the target beside it. See `docs/DRAIN.md`.
+//!
+//! Load pattern: all nodes of a deployment are killed while the store does not answer. What they have acknowledged since
+//! it went down is known to nobody, and late announcements call targets ready that have left.
+
+use fulmartrestle_core::TimeUs;
+use fulmartrestle_derive::value;
+
+/// Longest delay of an announcement, in milliseconds. One that arrives later after the start was sent after it.
+const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 8_000;
+
+/// Difference between the clocks of a node and its target that is allowed for, in milliseconds.
+const CLOCK_TOLERANCE_MS: i64 = 500;
+
+/// When a node started, by its own clock and by the time of day.
+#[value]
+pub struct NodeStart {
+    /// Time of the node's clock.
+    pub at: TimeUs,
+    /// Time of day in milliseconds since the Unix epoch.
+    pub unix_ms: i64,
+}
+
+impl NodeStart {
+    /// Returns whether a run of the target that started at `started_unix_ms` and whose announcement arrives at `now` may
+    /// have left before this node started: an earlier run of the node may have acknowledged that, and the announcement
+    /// may have been sent before.
+    pub fn allows_earlier_leaving(self, started_unix_ms: i64, now: TimeUs) -> bool {
+        started_unix_ms < self.unix_ms + CLOCK_TOLERANCE_MS && self.may_hear_late_announcements(now)
+    }
+
+    /// Returns whether an announcement that arrives at `now` may have been sent before this node started.
+    pub fn may_hear_late_announcements(self, now: TimeUs) -> bool {
+        now.ms_since(self.at) < MAX_ANNOUNCEMENT_DELAY_MS
+    }
+}
--- a/crates/mesh/src/platform.rs
+++ b/crates/mesh/src/platform.rs
@@ -1,6 +1,7 @@
 //! Interfaces that a platform implements: its wire protocol, its store layout and its configuration format.
 
 use fulmartrestle_core::{Refusal, Service, Tenant};
+use fulmartrestle_derive::value;
 use fulmartrestle_platform_log::StreamName;
 use fulmartrestle_policy::{LoadMetrics, TargetNotices};
 use fulmartrestle_transport::ByteBody;
@@ -70,6 +71,27 @@
     Invalid,
 }
 
+/// What a target says about itself in a health check.
+#[value]
+pub enum HealthStatus {
+    /// It accepts requests and does not leave.
+    Serving,
+    /// It leaves, does not consider itself healthy, or another instance has answered.
+    NotServing,
+    /// The response says nothing about the instance.
+    Unknown,
+}
+
+impl std::fmt::Display for HealthStatus {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::Serving => "serving",
+            Self::NotServing => "not serving",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
 /// Headers and status codes of a platform's wire protocol.
 pub trait WireProtocol: Send + Sync {
     /// Parses the metadata of a caller's request. A value that does not parse counts as absent.
@@ -108,6 +130,9 @@
     /// Returns a text with the name and the value of a header that cannot be read.
     fn parse_load_metrics(&self, headers: &HeaderMap) -> Result<Option<LoadMetrics>, String>;
 
+    /// Returns what the response to a health check says about the instance `instance`.
+    fn health_status(&self, instance: &str, status: StatusCode, headers: &HeaderMap) -> HealthStatus;
+
     /// Returns the response that reports a refusal to a caller.
     fn refusal_response(&self, refusal: &Refusal, request_id: Option<&str>) -> Response<ByteBody>;
 }
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -1,7 +1,9 @@
 //! Tests a node's local state: its local target and the age of its configuration.
 
 use fulmartrestle_core::{TimeUs, Version};
-use fulmartrestle_mesh::{Announcement, AnnouncementResult, ConfigFreshness, ExpectedTarget, LocalTarget};
+use fulmartrestle_mesh::{
+    Announcement, AnnouncementResult, ConfigFreshness, ExpectedTarget, LocalTarget, NodeStart, TargetRun,
+};
 use googletest::prelude::*;
 
 const NOW: TimeUs = TimeUs::from_ms(10_000);
@@ -144,6 +146,72 @@
     }
 }
 
+/// Guards against a run that left before its node started and is used again by a late announcement, and against runs that
+/// are kept waiting although that is ruled out.
+#[gtest]
+fn run_from_before_the_start_is_used_once_it_is_verified() {
+    enum Step {
+        Announce {
+            started_unix_ms: i64,
+            seq: u64,
+        },
+        /// A health check of the run with this start succeeds.
+        Verify {
+            started_unix_ms: i64,
+        },
+        Withdraw,
+        Pass {
+            ms: u64,
+        },
+    }
+    use Step::{Announce, Pass, Verify, Withdraw};
+    struct Case {
+        name: &'static str,
+        is_first_start: bool,
+        steps: Vec<Step>,
+        usable: bool,
+        unverified: bool,
+    }
+    const START_UNIX_MS: i64 = 100_000;
+    let old = |seq| Announce { started_unix_ms: 5, seq };
+    let case = |name, steps, usable, unverified| Case { name, is_first_start: false, steps, usable, unverified };
+    let cases = [
+        Case { is_first_start: true, ..case("first start of the deployment", vec![old(1)], true, false) },
+        case("announced", vec![old(1)], false, true),
+        case("announced twice", vec![old(1), Pass { ms: 7_000 }, old(2)], false, true),
+        case("verified", vec![old(1), Verify { started_unix_ms: 5 }], true, false),
+        case("another run verified", vec![old(1), Verify { started_unix_ms: 4 }], false, true),
+        case("verified, then withdrawn", vec![old(1), Verify { started_unix_ms: 5 }, Withdraw], false, false),
+        case("withdrawn, then verified", vec![old(1), Withdraw, Verify { started_unix_ms: 5 }], false, false),
+        case("not announced again", vec![old(1), Pass { ms: 7_999 }], false, true),
+        case("announced when none can be late", vec![old(1), Pass { ms: 8_000 }, old(2)], true, false),
+        case("started later", vec![Announce { started_unix_ms: START_UNIX_MS + 500, seq: 1 }], true, false),
+        case("started about then", vec![Announce { started_unix_ms: START_UNIX_MS + 499, seq: 1 }], false, true),
+        case("next run", vec![old(1), Announce { started_unix_ms: START_UNIX_MS + 3_000, seq: 1 }], true, false),
+    ];
+    for case in cases {
+        let start = NodeStart { at: NOW, unix_ms: START_UNIX_MS };
+        let mut target = LocalTarget::new(Some(start).filter(|_| !case.is_first_start));
+        let mut now = NOW;
+        for step in case.steps {
+            match step {
+                Announce { started_unix_ms, seq } => {
+                    target.apply_announcement(announcement("a", started_unix_ms, seq, false), now);
+                }
+                Verify { started_unix_ms } => {
+                    target.set_verified(&TargetRun { instance: "a".to_owned(), started_unix_ms });
+                }
+                Withdraw => {
+                    target.apply_withdrawal("a", None, START_UNIX_MS);
+                }
+                Pass { ms } => now = now.plus_ms(ms),
+            }
+        }
+        expect_that!(target.usable(now).is_some(), eq(case.usable), "{}", case.name);
+        expect_that!(target.unverified_run().is_some(), eq(case.unverified), "{}", case.name);
+    }
+}
+
 /// Guards against a run that said that it leaves in a heartbeat which came late, and is used again once the run after it is
 /// silent.
 #[gtest]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime};
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, FIRST_START_UNIX_MS, SidecarFleet, wait_until};
+use support::{CallerRequest, FIRST_START_UNIX_MS, HEALTH_PATH, SidecarFleet, wait_until};
 
 /// Time for which requests are sent after a restart, in milliseconds. It covers the first status messages of all nodes.
 const WATCH_MS: u64 = 3_000;
@@ -19,7 +20,7 @@
         json!({"name": name, "host": "trips.example", "prefix": prefix, "kind": "safe", "timeout_ms": 1_000,
         "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": public})
     };
-    json!({"version": format!("{version:08x}"), "routes": [route("view", "/view/", false), route("open", "/open/", true)], "services": [{"name": "trips", "max_conns": 100}],
+    json!({"version": format!("{version:08x}"), "routes": [route("view", "/view/", false), route("open", "/open/", true)], "services": [{"name": "trips", "health_path": HEALTH_PATH, "max_conns": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
         "tenants": [{"name": "agency", "api_keys": api_keys, "rate_per_s": 1_000, "burst": 1_000}]})
@@ -114,10 +115,12 @@
     match leaving {
         Leaving::Deregistered => fleet.deregister_target(1).await,
         Leaving::Draining => {
+            target.leaving.store(true, Ordering::Relaxed);
             let body = fleet.heartbeat_body(1, FIRST_START_UNIX_MS, "draining", 1_000_000);
             assert_eq!(fleet.send_heartbeat(1, &target.instance_id, body).await, 200);
         }
         Leaving::Response => {
+            target.leaving.store(true, Ordering::Relaxed);
             *target.notices.lock().expect("not poisoned") = vec![("server-leaving", "1".to_owned())];
             wait_until("the target has said that it leaves", || async {
                 let runs = || target.runs.lock().expect("not poisoned").len();
@@ -255,6 +258,63 @@
     }
 }
 
+/// Guards against a target that is used again because its leaving was acknowledged while the store was down, and every node
+/// that knew of it was killed, and against targets that are kept waiting for that without need.
+#[googletest::test]
+#[tokio::test]
+async fn target_that_left_while_the_store_was_down_is_not_used_after_all_nodes_were_killed() {
+    const USED_WITHIN_MS: u64 = 1_500;
+    struct Case {
+        name: &'static str,
+        leaving: Option<Leaving>,
+        /// Whether the target answers health checks.
+        answers: bool,
+        late_heartbeats: &'static [u64],
+    }
+    let case = |name, leaving, late_heartbeats| Case { name, leaving: Some(leaving), answers: true, late_heartbeats };
+    let cases = [
+        case("deregistered", Leaving::Deregistered, &[2_000_000]),
+        case("draining", Leaving::Draining, &[2_000_000]),
+        case("two late heartbeats", Leaving::Deregistered, &[2_000_000, 2_000_001]),
+        Case { answers: false, ..case("no health check", Leaving::Deregistered, &[2_000_000, 2_000_001]) },
+        Case { name: "serving", leaving: None, answers: true, late_heartbeats: &[2_000_000] },
+    ];
+    for Case { name, leaving, answers, late_heartbeats } in cases {
+        let mut fleet = start_fleet().await;
+        let instance = fleet.vms[1].target.instance_id.clone();
+        if !answers {
+            let mut without_path = config(2, &["key-1"]);
+            without_path["services"] = json!([{"name": "trips", "max_conns": 100}]);
+            fleet.publish_config(&without_path).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        fleet.stop_heartbeats(1).await;
+        fleet.set_store_down(true).await;
+        if let Some(leaving) = leaving {
+            leave(&fleet, leaving).await;
+        }
+        fleet.kill_all_nodes();
+        fleet.set_store_down(false).await;
+        fleet.start_killed_nodes().await;
+        for seq in late_heartbeats {
+            let body = fleet.heartbeat_body(1, FIRST_START_UNIX_MS, "ready", *seq);
+            assert_eq!(fleet.send_heartbeat(1, &instance, body).await, 200);
+            let (served, runs) = send_for(&fleet, USED_WITHIN_MS).await;
+            match leaving {
+                Some(_) => expect_that!(runs, eq(0), "{name}"),
+                None => expect_that!(runs, ge(10), "{name}"),
+            }
+            if answers {
+                expect_that!(served, ge(10), "{name}: the other targets");
+            }
+        }
+        let next = fleet.heartbeat_body(1, unix_ms(), "ready", 1);
+        assert_eq!(fleet.send_heartbeat(1, "i-next", next).await, 200);
+        let (_, runs) = send_for(&fleet, USED_WITHIN_MS).await;
+        expect_that!(runs, ge(10), "{name}: the next run");
+    }
+}
+
 /// Guards against a node that stays without a configuration because the store does not answer, although the other nodes
 /// have one: their messages left out what the run before had confirmed, and were not readable.
 #[tokio::test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,5 +12,5 @@
 pub use process::Process;
 pub use sidecar::{
     Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, EndOfConnections, EndOfPort, Ending, FIRST_START_UNIX_MS,
-    LastWords, RawResponse, RecordedRun, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour,
+    HEALTH_PATH, LastWords, RawResponse, RecordedRun, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour,
 };
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -3,7 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -54,6 +54,9 @@
 pub const COLD_OVERAGE: f64 = 1.5;
 pub const COLD_SLACK: f64 = 8.0;
 
+/// Path of health checks in configurations that name one.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Size of the frames of large bodies, in bytes.
 const FRAME_BYTES: usize = 16_384;
 
@@ -223,6 +226,10 @@
     is_down: Mutex<bool>,
     /// How many requests the target has refused.
     pub refusals: AtomicUsize,
+    /// Whether the current run has said by a notice or in its responses that it leaves, and says so in health checks.
+    pub leaving: AtomicBool,
+    /// How many health checks the target has answered.
+    pub health_checks: AtomicUsize,
 }
 
 impl Target {
@@ -239,6 +246,7 @@
         }
         self.crashes.fetch_add(1, Ordering::Relaxed);
         self.crash_times.lock().expect("not poisoned").push(Instant::now());
+        self.leaving.store(false, Ordering::Relaxed);
         self.crashing.notify_one();
     }
 }
@@ -299,6 +307,14 @@
         self.write_record("keyed.op", KeyedRecord::encode(key, value.as_bytes())).await;
     }
 
+    /// Lets the store refuse all calls, or serve them again.
+    pub async fn set_store_down(&self, down: bool) {
+        let url = format!("http://{}/faults", self.store.address(""));
+        let request = Request::post(url, serde_json::json!({"down": down}).to_string());
+        let response = self.client.try_send(&request).await.expect("a response of the store");
+        assert_eq!(response.status, 200);
+    }
+
     /// Replaces the store's records by a copy that is `age_ms` old.
     pub async fn restore_store_copy(&self, age_ms: u64) {
         let url = format!("http://{}/restore", self.store.address(""));
@@ -387,6 +403,8 @@
             crashing: Notify::new(),
             is_down: Mutex::new(false),
             refusals: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            health_checks: AtomicUsize::new(0),
         });
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         let heartbeat = HeartbeatSource {
@@ -416,6 +434,7 @@
     /// Deregisters the target of a VM. It goes on to serve, and late heartbeats still call it ready.
     pub async fn deregister_target(&self, vm: usize) {
         let vm = &self.vms[vm];
+        vm.target.leaving.store(true, Ordering::Relaxed);
         let path = format!("/fulmartrestle/Instances.Deregister/{}", vm.target.instance_id);
         let request = Request::post(format!("http://{}{path}", vm.control_address), "{}".to_owned());
         let response = self.client.try_send(&request).await.expect("a response of the node");
@@ -441,6 +460,7 @@
     /// Kills the node of a VM and starts it again, while its target goes on.
     pub async fn restart_node(&mut self, vm: usize) {
         let program = sidecar_program(vm);
+        self.change_setting(vm, "first_start", false.into());
         let vm = &mut self.vms[vm];
         vm.node.kill();
         vm.node = Process::start(&program, &[&vm.settings_file]);
@@ -449,9 +469,22 @@
 
     /// Kills all nodes and starts them again, while their targets go on.
     pub async fn restart_all_nodes(&mut self) {
+        self.kill_all_nodes();
+        self.start_killed_nodes().await;
+    }
+
+    /// Kills all nodes, while their targets go on.
+    pub fn kill_all_nodes(&mut self) {
         for vm in &mut self.vms {
             vm.node.kill();
         }
+    }
+
+    /// Starts all nodes again after [`SidecarFleet::kill_all_nodes`].
+    pub async fn start_killed_nodes(&mut self) {
+        for vm in 0..self.vms.len() {
+            self.change_setting(vm, "first_start", false.into());
+        }
         for (index, vm) in self.vms.iter_mut().enumerate() {
             vm.node = Process::start(&sidecar_program(index), &[&vm.settings_file]);
         }
@@ -743,6 +776,9 @@
     if has_ended() {
         return std::future::pending().await;
     }
+    if parts.uri.path() == HEALTH_PATH {
+        return Ok(health_response(&target));
+    }
     if behaviour == TargetBehaviour::Refuse {
         target.refusals.fetch_add(1, Ordering::Relaxed);
         let refusal = hyper::Response::builder().status(503).header("not-executed", "1");
@@ -793,6 +829,14 @@
     Ok(response.body(body).expect("a valid response"))
 }
 
+/// Answers a health check, which runs no request.
+fn health_response(target: &Target) -> hyper::Response<TargetBody> {
+    target.health_checks.fetch_add(1, Ordering::Relaxed);
+    let leaves = target.leaving.load(Ordering::Relaxed) || *target.draining.lock().expect("not poisoned");
+    let response = hyper::Response::builder().status(if leaves { 503 } else { 200 });
+    response.header("instance-id", &target.instance_id).body(small_body("")).expect("a valid response")
+}
+
 /// Makes calls for a request that must end within `limit`, and returns the status of the response to it.
 async fn make_calls(target: &Target, path: &str, count: usize, request_id: &str, limit: Duration) -> u16 {
     let started = Instant::now();
