Reject a change of protocols as the response of a target

Callers of a node saw status 101 as a response when a target sent it.

Cause: the HTTP library returns 101 like a final response, and TargetGate::forward did not look at it. mesh does in classify_response.

--- a/crates/node/src/gate/target_gate.rs
+++ b/crates/node/src/gate/target_gate.rs
@@ -349,6 +349,14 @@
         let client = Arc::clone(&lock(&self.client));
         let result = tokio::time::timeout(timeout, client.send(request)).await;
         match result {
+            // A change of protocols, which no request asks for, is not a final response.
+            Ok(Ok(response)) if response.status().is_informational() => {
+                let unspent_retries = lock(&self.running).close_allowance(call);
+                log::info!("gate: call {:016x} failed: status {}", head.context.request_id, response.status());
+                lock(&self.state).run_watch.record_answer(call, false);
+                slot.finish(Completion::Failed);
+                self.refusal_response(Refusal::unknown(Reason::BadAnswer), unspent_retries, None)
+            }
             Ok(Ok(response)) => {
                 self.response_timeout.record_response(self.clock.now().us_since(started));
                 self.target_response(call, slot, response)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,4 +13,5 @@
 pub use sidecar::{
     Announced, COLD_OVERAGE, COLD_SLACK, CallerRequest, EndOfConnections, EndOfPort, Ending, FIRST_START_UNIX_MS,
     HEALTH_PATH, LastWords, RawResponse, RecordedRun, ScriptStep, SidecarFleet, SidecarVm, TargetBehaviour,
+    serve_raw_target,
 };
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -743,6 +743,14 @@
     Ok(())
 }
 
+/// Writes the same bytes to each connection of a listener in place of responses, until the task is aborted.
+pub async fn serve_raw_target(listener: TcpListener, raw: RawResponse) {
+    let mut connections = JoinSet::new();
+    while let Ok((tcp, _)) = listener.accept().await {
+        connections.spawn(async move { write_without_end(tcp, raw, &RawConnections::default()).await });
+    }
+}
+
 /// Reads the head of one request and writes bytes until the connection is closed.
 async fn write_without_end(mut tcp: TcpStream, raw: RawResponse, counts: &RawConnections) -> std::io::Result<()> {
     let request_id = read_request_id(&mut tcp).await?;
