End responses without an end at a node too

Callers saw at a node: while a target sent interim responses without end, 7 of 64 requests to a sound target were served, and the zone was isolated afterwards; a body without end went on for as long as its caller read.

Cause: the HTTP library reads on after each interim response, and the deadline of a call covered the head of its response only. mesh had bounds for both; its InterimResponses moves to transport, shared.

--- a/crates/mesh/src/target_connection_pool.rs
+++ b/crates/mesh/src/target_connection_pool.rs
@@ -2,20 +2,18 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use fulmartrestle_core::{TimeUs, lock};
 use fulmartrestle_policy::ProbeResult;
-use fulmartrestle_transport::{ByteBody, set_tcp_timeouts};
+use fulmartrestle_transport::{ByteBody, InterimResponses, set_tcp_timeouts};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 /// Connect timeout, in milliseconds. The target is on the same VM, but a full accept queue drops the first
@@ -53,10 +51,6 @@
 /// milliseconds. The target may have sent unsolicited bytes on its other connections too.
 const SUSPECT_MS: u64 = 6_000;
 
-/// Maximum number of interim responses (status 1xx) before a response. Targets send at most one or two; a target that
-/// sends them without end would keep the request and its slot until the deadline.
-const MAX_INTERIM_RESPONSES: u32 = 8;
-
 quick_error! {
     /// Why the target did not respond to a request.
     #[derive(Debug)]
@@ -113,27 +107,6 @@
     }
 }
 
-/// Counts the interim responses to one request.
-#[derive(Default)]
-struct InterimResponses {
-    count: AtomicU32,
-    exceeded: Notify,
-}
-
-impl InterimResponses {
-    /// Counts the interim responses to `request`, also if it is sent on another connection later.
-    fn watch(request: &mut Request<ByteBody>) -> Arc<Self> {
-        let interim_responses = Arc::new(Self::default());
-        let counted = Arc::clone(&interim_responses);
-        hyper::ext::on_informational(request, move |_| {
-            if counted.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
-                counted.exceeded.notify_one();
-            }
-        });
-        interim_responses
-    }
-}
-
 /// Idle connections to the target. The one used last is reused first.
 #[derive(Default)]
 pub struct TargetConnectionPool {
@@ -274,8 +247,7 @@
 ) -> Result<Response<Incoming>, ExchangeError> {
     let sent = tokio::select! {
         sent = connection.sender.try_send_request(request) => sent,
-        () = interim_responses.exceeded.notified() => {
-            let detail = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+        detail = interim_responses.exceeded() => {
             return Err(ExchangeError::Failed(TargetError::Invalid(detail)));
         }
     };
--- a/crates/node/src/gate/target_client.rs
+++ b/crates/node/src/gate/target_client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use fulmartrestle_policy::ProbeResult;
+use fulmartrestle_transport::InterimResponses;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -35,6 +36,10 @@
         ConnectionLost(detail: String) {
             display("connection to the target was lost: {}", detail)
         }
+        /// The target sent what is no response, and the connection was closed. It may have run the call.
+        Invalid(detail: String) {
+            display("invalid response of the target: {}", detail)
+        }
     }
 }
 
@@ -61,17 +66,24 @@
     ///
     /// # Errors
     ///
-    /// Returns [`TargetError::Connect`] when the target certainly did not receive the request, and
-    /// [`TargetError::ConnectionLost`] when it may have.
-    pub async fn send(&self, request: Request<ByteBody>) -> Result<Response<Incoming>, TargetError> {
+    /// Returns [`TargetError::Connect`] when the target certainly did not receive the request,
+    /// [`TargetError::ConnectionLost`] when it may have, and [`TargetError::Invalid`] when it sent too many interim
+    /// responses or changed the protocol, which no request asks for.
+    pub async fn send(&self, mut request: Request<ByteBody>) -> Result<Response<Incoming>, TargetError> {
         let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                TargetError::Connect(error_chain(&error))
-            } else {
-                TargetError::ConnectionLost(error_chain(&error))
+        let interim_responses = InterimResponses::watch(&mut request);
+        let sent = tokio::select! {
+            sent = client.request(request) => sent,
+            detail = interim_responses.exceeded() => return Err(TargetError::Invalid(detail)),
+        };
+        match sent {
+            Ok(response) if response.status().is_informational() => {
+                Err(TargetError::Invalid(format!("status {}", response.status())))
             }
-        })
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(TargetError::Connect(error_chain(&error))),
+            Err(error) => Err(TargetError::ConnectionLost(error_chain(&error))),
+        }
     }
 
     /// Replaces the pool with an empty one. Running calls keep their connections until they end.
--- a/crates/node/src/gate/target_gate.rs
+++ b/crates/node/src/gate/target_gate.rs
@@ -9,6 +9,7 @@
     Admission, AdmissionGate, AdmissionGateSettings, AdmissionLevel, BasisPoints, CallLoss, Completion, CrashMark,
     CrashTable, OfferedCall, QueueEvent, RetryAllowance, RunWatch, TargetHints,
 };
+use fulmartrestle_transport::TimeLimitedBody;
 use http::{HeaderName, HeaderValue, Method, Request, Uri};
 use tokio::sync::oneshot;
 
@@ -349,17 +350,10 @@
         let client = Arc::clone(&lock(&self.client));
         let result = tokio::time::timeout(timeout, client.send(request)).await;
         match result {
-            // A change of protocols, which no request asks for, is not a final response.
-            Ok(Ok(response)) if response.status().is_informational() => {
-                let unspent_retries = lock(&self.running).close_allowance(call);
-                log::info!("gate: call {:016x} failed: status {}", head.context.request_id, response.status());
-                lock(&self.state).run_watch.record_answer(call, false);
-                slot.finish(Completion::Failed);
-                self.refusal_response(Refusal::unknown(Reason::BadAnswer), unspent_retries, None)
-            }
             Ok(Ok(response)) => {
                 self.response_timeout.record_response(self.clock.now().us_since(started));
-                self.target_response(call, slot, response)
+                let left = started.plus_us(head.deadline_left_us).duration_since(self.clock.now());
+                self.target_response(call, slot, response, left)
             }
             Ok(Err(error)) => self.target_error_response(call, slot, &head, &error).await,
             Err(_) => {
@@ -389,11 +383,13 @@
         Ok(request)
     }
 
+    /// Returns the response of the target, whose body must end within `left`: it may have no end.
     fn target_response(
         &self,
         call: CallId,
         slot: AdmissionSlot,
         response: hyper::Response<hyper::body::Incoming>,
+        left: Duration,
     ) -> PeerResponse {
         let status = response.status().as_u16();
         if status >= FIRST_ERROR_STATUS {
@@ -407,6 +403,7 @@
             slot.finish(Completion::Answered);
             body
         } else {
+            let body = TimeLimitedBody::new(body, left).boxed();
             http_body_util::BodyExt::boxed_unsync(WatchedBody::new(body, slot))
         };
         let head = ResponseHead {
@@ -437,6 +434,12 @@
                 let refusal = Refusal::not_run(Reason::NoTarget, Some(TARGET_GONE_RETRY_AFTER_MS));
                 self.refusal_response(refusal, unspent_retries, None)
             }
+            TargetError::Invalid(_) => {
+                // The target has responded, so that its run has not ended with the call.
+                lock(&self.state).run_watch.record_answer(call, false);
+                slot.finish(Completion::Failed);
+                self.refusal_response(Refusal::unknown(Reason::BadAnswer), unspent_retries, None)
+            }
             TargetError::ConnectionLost(_) => {
                 slot.finish(Completion::Failed);
                 let crash = self.wait_for_crash_mark(call, head.fingerprint).await;
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -2,13 +2,18 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, RawResponse, SidecarFleet, wait_until};
+use support::{
+    CallerRequest, Fleet, FleetSpec, RawResponse, Request, SidecarFleet, TargetSpec, serve_raw_target, wait_until,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Requests that are sent at the same time.
 const CONCURRENT: usize = 8;
@@ -23,6 +28,15 @@
 /// nodes, and the buffers of the sockets.
 const MAX_WRITTEN_BYTES: usize = 16 << 20;
 
+/// Requests to the broken target at once while the memory of the nodes is measured; half of their callers do not read.
+const CROWD: usize = 64;
+
+/// Memory that the settings of the sidecars allow, in megabytes.
+const MEMORY_MB: u64 = 260;
+
+/// Memory that a node of the product's own interface may use, in megabytes: that of the same VMs.
+const NODE_MEMORY_MB: u64 = MEMORY_MB;
+
 /// Bytes that a target sends without an end, and what the caller gets.
 struct Case {
     name: &'static str,
@@ -129,3 +143,157 @@
         expect_that!(written, lt(CONCURRENT * MAX_WRITTEN_BYTES), "{}", case.name);
     }
 }
+
+const CHUNK: &str = concat!(
+    "c0\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+);
+const CHUNK_AND_TRAILERS: &str =
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
+
+/// Responses without an end, by where they do not end.
+const ENDLESS: [(&str, RawResponse); 8] = [
+    ("header lines", endless(STATUS_LINE, "x-filler: aaaaaaaaaaaaaaaa\r\n")),
+    ("one header line", endless(STATUS_LINE, KILOBYTE)),
+    ("no protocol at all", endless("", KILOBYTE)),
+    ("interim responses", endless("", "HTTP/1.1 100 Continue\r\n\r\n")),
+    ("one chunk line", endless(CHUNKED, "1111111111111111")),
+    ("chunks", endless(CHUNKED, CHUNK)),
+    ("a body without length", endless(UNTIL_CLOSE, KILOBYTE)),
+    ("trailers", endless(CHUNK_AND_TRAILERS, "x-filler: aaaaaaaaaaaaaaaa\r\n")),
+];
+
+const fn endless(start: &'static str, repeated: &'static str) -> RawResponse {
+    RawResponse { start, repeated, pause_ms: 0 }
+}
+
+/// Sends a request and does not read the response until the time for it is over.
+async fn send_without_reading(caller_address: SocketAddr, head: String) {
+    let mut caller = TcpStream::connect(caller_address).await.expect("the node listens");
+    caller.write_all(head.as_bytes()).await.expect("the node reads");
+    tokio::time::sleep(Duration::from_millis(2 * DEADLINE_MS)).await;
+}
+
+/// Returns the most memory that a process has used, in megabytes.
+fn peak_memory_mb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a running process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
+    line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1_024
+}
+
+/// Guards against a node that keeps what a target sends without end until it runs out of memory, and ends the requests of
+/// other callers with it.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_leave_memory_for_other_requests() {
+    let fleet = SidecarFleet::start(&["front", "broken", "sound"], &config()).await;
+    fleet.vms[1].target.slots.store(4 * CROWD as u64, Ordering::Relaxed);
+    for vm in 0..2 {
+        fleet.wait_for_status(vm, &request("POST", "/broken/1", format!("first-{vm}")), 200).await;
+        fleet.wait_for_status(vm, &request("GET", "/sound/1", format!("first-sound-{vm}")), 200).await;
+    }
+    for (name, raw) in ENDLESS {
+        let target = &fleet.vms[1].target;
+        *target.raw_response.lock().expect("not poisoned") = Some(raw);
+        target.close_connections();
+        // At the node beside the target, and through another one.
+        let crowd = (0..CROWD).map(|number| {
+            let (fleet, vm) = (&fleet, number % 2);
+            async move {
+                let id = format!("{}-{number}", name.replace(' ', "-"));
+                if number % 4 < 2 {
+                    let _ = fleet.try_send(vm, &request("POST", "/broken/1", id)).await;
+                    return;
+                }
+                let head = format!(
+                    "POST /broken/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {id}\r\ndeadline: {DEADLINE_MS}\r\n\
+                     content-length: 0\r\n\r\n"
+                );
+                send_without_reading(fleet.vms[vm].caller_address, head).await;
+            }
+        });
+        let others = (0..CROWD).map(|number| {
+            let fleet = &fleet;
+            async move {
+                tokio::time::sleep(Duration::from_millis(2 * DEADLINE_MS * number as u64 / CROWD as u64)).await;
+                let id = format!("{}-sound-{number}", name.replace(' ', "-"));
+                fleet.try_send(number % 2, &request("GET", "/sound/1", id)).await.map(|response| response.status)
+            }
+        });
+        let (_, others) = tokio::join!(join_all(crowd), join_all(others));
+        let served = others.iter().filter(|status| **status == Ok(200)).count();
+        expect_that!(served, eq(CROWD), "{name}: {others:?}");
+        for vm in 0..2 {
+            let peak_mb = peak_memory_mb(fleet.vms[vm].node.pid());
+            println!("{name}: node {vm} has used {peak_mb} MB");
+            expect_that!(peak_mb, lt(MEMORY_MB), "{name}: node {vm}");
+        }
+    }
+}
+
+/// The same for the product's own interface.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_leave_memory_for_other_requests_of_a_node() {
+    let target = |service| TargetSpec { service, zone: "milano", child_path: None };
+    let route = |name: &str, service: &str| {
+        json!({"set_route": {"route": name, "path_prefix": format!("/{name}"), "service": service, "class": "lookup",
+            "timeout_ms": DEADLINE_MS, "retryable": false}})
+    };
+    let spec = FleetSpec {
+        zones: vec!["milano"],
+        targets: vec![target("front"), target("broken"), target("sound")],
+        changes: json!([
+            {"set_tenant": {"tenant": "laghi", "rate_per_s": 5000, "burst": 5000, "weight": 1}},
+            {"grant_key": "laghi"}, route("broken", "broken"), route("sound", "sound")
+        ]),
+    };
+    let mut fleet = Fleet::start(&spec).await;
+    let key = fleet.configure(&spec).await.remove(0);
+    fleet.wait_until_admitted("/broken/1", &key).await;
+    fleet.wait_until_admitted("/sound/1", &key).await;
+    fleet.vms[1].target.kill();
+    for (case, (name, raw)) in ENDLESS.iter().enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let announcement = json!({
+            "service": "broken", "address": listener.local_addr().expect("an address").to_string(),
+            "slots": 4 * CROWD, "connections": 4 * CROWD,
+        });
+        let serving = tokio::spawn(serve_raw_target(listener, *raw));
+        let announced = Request::post(fleet.admin_url(1, "/v1/target"), announcement.to_string());
+        expect_that!(fleet.client.send(&announced).await.status, lt(300));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let crowd = (0..CROWD).map(|number| {
+            let (fleet, key, vm) = (&fleet, &key, number % 2);
+            async move {
+                let path = format!("/broken/{case}-{number}");
+                if number % 4 < 2 {
+                    let sent = Request::get(fleet.caller_url(vm, &path)).bearer_auth(key);
+                    let _ = fleet.client.try_send(&sent).await;
+                    return;
+                }
+                let head = format!("GET {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {key}\r\n\r\n");
+                let caller_address = fleet.vms[vm].node.address("callers").parse().expect("an address");
+                send_without_reading(caller_address, head).await;
+            }
+        });
+        let others = (0..CROWD).map(|number| {
+            let (fleet, key) = (&fleet, &key);
+            async move {
+                tokio::time::sleep(Duration::from_millis(2 * DEADLINE_MS * number as u64 / CROWD as u64)).await;
+                let path = format!("/sound/{case}-{number}");
+                let sent = Request::get(fleet.caller_url(number % 2, &path)).bearer_auth(key);
+                fleet.client.try_send(&sent).await.map(|response| response.status)
+            }
+        });
+        let (_, others) = tokio::join!(join_all(crowd), join_all(others));
+        let served = others.iter().filter(|status| **status == Ok(200)).count();
+        expect_that!(served, eq(CROWD), "{name}: {others:?}");
+        for vm in 0..2 {
+            let peak_mb = peak_memory_mb(fleet.vms[vm].node.pid());
+            println!("{name}: node {vm} has used {peak_mb} MB");
+            expect_that!(peak_mb, lt(NODE_MEMORY_MB), "{name}: node {vm}");
+        }
+        serving.abort();
+    }
+}
