Use an unverified run from 5 s after the start of its node

Cause: the limit for late announcements was that of their validity, 8 s. Delays are seconds: 2.9 s where they were seen.

--- a/crates/mesh/src/node_start.rs
+++ b/crates/mesh/src/node_start.rs
@@ -7,7 +7,7 @@
 use fulmartrestle_derive::value;
 
 /// Longest delay of an announcement, in milliseconds. One that arrives later after the start was sent after it.
-const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 8_000;
+const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 5_000;
 
 /// Difference between the clocks of a node and its target that is allowed for, in milliseconds.
 const CLOCK_TOLERANCE_MS: i64 = 500;
