Bound the read buffer of a node's connections to its target

Cause: a connection that is given up because of endless interim responses reads on until it yields, with buffers of up to 400 KiB.

Change: 64 KiB, as in mesh.

--- a/crates/node/src/gate/target_client.rs
+++ b/crates/node/src/gate/target_client.rs
@@ -24,6 +24,10 @@
 /// servers (one minute), so that the target doesn't close a connection while a call is being sent on it.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 
+/// Largest read buffer of a connection, in bytes, which is also the largest head of a response. A connection that is given
+/// up reads some more buffers before it closes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 quick_error! {
     /// An error of a call that got no response from the target.
     #[derive(Debug)]
@@ -117,6 +121,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
         .http2_only(protocol == TargetProtocol::H2c)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .build(connector)
 }
 
