lost_readers: start each fleet on a thread of its own

Cause: the six fleets were started in one task. Starting a process blocks the thread until the process is ready, 0.2 s a node. The log of the failed run shows it: the stores of all fleets started first, then the twelve nodes of two fleets from 5584.20 to 5586.51 s without a pause, and the test failed right after, while the first write of the last fleet waited; its limit is 2 s.

Change: each case runs on a thread of its own, with its start. Cases, bounds and the number of cases stay. No other test starts fleets in one task.

--- a/tests/lost_readers.rs
+++ b/tests/lost_readers.rs
@@ -4,10 +4,11 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use support::{CallerRequest, SidecarFleet};
+use tokio::runtime::Handle;
+use tokio::task::JoinSet;
 
 const NODES: usize = 6;
 
@@ -89,14 +90,18 @@
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn new_version_is_in_force_in_time_after_the_loss_of_all_readers() {
-    let phases_ms = [0, 160, 320, 480, 640, 800];
-    let outcomes = join_all(phases_ms.map(lose_readers)).await;
-    for (phase_ms, outcome) in phases_ms.iter().zip(&outcomes) {
+    let mut cases = JoinSet::new();
+    for phase_ms in [0, 160, 320, 480, 640, 800] {
+        // Starting a process blocks the thread, which delays the requests of other cases on the same thread.
+        cases.spawn_blocking(move || (phase_ms, Handle::current().block_on(lose_readers(phase_ms))));
+    }
+    let outcomes = cases.join_all().await;
+    for (phase_ms, outcome) in &outcomes {
         println!("phase {phase_ms} ms: {outcome:?}");
         expect_that!(outcome.served_until_ms, none().or(some(le(CONFIG_APPLY_MS))), "phase {phase_ms} ms");
         expect_that!(outcome.refused, ge(20), "phase {phase_ms} ms");
     }
     // A node whose last read had only just begun knows of the change at once.
-    let delayed = outcomes.iter().filter(|outcome| outcome.served_until_ms.is_some()).count();
+    let delayed = outcomes.iter().filter(|(_, outcome)| outcome.served_until_ms.is_some()).count();
     expect_that!(delayed, ge(3), "{outcomes:?}");
 }
