odd_entries: let the targets take a time that a busy machine doesn't change much

Cause: a target is drawn with a probability inversely proportional to the third power of its expected time, and the targets of the test responded at once, so that this time was delay alone. Traced on a scratch copy that prints both expected times (trials): beside six busy processes one was up to 9.3 times the other, 1 : 800 in the draw, where 60 requests all go to one target in most cases. With one slow first response (20 ms, then at once) it happens without load: of nine cases, several had none of 60 at that target, with 21 to 22 ms against 0.5 to 0.7 ms expected. The target is sound and in rotation, it is only never preferred while no other is half full.

Change: the targets take 20 ms, so that delays of some milliseconds don't matter. Requests and checks stay.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,7 +7,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, SidecarFleet, wait_until};
+use support::{CallerRequest, SidecarFleet, TargetBehaviour, wait_until};
 
 /// Stream of the registrations of nodes, and of the operator's records.
 const NODES_STREAM: &str = "keyed.nodes";
@@ -166,6 +166,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn heartbeat_of_another_writer_replaces_the_target() {
     const REQUESTS: usize = 20;
+    // Faster targets get more calls. A time well above the delays of a busy machine keeps the two targets alike.
+    const RESPONSE_MS: u64 = 20;
     let unnamed = ForeignHeartbeat::UNNAMED_SERVICE;
     let own_run = ForeignHeartbeat { instance: "i-1", started_later_ms: 0, seq: 1_000_000, vm: 1, ..unnamed };
     let cases = [
@@ -187,6 +189,9 @@
     ];
     for case in cases {
         let fleet = SidecarFleet::start(&["front", "trips", "trips"], &config()).await;
+        for vm in &fleet.vms {
+            *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(RESPONSE_MS);
+        }
         for vm in 0..3 {
             fleet.wait_for_status(vm, &request("before"), 200).await;
         }
