late_responses: the scripted target stays preferred after a slow step

second_copy_of_a_response_is_not_given_to_the_next_request failed once in ten runs: one of two steps of a script was reached.

A target that was slow in its first step gets none of the 99 requests that are left.

Change: the other target takes 20 ms. Cases, requests and checks stay.

--- a/tests/late_responses.rs
+++ b/tests/late_responses.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{CallerRequest, ScriptStep, SidecarFleet};
+use support::{CallerRequest, ScriptStep, SidecarFleet, TargetBehaviour};
 
 /// A response, and its second copy that arrives while the target runs the next request on the connection.
 struct Case {
@@ -49,6 +49,9 @@
     Case { name: "success", script: &[runs(SUCCESS), runs(LATE_SUCCESS)] },
 ];
 
+/// Time in which the other target responds, in milliseconds.
+const OTHER_RESPONSE_MS: u64 = 20;
+
 /// Requests after the start of a script. The scripted target gets some of them, as targets are drawn at random.
 const REQUESTS: usize = 100;
 
@@ -90,6 +93,9 @@
         for vm in 0..2 {
             fleet.wait_for_status(vm, &request(format!("first-{vm}")), 200).await;
         }
+        // Faster targets get more calls, so that the scripted one is reached also after a slow step.
+        *fleet.vms[0].target.behaviour.lock().expect("not poisoned") =
+            TargetBehaviour::RespondAfterMs(OTHER_RESPONSE_MS);
         // The next request opens a new connection, which follows the script.
         fleet.vms[1].target.close_connections();
         *fleet.vms[1].target.script.lock().expect("not poisoned") = Some(case.script);
