--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -184,6 +184,17 @@
     line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") / 1_024
 }
 
+/// Checks that all other requests were served, and that no node has used `limit_mb` megabytes of memory.
+fn expect_others_unharmed(name: &str, statuses: &[Result<u16, String>], pids: [u32; 2], limit_mb: u64) {
+    let served = statuses.iter().filter(|status| **status == Ok(200)).count();
+    expect_that!(served, eq(CROWD), "{name}: {statuses:?}");
+    for (vm, pid) in pids.into_iter().enumerate() {
+        let peak_mb = peak_memory_mb(pid);
+        println!("{name}: node {vm} has used {peak_mb} MB");
+        expect_that!(peak_mb, lt(limit_mb), "{name}: node {vm}");
+    }
+}
+
 /// Guards against a node that keeps what a target sends without end until it runs out of memory, and ends the requests of
 /// other callers with it.
 #[googletest::test]
@@ -224,13 +235,8 @@
             }
         });
         let (_, others) = tokio::join!(join_all(crowd), join_all(others));
-        let served = others.iter().filter(|status| **status == Ok(200)).count();
-        expect_that!(served, eq(CROWD), "{name}: {others:?}");
-        for vm in 0..2 {
-            let peak_mb = peak_memory_mb(fleet.vms[vm].node.pid());
-            println!("{name}: node {vm} has used {peak_mb} MB");
-            expect_that!(peak_mb, lt(MEMORY_MB), "{name}: node {vm}");
-        }
+        let pids = [0, 1].map(|vm: usize| fleet.vms[vm].node.pid());
+        expect_others_unharmed(name, &others, pids, MEMORY_MB);
     }
 }
 
@@ -299,13 +305,8 @@
             }
         });
         let (_, others) = tokio::join!(join_all(crowd), join_all(others));
-        let served = others.iter().filter(|status| **status == Ok(200)).count();
-        expect_that!(served, eq(CROWD), "{name}: {others:?}");
-        for vm in 0..2 {
-            let peak_mb = peak_memory_mb(fleet.vms[vm].node.pid());
-            println!("{name}: node {vm} has used {peak_mb} MB");
-            expect_that!(peak_mb, lt(NODE_MEMORY_MB), "{name}: node {vm}");
-        }
+        let pids = [0, 1].map(|vm: usize| fleet.vms[vm].node.pid());
+        expect_others_unharmed(name, &others, pids, NODE_MEMORY_MB);
         serving.abort();
     }
 }
