--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -63,6 +63,8 @@
     Timeline(TimelineArgs),
     /// Runs the in-process demo.
     Demo(DemoArgs),
+    /// Runs real nodes under drawn faults.
+    Soak(SoakArgs),
 }
 
 /// Make a plan from an intent and show its changes and what they affect. The plan has no effect until
@@ -274,3 +276,38 @@
     #[argh(switch)]
     pub list: bool,
 }
+
+/// Start real nodes, a store, workers and callers on this machine, inject faults that overlap, and check the
+/// rules of the platform by what callers, workers and the operator see. Prints the rules that were broken with the
+/// faults before and the log lines of the request.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "soak")]
+pub struct SoakArgs {
+    /// seed of faults, versions and requests; default 1
+    #[argh(option, default = "1")]
+    pub seed: u64,
+
+    /// run the faults of this seed again, print each one, and keep the logs of the nodes
+    #[argh(option)]
+    pub replay: Option<u64>,
+
+    /// duration of the load in minutes, 1 to 1440; default 2
+    #[argh(option, default = "2")]
+    pub minutes: u64,
+
+    /// nodes and the store, 3 to 200; default 7
+    #[argh(option, default = "7")]
+    pub processes: u64,
+
+    /// directory with the programs fulmartrestle-sidecar and fulmartrestle-standin-log; default: that of this program
+    #[argh(option)]
+    pub programs: Option<PathBuf>,
+
+    /// print the report as one JSON object on the last line
+    #[argh(switch)]
+    pub json: bool,
+
+    /// list the kinds of faults and the rules, and exit
+    #[argh(switch)]
+    pub list: bool,
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod report;
 mod settings;
+mod soak;
 mod status;
 mod stop;
 mod timeline;
@@ -36,6 +37,7 @@
         Command::Check(check) => commands::settings::check_settings(&check.file),
         Command::Timeline(timeline) => commands::timeline::print_timeline(timeline, args.json),
         Command::Demo(demo) => commands::demo::run(demo, args.json).await,
+        Command::Soak(soak) => commands::soak::run(soak, args.json).await,
         Command::Plan(plan) => commands::plan::plan_file(&admin_client(&args)?, plan, args.json).await,
         Command::Confirm(confirm) => commands::plan::confirm(&admin_client(&args)?, &confirm.plan, args.json).await,
         Command::History(_) => commands::plan::print_history(&admin_client(&args)?, args.json).await,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,6 +4,7 @@
 
 use fulmartrestle_config::SettingsError;
 use fulmartrestle_demo::DemoError;
+use fulmartrestle_soak::SoakError;
 use quick_error::quick_error;
 
 use crate::exit::{EXIT_FAILED, EXIT_UNREACHABLE, EXIT_USAGE};
@@ -46,6 +47,15 @@
         InvariantsViolated(count: u64) {
             display("{} invariants violated", count)
         }
+        /// The soak could not be run.
+        Soak(error: SoakError) {
+            display("{}", error)
+            from()
+        }
+        /// The soak ran and rules were broken this number of times.
+        RulesBroken(count: usize) {
+            display("rules broken {} times", count)
+        }
     }
 }
 
@@ -53,10 +63,11 @@
     /// Returns the exit code of the process for this error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::File(..) | Self::Input(_) | Self::Settings(_) => EXIT_USAGE,
+            Self::File(..) | Self::Input(_) | Self::Settings(_) | Self::Soak(SoakError::Option(..)) => EXIT_USAGE,
             Self::Refused(status, _) if (500..600).contains(status) => EXIT_UNREACHABLE,
             Self::Refused(400, _) => EXIT_USAGE,
             Self::Refused(..) | Self::NotCommitted(_) | Self::Demo(_) | Self::InvariantsViolated(_) => EXIT_FAILED,
+            Self::Soak(_) | Self::RulesBroken(_) => EXIT_FAILED,
             Self::Unreachable(..) => EXIT_UNREACHABLE,
         }
     }
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -2,14 +2,15 @@
 //! the test process.
 
 use std::convert::Infallible;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, AtomicUsize, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fulmartrestle_platform::StoreClient;
 use fulmartrestle_platform_log::{KeyedRecord, PlatformLog, StreamName};
+use fulmartrestle_soak::free_address;
 use futures_util::stream::{self, StreamExt};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -30,20 +31,6 @@
 /// Environment variable with the path of an earlier build's `fulmartrestle-sidecar`.
 const EARLIER_SIDECAR: &str = "FULMARTRESTLE_EARLIER_SIDECAR";
 
-/// Range of ports for the nodes' listeners, below the ephemeral ports that the system assigns to outgoing
-/// connections.
-const FIRST_PORT: u16 = 15_000;
-const PORT_COUNT: u16 = 15_000;
-
-/// Offset of the next port to try, so that no two nodes of a test program get the same port.
-static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
-
-/// Address on which test programs reserve ports. Nodes and targets don't use it.
-const RESERVATION_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
-
-/// Reservations of this test process, which end with it.
-static RESERVATIONS: Mutex<Vec<std::net::TcpListener>> = Mutex::new(Vec::new());
-
 /// Zone of all VMs unless a test names others.
 const DEFAULT_ZONE: &str = "milano";
 
@@ -552,24 +539,6 @@
     }
 }
 
-/// Returns a loopback address with a port that is free and outside the system's range of ephemeral ports, so
-/// that no outgoing connection can take it before the node listens on it. The port stays reserved for this test process
-/// by a listener on [`RESERVATION_IP`]: two test programs at once took each other's ports while a node was starting or
-/// restarting, and requests were answered by the targets of the other one. Whether the port is free is tried with a
-/// connection: a process that another thread starts meanwhile inherits a listener until it has loaded its program, and the
-/// node cannot listen then.
-fn free_address() -> SocketAddr {
-    loop {
-        let port = FIRST_PORT + NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
-        let Ok(reservation) = std::net::TcpListener::bind((RESERVATION_IP, port)) else { continue };
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpStream::connect(address).is_err() {
-            RESERVATIONS.lock().expect("not poisoned").push(reservation);
-            return address;
-        }
-    }
-}
-
 /// What a target says of itself in all its heartbeats, and where it sends them.
 struct HeartbeatSource {
     control_address: SocketAddr,
