invalid_status: count requests by ID, and wait until connections are closed

The node's log has a target_probed at that time: after a lost attempt it connects to see whether its target is still there and closes the connection. The check took connections for sends.

Change: the raw target records the ID of each request that it has read, and the check counts sends of the ID, of which a connection without a request is none. The bounds stay.

--- a/tests/invalid_status.rs
+++ b/tests/invalid_status.rs
@@ -71,16 +71,19 @@
     }
     for (case, status_line) in STATUS_LINES.iter().enumerate() {
         *target.raw_response.lock().expect("not poisoned") = Some(raw_response(status_line));
-        target.close_connections();
-        let accepted = || target.raw_connections.accepted.load(std::sync::atomic::Ordering::Relaxed);
+        target.close_http_connections().await;
+        // By ID, as a node that may have lost a request also opens connections to see whether its target is still there.
+        let count_sent = |id: &str| {
+            let ids = target.raw_connections.request_ids.lock().expect("not poisoned");
+            ids.iter().filter(|sent| *sent == id).count()
+        };
         for (method, path, most_sent) in [("GET", "/safe/1", 2), ("POST", "/unsafe/1", 1), ("GET", "/download/1", 2)] {
             // At the node beside the target, and through another one.
             for vm in [1, 0] {
-                let sent = accepted();
                 let id = format!("r-{case}-{vm}-{}", &path[1..4]);
-                let response = fleet.send(vm, &request(method, path, id)).await;
+                let response = fleet.send(vm, &request(method, path, id.clone())).await;
                 expect_that!(response.status, eq(502), "{status_line:?}, {path} at {vm}");
-                expect_that!(accepted() - sent, le(most_sent), "{status_line:?}, {path} at {vm}");
+                expect_that!(count_sent(&id), le(most_sent), "{status_line:?}, {path} at {vm}");
             }
         }
         let responses = pipeline(&fleet, &format!("p-{case}")).await;
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -168,6 +168,8 @@
     pub accepted: AtomicUsize,
     pub open: AtomicUsize,
     pub written_bytes: AtomicUsize,
+    /// IDs of the requests that were read, one for each connection that carried one.
+    pub request_ids: Mutex<Vec<String>>,
 }
 
 /// A request that a target has run.
@@ -208,6 +210,8 @@
     pub raw_connections: RawConnections,
     /// What happens on the next new connection, if it is set. It closes at the end of the script.
     pub script: Mutex<Option<&'static [ScriptStep]>>,
+    /// Has a clone for each open connection that speaks HTTP.
+    open_connections: Arc<()>,
     closing: Notify,
     crashing: Notify,
     is_down: Mutex<bool>,
@@ -225,6 +229,14 @@
         self.closing.notify_waiters();
     }
 
+    /// Closes all connections that speak HTTP, and returns once none is open. New ones follow `raw_response`.
+    pub async fn close_http_connections(&self) {
+        while Arc::strong_count(&self.open_connections) > 1 {
+            self.close_connections();
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// Ends the current run. The target is down for a moment and starts again.
     pub fn crash(&self) {
         let was_down = std::mem::replace(&mut *self.is_down.lock().expect("not poisoned"), true);
@@ -386,6 +398,7 @@
             raw_response: Mutex::default(),
             raw_connections: RawConnections::default(),
             script: Mutex::default(),
+            open_connections: Arc::default(),
             closing: Notify::new(),
             crashing: Notify::new(),
             is_down: Mutex::new(false),
@@ -651,7 +664,9 @@
             });
             continue;
         }
+        let open = Arc::clone(&target.open_connections);
         connections.spawn(async move {
+            let _open = open;
             let service = service_fn(move |request| handle_request(request, run, Arc::clone(&target)));
             // Dropped responses end the connection with an error.
             let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(tcp), service).await;
@@ -723,6 +738,7 @@
 /// Reads the head of one request and writes bytes until the connection is closed.
 async fn write_without_end(mut tcp: TcpStream, raw: RawResponse, counts: &RawConnections) -> std::io::Result<()> {
     let request_id = read_request_id(&mut tcp).await?;
+    counts.request_ids.lock().expect("not poisoned").push(request_id.clone());
     tcp.write_all(raw.start.replace("{id}", &request_id).as_bytes()).await?;
     loop {
         tcp.write_all(raw.repeated.as_bytes()).await?;
