--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -107,12 +107,19 @@
     std::process::exit(code);
 }
 
-/// Returns an address whose port is free for TCP and UDP.
+/// Ports of the machines: below those that systems give to outgoing connections, which could take one that is free now.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 18_000;
+
+/// Returns an address whose port is free for TCP and UDP. No port is returned twice.
 pub fn free_address() -> SocketAddr {
-    for _ in 0..100 {
-        let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { continue };
-        let Ok(address) = listener.local_addr() else { continue };
-        if UdpSocket::bind(address).is_ok() {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let start = std::process::id().wrapping_mul(97) % PORTS;
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) as u32;
+        let port = FIRST_PORT + (start + number) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -684,14 +691,24 @@
 
     /// Sends one heartbeat. Returns whether it was acknowledged.
     pub fn beat(&self, control: SocketAddr) -> bool {
+        let body = self.next_beat();
+        self.send_beat(control, &body)
+    }
+
+    /// Sends the body of a heartbeat. Returns whether it was acknowledged.
+    pub fn send_beat(&self, control: SocketAddr, body: &str) -> bool {
+        self.tell(control, "Instances.Heartbeat", body)
+    }
+
+    /// Returns the body of the next heartbeat.
+    pub fn next_beat(&self) -> String {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
-        let body = format!(
+        format!(
             "{{\"addr\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\"slots\":{}}},\
              \"status\":{{\"state\":\"{state}\",\"seq\":{seq},\"cold_left_ms\":0}}}}",
             self.address, self.born.load(Ordering::Relaxed), self.service, self.zone, self.slots
-        );
-        self.tell(control, "Instances.Heartbeat", &body)
+        )
     }
 
     pub fn tell(&self, control: SocketAddr, what: &str, body: &str) -> bool {
