--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -1,22 +1,26 @@
-//! A planned stop. A large response that begins late in the grace period is cut off.
+//! A planned stop. Requests that wait for a slot beside another node end without an answer.
 
 #[path = "../standin-3/common.rs"]
 mod common;
 
 use common::*;
-use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Size of the response to a download, and the time that the worker takes to send it.
-const FILE_BYTES: usize = 3_000_000;
-const FILE_MS: u64 = 3_000;
-/// Time from the SIGTERM to the download. The rule excuses what was sent up to 3 s after it.
-const SENT_MS: u64 = 3_200;
-/// Work of the request that the worker beside the stopping node runs meanwhile.
-const VIEW_MS: u64 = 4_300;
+const SLOTS: u64 = 4;
+/// Long requests: those that run at once, and as many that wait behind them.
+const REPORTS: u64 = 6;
+/// Work of the usual requests, and of the long ones.
+const PLEDGE_MS: u64 = 100;
+const REPORT_MS: u64 = 3_000;
+/// Deadline and timeout of the usual requests, and of the long ones.
+const DEADLINE_MS: u64 = 6_000;
+const REPORT_DEADLINE_MS: u64 = 8_000;
+/// Time from the requests that wait to the SIGTERM.
+const STOP_AFTER_MS: u64 = 100;
+/// `loss_slack_ms` of the deployments.
+const LOSS_SLACK_MS: u64 = 200;
 /// The rule holds until 1 s after `grace_s`.
 const WATCHED_MS: u64 = 7_000;
 
@@ -25,128 +29,83 @@
     let folder = temporary_folder("12");
     let store = Store::start(&recorder);
     let routes = r#"[
-        {"name":"view","host":"desk.example","prefix":"/view/","kind":"safe","service":"desk","attempts":2,"timeout_ms":8000,"slo_ms":1500,"priority":1},
-        {"name":"file","host":"desk.example","prefix":"/file/","kind":"download","service":"files","attempts":2,"timeout_ms":8000,"slo_ms":1500,"priority":1}]"#;
-    let services = r#"[{"name":"desk","health_path":"/healthz","max_conns":100},{"name":"files","health_path":"/healthz","max_conns":100}]"#;
+        {"name":"pledge","host":"desk.example","prefix":"/pledge/","kind":"unsafe","service":"desk","attempts":2,"timeout_ms":6000,"slo_ms":1500,"priority":1},
+        {"name":"report","host":"desk.example","prefix":"/report/","kind":"safe","service":"desk","attempts":2,"timeout_ms":8000,"slo_ms":7000,"priority":1}]"#;
+    let services = r#"[{"name":"desk","health_path":"/healthz","max_conns":100},{"name":"front","health_path":"/healthz","max_conns":100}]"#;
     store.write_operator("config", &config(1, routes, services, None));
-    let desk = Worker::start(&recorder, "i-desk", "desk", "zone-a", 10, |worker, request, stream| {
-        sleep_ms(if request.path().ends_with("long") { VIEW_MS } else { 50 });
+    let front = Worker::start(&recorder, "i-front", "front", "zone-a", 10, |worker, request, stream| {
         worker.answer(request, stream, 200, b"whole")
     });
-    let files = Worker::start(&recorder, "i-files", "files", "zone-b", 40, |worker, request, stream| {
-        let id = request.header("request-id").unwrap_or_default();
-        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: stamp-{id}\r\nContent-Length: {FILE_BYTES}\r\n\r\n");
-        if stream.write_all(head.as_bytes()).is_err() {
-            return false;
-        }
-        const PIECES: usize = 60;
-        for _ in 0..PIECES {
-            if stream.write_all(&[b'f'; FILE_BYTES / PIECES]).is_err() {
-                return false;
-            }
-            sleep_ms(FILE_MS / PIECES as u64);
-        }
-        true
+    let desk = Worker::start(&recorder, "i-desk", "desk", "zone-b", SLOTS, |worker, request, stream| {
+        sleep_ms(if request.path().starts_with("/report/") { REPORT_MS } else { PLEDGE_MS });
+        worker.answer(request, stream, 200, b"whole")
     });
-    // Each zone has one machine.
-    let node_a = Node::new(&recorder, &folder, "node-a", "zone-a", "desk", desk.address, store.address);
-    let node_b = Node::new(&recorder, &folder, "node-b", "zone-b", "files", files.address, store.address);
-    let (node_a, node_b) = (Arc::new(node_a), Arc::new(node_b));
+    let node_a = Arc::new(Node::new(&recorder, &folder, "node-a", "zone-a", "front", front.address, store.address));
+    let node_b = Arc::new(Node::new(&recorder, &folder, "node-b", "zone-b", "desk", desk.address, store.address));
     let all = [node_a.as_ref(), node_b.as_ref()];
-    for (node, worker) in all.iter().zip([&desk, &files]) {
+    for (node, worker) in all.iter().zip([&front, &desk]) {
         node.start(true);
         worker.announce(node.control);
     }
     all.iter().for_each(|node| node.wait_until_ready());
-    let file = |id: &str| request_bytes("GET", "/file/1", "desk.example", id, 8_000, None, b"");
-    let is_whole = |answer: &Result<Message, String>| {
-        answer.as_ref().is_ok_and(|answer| answer.status() == 200 && answer.body.len() == FILE_BYTES)
+    let request = |path: &str, id: &str| {
+        let (method, body) = if path.starts_with("/report/") { ("GET", &b""[..]) } else { ("POST", &b"pledge"[..]) };
+        let deadline_ms = if method == "GET" { REPORT_DEADLINE_MS } else { DEADLINE_MS };
+        request_bytes(method, path, "desk.example", id, deadline_ms, None, body)
     };
-    for path in ["/view/1", "/file/1"] {
-        let served = (0..60).any(|attempt| {
-            sleep_ms(100);
-            let bytes = request_bytes("GET", path, "desk.example", &format!("first-{attempt}{}", path.replace('/', "-")), 8_000, None, b"");
-            ask(node_a.outbound, &bytes).is_ok_and(|answer| answer.status() == 200)
-        });
-        if !served {
-            end(&recorder, &all, NOT_RUN, "nothing is served before the stop");
-        }
+    let is_ok = |answer: Result<Message, String>| answer.is_ok_and(|answer| answer.status() == 200);
+    if !(0..60).any(|attempt| {
+        sleep_ms(100);
+        is_ok(ask(node_a.outbound, &request("/pledge/first", &format!("first-{attempt}"))))
+    }) {
+        end(&recorder, &all, NOT_RUN, "nothing is served before the stop");
     }
-    // The node has seen how long these downloads take.
-    let earlier: Vec<_> = (0..5)
-        .map(|number| {
-            let (bytes, address) = (file(&format!("earlier-{number}")), node_a.outbound);
-            thread::spawn(move || ask(address, &bytes))
-        })
-        .collect();
-    let whole = earlier.into_iter().filter(|_| true).map(|thread| thread.join()).filter(|answer| answer.as_ref().is_ok_and(is_whole)).count();
-    recorder.write(&format!("{whole} of 5 downloads before the stop are whole"));
-    if whole < 5 {
-        end(&recorder, &all, NOT_RUN, "downloads fail before the stop");
+    for number in 0..20 {
+        if !is_ok(ask(node_a.outbound, &request(&format!("/pledge/{number}"), &format!("earlier-{number}")))) {
+            end(&recorder, &all, NOT_RUN, "requests fail before the stop");
+        }
     }
-    // A request that the worker beside the node runs through most of the grace period.
-    let long = {
-        let (recorder, address) = (recorder.clone(), node_a.outbound);
+    sleep_ms(1_500);
+    // Long requests take the three slots that are in use, twice; their clients are on the worker's own machine.
+    let send = |address, path: String, id: String| {
+        let (recorder, bytes) = (recorder.clone(), request(&path, &id));
         thread::spawn(move || {
-            let answer = ask(address, &request_bytes("GET", "/view/long", "desk.example", "long", 8_000, None, b""));
-            recorder.write(&format!("long is answered {:?}", answer.map(|answer| answer.status())));
+            let sent = Instant::now();
+            let answer = ask(address, &bytes);
+            let took_ms = sent.elapsed().as_millis() as u64;
+            let text = match &answer {
+                Ok(answer) => format!("status {}", answer.status()),
+                Err(error) => format!("no answer ({error})"),
+            };
+            recorder.write(&format!("{id}: {text} after {took_ms} ms"));
+            (id, answer.map(|answer| answer.status()), sent + Duration::from_millis(took_ms), took_ms)
         })
     };
-    // The client's connection is open before the stop.
-    let Ok(mut client) = Connection::open(node_a.outbound) else { end(&recorder, &all, NOT_RUN, "no connection") };
-    sleep_ms(300);
+    let long: Vec<_> = (0..REPORTS).map(|number| send(node_b.outbound, format!("/report/{number}"), format!("long-{number}"))).collect();
+    sleep_ms(200);
+    let waiting: Vec<_> = (0..3).map(|number| send(node_a.outbound, format!("/pledge/w{number}"), format!("waiting-{number}"))).collect();
+    sleep_ms(STOP_AFTER_MS);
     let stopped = Instant::now();
     if has_trouble() {
         node_a.signal(SIGTERM);
     }
-    // The platform asks once a second. The zone has no other machine, so that the clients stay.
-    let asking = Arc::new(AtomicBool::new(true));
-    let platform = {
-        let (node, recorder, asking) = (Arc::clone(&node_a), recorder.clone(), Arc::clone(&asking));
-        thread::spawn(move || {
-            while asking.load(Ordering::Relaxed) {
-                recorder.write(&format!("readyz of node-a: {}", if node.is_ready() { 200 } else { 503 }));
-                sleep_ms(1_000);
-            }
-        })
-    };
-    thread::sleep(Duration::from_millis(SENT_MS).saturating_sub(stopped.elapsed()));
-    let sent_ms = stopped.elapsed().as_millis();
-    let answer = client.send(&file("late")).and_then(|()| client.read_head());
-    let sent = format!("late was sent {sent_ms} ms after the SIGTERM, read: {:?}", answer.as_ref().map(|head| head.status()));
-    recorder.write(&sent);
-    let mut received = 0;
-    let outcome = match answer {
-        Ok(mut head) => {
-            let length: usize = head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-            let mut buffer = [0; 65_536];
-            while received < length {
-                match std::io::Read::read(client.reader(), &mut buffer) {
-                    Ok(0) | Err(_) => break,
-                    Ok(read) => received += read,
-                }
-            }
-            let complete = received == length;
-            head.body.clear();
-            (Some(head.status()), complete)
-        }
-        Err(_) => (None, false),
-    };
-    let ended_ms = stopped.elapsed().as_millis() as u64;
-    recorder.write(&format!("late: status {:?}, {received} bytes, complete: {}, ended {ended_ms} ms after the SIGTERM", outcome.0, outcome.1));
-    let _ = long.join();
-    asking.store(false, Ordering::Relaxed);
-    let _ = platform.join();
-    let ran = files.has_run("late");
+    let answers: Vec<_> = waiting.into_iter().filter_map(|thread| thread.join().ok()).collect();
+    for thread in long {
+        let _ = thread.join();
+    }
+    let mut lost = 0;
+    let mut failed = 0;
+    for (id, answer, ended, took_ms) in &answers {
+        let ended_ms = ended.saturating_duration_since(stopped).as_millis() as u64;
+        let ran = desk.has_run(id);
+        recorder.write(&format!("{id}: ended {ended_ms} ms after the SIGTERM, ran: {ran}"));
+        lost += u32::from(answer.is_err() && *took_ms > LOSS_SLACK_MS && *took_ms < DEADLINE_MS && ended_ms <= WATCHED_MS && !ran);
+        failed += u32::from(*answer != Ok(200));
+    }
     node_a.record_log(&["stopping", "stopped"]);
-    let broken = ran && !outcome.1 && ended_ms <= WATCHED_MS && has_trouble();
-    let reason = match (broken, ran, outcome.1) {
-        (true, ..) => "a request that was passed on to a worker ended without a complete answer",
-        (false, false, _) => "the request was not passed on",
-        _ => "the request was answered",
-    };
-    if !has_trouble() && !outcome.1 {
-        end(&recorder, &all, BROKEN, "the download failed without a stop");
+    if !has_trouble() {
+        end(&recorder, &all, if failed > 0 { BROKEN } else { HELD }, &format!("{failed} of {} requests failed without a stop", answers.len()));
     }
-    end(&recorder, &all, if broken { BROKEN } else { HELD }, reason);
+    let reason = format!("{lost} of {} requests that were read before the SIGTERM ended without an answer", answers.len());
+    end(&recorder, &all, if lost > 0 { BROKEN } else { HELD }, &reason);
 }
