--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -1,120 +1,128 @@
-//! A worker's leaving is acknowledged while the store is down, all nodes are killed, and a heartbeat is late.
+//! A planned stop. Uploads that begin late in the grace period are run, and their answers are cut off.
 
 #[path = "../standin-3/common.rs"]
 mod common;
 
 use common::*;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// `drain_ms` and `stability_window_ms` of the deployments.
-const DRAIN_MS: u64 = 2_000;
-const STABILITY_WINDOW_MS: u64 = 3_000;
-/// Times after the acknowledgement.
-const KILLED_MS: u64 = 50;
-const BACK_MS: u64 = 200;
-const STARTED_MS: u64 = 250;
-/// Time from the start of the nodes to the late heartbeat.
-const BEAT_MS: u64 = 5_150;
-/// Time from the acknowledgement to the worker's end.
-const EXIT_MS: u64 = 9_000;
+/// Size of an upload, the time that a slow client takes to send it, and its deadline.
+const UPLOAD_BYTES: usize = 300_000;
+const SENDING_MS: u64 = 1_600;
+const DEADLINE_MS: u64 = 3_000;
+/// Work of each upload, before the stop and in it.
+const WORK_MS: u64 = 1_200;
+/// Time from the SIGTERM to the first byte of the last uploads. The rule excuses what was sent up to 3 s after it.
+const SENT_MS: u64 = 3_100;
+/// Work of the request that the worker beside the stopping node runs meanwhile.
+const VIEW_MS: u64 = 4_300;
+/// The rule holds until 1 s after `grace_s`.
+const WATCHED_MS: u64 = 7_000;
 
 fn main() {
     let recorder = Recorder::start();
     let folder = temporary_folder("14");
     let store = Store::start(&recorder);
-    let routes = r#"[{"name":"view","host":"trips.example","prefix":"/view/","kind":"safe","service":"trips","attempts":2,"timeout_ms":1500,"slo_ms":500,"priority":1}]"#;
-    let services = r#"[{"name":"trips","health_path":"/healthz","max_conns":100}]"#;
+    let routes = r#"[
+        {"name":"view","host":"desk.example","prefix":"/view/","kind":"safe","service":"desk","attempts":2,"timeout_ms":6000,"slo_ms":1500,"priority":1},
+        {"name":"photo","host":"desk.example","prefix":"/photo/","kind":"upload","service":"photos","attempts":2,"slo_ms":800,"priority":1}]"#;
+    let services = r#"[{"name":"desk","health_path":"/healthz","max_conns":100},{"name":"photos","health_path":"/healthz","max_conns":100}]"#;
     store.write_operator("config", &config(1, routes, services, None));
-    let mut nodes = Vec::new();
-    let mut workers = Vec::new();
-    for (number, zone) in ["zone-a", "zone-b", "zone-c"].iter().enumerate() {
-        let worker = Worker::start(&recorder, &format!("i-{number}"), "trips", zone, 10, |worker, request, stream| {
-            sleep_ms(20);
-            worker.answer(request, stream, 200, b"whole")
-        });
-        let node = Arc::new(Node::new(&recorder, &folder, &format!("node-{number}"), zone, "trips", worker.address, store.address));
+    let desk = Worker::start(&recorder, "i-desk", "desk", "zone-a", 10, |worker, request, stream| {
+        sleep_ms(if request.path().ends_with("long") { VIEW_MS } else { 50 });
+        worker.answer(request, stream, 200, b"whole")
+    });
+    let photos = Worker::start(&recorder, "i-photos", "photos", "zone-b", 40, |worker, request, stream| {
+        sleep_ms(WORK_MS);
+        worker.answer(request, stream, 200, b"whole")
+    });
+    // Each zone has one machine.
+    let node_a = Arc::new(Node::new(&recorder, &folder, "node-a", "zone-a", "desk", desk.address, store.address));
+    let node_b = Arc::new(Node::new(&recorder, &folder, "node-b", "zone-b", "photos", photos.address, store.address));
+    let all = [node_a.as_ref(), node_b.as_ref()];
+    for (node, worker) in all.iter().zip([&desk, &photos]) {
         node.start(true);
         worker.announce(node.control);
-        nodes.push(node);
-        workers.push(worker);
     }
-    let all: Vec<&Node> = nodes.iter().map(Arc::as_ref).collect();
     all.iter().for_each(|node| node.wait_until_ready());
-    let request = |id: &str| request_bytes("GET", "/view/1", "trips.example", id, 2_000, None, b"");
-    let leaving = &workers[0];
-    let served = (0..100).any(|attempt| {
-        sleep_ms(100);
-        let _ = ask(all[0].outbound, &request(&format!("first-{attempt}")));
-        workers.iter().all(|worker| !worker.runs().is_empty()) || (attempt > 60 && !leaving.runs().is_empty())
-    });
-    if !served {
-        end(&recorder, &all, NOT_RUN, "the worker that leaves got no request before");
-    }
-    sleep_ms(2_000);
-    let trouble = has_trouble();
-    if trouble {
-        store.set_down(true);
+    let view = |path: &str, id: &str| request_bytes("GET", path, "desk.example", id, 6_000, None, b"");
+    let upload = |path: &str, id: &str| request_bytes("POST", path, "desk.example", id, DEADLINE_MS, None, &[b'p'; UPLOAD_BYTES]);
+    let is_ok = |answer: Result<Message, String>| answer.is_ok_and(|answer| answer.status() == 200);
+    for path in ["/view/1", "/photo/1"] {
+        let served = (0..60).any(|attempt| {
+            sleep_ms(100);
+            let id = format!("first-{attempt}{}", path.replace('/', "-"));
+            is_ok(ask(node_a.outbound, &if path.starts_with("/view") { view(path, &id) } else { upload(path, &id) }))
+        });
+        if !served {
+            end(&recorder, &all, NOT_RUN, "nothing is served before the stop");
+        }
     }
-    // The last heartbeat is on its way when the worker sends its notice. It sends none afterwards.
-    leaving.beats.store(false, std::sync::atomic::Ordering::Relaxed);
-    let late_beat = leaving.next_beat();
-    let beat_sent = Instant::now();
-    recorder.write("i-0 sends a heartbeat that will be late");
-    leaving.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
-    let born = leaving.born.load(std::sync::atomic::Ordering::Relaxed);
-    if !leaving.tell(all[0].control, "Instances.Deregister", &format!("{{\"born\":{born}}}")) {
-        end(&recorder, &all, NOT_RUN, "the leaving was not acknowledged");
+    for number in 0..4 {
+        if !is_ok(ask(node_a.outbound, &upload(&format!("/photo/{number}"), &format!("earlier-{number}")))) {
+            end(&recorder, &all, NOT_RUN, "uploads fail before the stop");
+        }
     }
-    let acknowledged = Instant::now();
-    recorder.write("node-0 acknowledged that i-0 leaves");
-    let at = |ms: u64| thread::sleep(Duration::from_millis(ms).saturating_sub(acknowledged.elapsed()));
-    at(KILLED_MS);
-    if trouble {
-        all.iter().for_each(|node| {
-            node.signal(SIGKILL);
-            node.kill();
-        });
-        at(BACK_MS);
-        store.set_down(false);
-        at(STARTED_MS);
-        all.iter().for_each(|node| node.start(false));
+    // A request that the worker beside the node runs through most of the grace period.
+    let long = {
+        let (recorder, address, bytes) = (recorder.clone(), node_a.outbound, view("/view/long", "long"));
+        thread::spawn(move || {
+            let answer = ask(address, &bytes);
+            recorder.write(&format!("long is answered {:?}", answer.map(|answer| answer.status())));
+        })
+    };
+    sleep_ms(300);
+    let stopped = Instant::now();
+    if has_trouble() {
+        node_a.signal(SIGTERM);
     }
-    let in_touch_ms = STARTED_MS + STABILITY_WINDOW_MS;
-    let senders: Vec<_> = nodes
-        .iter()
-        .enumerate()
-        .map(|(number, node)| {
-            let (node, recorder) = (Arc::clone(node), recorder.clone());
+    // The platform asks once a second. The zone has no other machine, so that the clients stay.
+    let asking = Arc::new(AtomicBool::new(true));
+    let platform = {
+        let (node, recorder, asking) = (Arc::clone(&node_a), recorder.clone(), Arc::clone(&asking));
+        thread::spawn(move || {
+            while asking.load(Ordering::Relaxed) {
+                recorder.write(&format!("readyz of node-a: {}", if node.is_ready() { 200 } else { 503 }));
+                sleep_ms(1_000);
+            }
+        })
+    };
+    thread::sleep(Duration::from_millis(SENT_MS).saturating_sub(stopped.elapsed()));
+    let late: Vec<_> = (0..3)
+        .map(|number| {
+            let (recorder, address) = (recorder.clone(), node_a.outbound);
+            let (id, bytes) = (format!("late-{number}"), upload(&format!("/photo/{number}/late"), &format!("late-{number}")));
             thread::spawn(move || {
-                let mut sent = Vec::new();
-                while acknowledged.elapsed() < Duration::from_millis(EXIT_MS) {
-                    let (id, sent_ms) = (format!("late-{number}-{}", sent.len()), acknowledged.elapsed().as_millis() as u64);
-                    let bytes = request_bytes("GET", "/view/1", "trips.example", &id, 2_000, None, b"");
-                    let answer = ask(node.outbound, &bytes).map(|answer| answer.status());
-                    if answer != Ok(200) {
-                        recorder.write(&format!("{id}: {answer:?}"));
+                const PIECES: usize = 10;
+                let first_ms = stopped.elapsed().as_millis();
+                let sent = Connection::open(address).and_then(|mut connection| {
+                    for piece in bytes.chunks(bytes.len().div_ceil(PIECES)) {
+                        connection.send(piece)?;
+                        sleep_ms(SENDING_MS / PIECES as u64);
                     }
-                    sent.push((id, sent_ms));
-                    sleep_ms(40);
-                }
-                sent
+                    Ok(connection)
+                });
+                let last_ms = stopped.elapsed().as_millis();
+                let answer = sent.and_then(|mut connection| connection.read_response()).map(|answer| answer.status());
+                let ended_ms = stopped.elapsed().as_millis() as u64;
+                recorder.write(&format!("{id}: sent {first_ms} to {last_ms} ms after the SIGTERM, ended at {ended_ms} ms: {answer:?}"));
+                (id, answer.ok(), ended_ms)
             })
         })
         .collect();
-    at(STARTED_MS + BEAT_MS);
-    let taken = leaving.send_beat(all[0].control, &late_beat);
-    recorder.write(&format!("the heartbeat arrives {} ms after it was sent, answered 2xx: {taken}", beat_sent.elapsed().as_millis()));
-    let sent: Vec<_> = senders.into_iter().filter_map(|thread| thread.join().ok()).flatten().collect();
-    let mut late = 0;
-    for (id, sent_ms) in &sent {
-        if *sent_ms > in_touch_ms.max(DRAIN_MS) && leaving.has_run(id) {
-            late += 1;
-        }
+    let late: Vec<_> = late.into_iter().filter_map(|thread| thread.join().ok()).collect();
+    let _ = long.join();
+    asking.store(false, Ordering::Relaxed);
+    let _ = platform.join();
+    node_a.record_log(&["stopping", "stopped"]);
+    let lost = late.iter().filter(|(id, answer, ended_ms)| answer.is_none() && *ended_ms <= WATCHED_MS && photos.has_run(id)).count();
+    let failed = late.iter().filter(|(_, answer, _)| *answer != Some(200)).count();
+    if !has_trouble() {
+        end(&recorder, &all, if failed > 0 { BROKEN } else { HELD }, &format!("{failed} of {} uploads failed without a stop", late.len()));
     }
-    all[0].record_log(&["left_runs", "target_announced", "target_withdrawn", "target_health", "target_changed"]);
-    let judged = sent.iter().filter(|(_, sent_ms)| *sent_ms > in_touch_ms).count();
-    let reason = format!("{late} of {judged} requests reached the worker that had left, sent later than {in_touch_ms} ms after the acknowledgement");
-    end(&recorder, &all, if late > 0 { BROKEN } else { HELD }, &reason);
+    let reason = format!("{lost} of {} uploads that were sent later than 3 s after the SIGTERM ran and got no answer", late.len());
+    end(&recorder, &all, if lost > 0 { BROKEN } else { HELD }, &reason);
 }
