--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -13,12 +13,11 @@
 const REPORTS: u64 = 6;
 /// Work of the usual requests, and of the long ones.
 const PLEDGE_MS: u64 = 100;
-const REPORT_MS: u64 = 3_000;
-/// Deadline and timeout of the usual requests, and of the long ones.
+const REPORT_MS: u64 = 2_900;
+/// Deadline and timeout of all requests.
 const DEADLINE_MS: u64 = 6_000;
-const REPORT_DEADLINE_MS: u64 = 8_000;
 /// Time from the requests that wait to the SIGTERM.
-const STOP_AFTER_MS: u64 = 100;
+const STOP_AFTER_MS: u64 = 40;
 /// `loss_slack_ms` of the deployments.
 const LOSS_SLACK_MS: u64 = 200;
 /// The rule holds until 1 s after `grace_s`.
@@ -30,7 +29,7 @@
     let store = Store::start(&recorder);
     let routes = r#"[
         {"name":"pledge","host":"desk.example","prefix":"/pledge/","kind":"unsafe","service":"desk","attempts":2,"timeout_ms":6000,"slo_ms":1500,"priority":1},
-        {"name":"report","host":"desk.example","prefix":"/report/","kind":"safe","service":"desk","attempts":2,"timeout_ms":8000,"slo_ms":7000,"priority":1}]"#;
+        {"name":"report","host":"desk.example","prefix":"/report/","kind":"safe","service":"desk","attempts":2,"timeout_ms":6000,"slo_ms":2000,"priority":1}]"#;
     let services = r#"[{"name":"desk","health_path":"/healthz","max_conns":100},{"name":"front","health_path":"/healthz","max_conns":100}]"#;
     store.write_operator("config", &config(1, routes, services, None));
     let front = Worker::start(&recorder, "i-front", "front", "zone-a", 10, |worker, request, stream| {
@@ -50,8 +49,7 @@
     all.iter().for_each(|node| node.wait_until_ready());
     let request = |path: &str, id: &str| {
         let (method, body) = if path.starts_with("/report/") { ("GET", &b""[..]) } else { ("POST", &b"pledge"[..]) };
-        let deadline_ms = if method == "GET" { REPORT_DEADLINE_MS } else { DEADLINE_MS };
-        request_bytes(method, path, "desk.example", id, deadline_ms, None, body)
+        request_bytes(method, path, "desk.example", id, DEADLINE_MS, None, body)
     };
     let is_ok = |answer: Result<Message, String>| answer.is_ok_and(|answer| answer.status() == 200);
     if !(0..60).any(|attempt| {
@@ -82,7 +80,7 @@
         })
     };
     let long: Vec<_> = (0..REPORTS).map(|number| send(node_b.outbound, format!("/report/{number}"), format!("long-{number}"))).collect();
-    sleep_ms(200);
+    sleep_ms(60);
     let waiting: Vec<_> = (0..3).map(|number| send(node_a.outbound, format!("/pledge/w{number}"), format!("waiting-{number}"))).collect();
     sleep_ms(STOP_AFTER_MS);
     let stopped = Instant::now();
