The times of a planned stop are one value

With grace periods below 2.6 s the listener closed, and the connections were cut, before the steps in front of them were over.

steps_come_in_order_within_the_grace_period: grace periods of 0 s to 60 s, six cases.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, SystemTime};
 
-use fulmartrestle_core::{TimeUs, VmId, lock};
+use fulmartrestle_core::{VmId, lock};
 use fulmartrestle_platform_log::{PlatformLog, StreamName};
-use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets, StopTimes};
+use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets, StopSchedule};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
     ListenerLimits, PeerConnectionPool, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
@@ -61,29 +61,10 @@
 /// Maintenance rounds between two checks of the settings file for changes.
 const ROUNDS_PER_SETTINGS_CHECK: u32 = 10;
 
-/// Time for the other nodes to learn that this one stops accepting calls, in milliseconds: one status message and
-/// some network delay.
-const DRAIN_NOTICE_MS: u64 = 300;
-
-/// Time between the request to the other nodes to send their calls elsewhere and the moment at which the callers
-/// have left, in milliseconds. The target keeps receiving calls until that request, so that a planned stop costs
-/// its capacity for no longer than the running requests take.
-const GATE_CLOSE_LEAD_MS: u64 = 1_100;
-
-/// Time for the platform to route callers to other nodes, in milliseconds. It checks readiness once a second and
-/// acts after two failed checks.
-const CALLER_DRAIN_MS: u64 = 2_600;
-
-/// How long before the end of the grace period the process exits, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 500;
-
-/// Time to withdraw the own registration from the store, in milliseconds. It is half of [`EXIT_MARGIN_MS`], so that a
-/// store that does not respond does not keep the process past its grace period.
+/// Time to withdraw the own registration from the store, in milliseconds. A store that does not respond does not keep the
+/// process for longer.
 const WITHDRAWAL_TIMEOUT_MS: u64 = 250;
 
-/// How long before the end of the grace period the connections start to close, in milliseconds.
-const CLOSE_MARGIN_MS: u64 = 1_300;
-
 /// Interval between checks whether all callers' connections are closed, in milliseconds.
 const CLOSE_POLL_MS: u64 = 20;
 
@@ -183,29 +164,29 @@
         state.log(LogLine::new("stopping").number("grace_ms", grace_ms));
         state.phase.send_replace(NodePhase::Draining);
         state.status_due.notify_one();
-        let callers_left_at = started.plus_ms(CALLER_DRAIN_MS.min(grace_ms / 2));
-        let end_at = started.plus_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
-        let stop = StopTimes { callers_left_at, end_at };
-        lock(&state.stop_admission).start_stop(stop);
-        state.gate.start_stop(stop);
-        let lead_us = GATE_CLOSE_LEAD_MS * 1_000;
-        tokio::time::sleep(state.clock.duration_until(TimeUs(callers_left_at.0.saturating_sub(lead_us)))).await;
+        let schedule = StopSchedule::new(grace_ms, started);
+        lock(&state.stop_admission).start_stop(schedule.times());
+        state.gate.start_stop(schedule.times());
+        let sleep_until = |time| tokio::time::sleep(state.clock.duration_until(time));
+        sleep_until(schedule.leaving_at).await;
         state.gate.start_draining();
         state.status_due.notify_one();
-        tokio::time::sleep(Duration::from_millis(DRAIN_NOTICE_MS)).await;
+        sleep_until(schedule.gate_closes_at).await;
         state.gate.close();
-        tokio::time::sleep(state.clock.duration_until(callers_left_at)).await;
-        let close_at = started.plus_ms(grace_ms.saturating_sub(CLOSE_MARGIN_MS));
+        sleep_until(schedule.callers_left_at).await;
+        let listener_closes_in = state.clock.duration_until(schedule.listener_closes_at);
         // While the local target works on any request, its outgoing calls need this node.
-        let idle = tokio::time::timeout(state.clock.duration_until(close_at), state.gate.wait_until_idle()).await;
+        let idle = tokio::time::timeout(listener_closes_in, state.gate.wait_until_idle()).await;
         state.phase.send_replace(NodePhase::Closing);
         // Sending fails only if the listener's task has already ended.
         let _ = self.stopping.send(true);
-        let closed = tokio::time::timeout(state.clock.duration_until(end_at), self.wait_until_closed()).await;
+        let closed = tokio::time::timeout(state.clock.duration_until(schedule.end_at), self.wait_until_closed()).await;
         // A VM that is taken away loses its target first; one that is only restarted keeps it.
         if state.gate.has_lost_target() {
             let withdrawal = withdraw_registration(state, self.store.as_ref(), &self.nodes_stream);
-            if tokio::time::timeout(Duration::from_millis(WITHDRAWAL_TIMEOUT_MS), withdrawal).await.is_err() {
+            let withdrawal_limit =
+                state.clock.duration_until(schedule.exit_at).min(Duration::from_millis(WITHDRAWAL_TIMEOUT_MS));
+            if tokio::time::timeout(withdrawal_limit, withdrawal).await.is_err() {
                 state.log(LogLine::new("registry_failed").text("detail", "timed out withdrawing the registration"));
             }
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod route_costs;
 mod slot_queue;
 mod stop_admission;
+mod stop_schedule;
 mod target;
 mod target_notices;
 mod tenant_demand;
@@ -77,6 +78,7 @@
 pub use route_costs::RouteCosts;
 pub use slot_queue::{SlotLoad, SlotQueue, SlotRequest};
 pub use stop_admission::{StopAdmission, StopTimes};
+pub use stop_schedule::StopSchedule;
 pub use target::{AnnouncedTarget, CallResult, CompletedCall, TargetRequirements, TargetSettings, TargetTable};
 pub use target_notices::TargetNotices;
 pub use tenant_division::TenantDivision;
