--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -13,6 +13,8 @@
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
 use crate::state::MeshState;
+use crate::stop_watch::wait_until_too_late;
+use crate::upload_end::UploadEnd;
 use crate::zone_traffic::count_zone_call;
 
 /// Maximum number of nodes that one request is sent to. Each refusal costs a millisecond or two, and after several
@@ -23,6 +25,9 @@
 /// known.
 const NO_TARGET_RETRY_AFTER_MS: u64 = 400;
 
+/// Refusal of requests that can't be completed before this node ends.
+const STOPPING: Refusal = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
+
 /// Interval at which target selection is repeated while no target is known, in milliseconds.
 const TARGET_POLL_INTERVAL_MS: u64 = 25;
 
@@ -81,7 +86,8 @@
     lost_attempts: u32,
 }
 
-/// Sends a request to targets until one responds, retries are not allowed any more, or the deadline has passed.
+/// Sends a request to targets until one responds, retries are not allowed any more, or the deadline has passed. `upload_end`
+/// is the end of a body that is still arriving.
 ///
 /// # Errors
 ///
@@ -90,6 +96,7 @@
     state: &MeshState,
     request: &AdmittedRequest,
     mut body: ReplayBody,
+    upload_end: Option<&UploadEnd>,
 ) -> Result<TargetResponse, Refusal> {
     let mut progress = RequestProgress::default();
     match lock(&state.crashes).check(request.fingerprint, state.now()) {
@@ -110,13 +117,16 @@
         let passed_on = state.now();
         let (route, service) = (&request.route, &request.service);
         if !lock(&state.stop_admission).can_complete(route, service, request.deadline, passed_on) {
-            return Err(progress.final_refusal(Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS))));
+            return Err(progress.final_refusal(STOPPING));
         }
         progress.tried_nodes.push(node);
-        let outcome = run_attempt(state, request, &progress, &mut body).await;
-        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. }) {
+        let outcome = run_attempt(state, request, &progress, &mut body, upload_end).await;
+        let work_started = upload_end.map_or(Some(passed_on), UploadEnd::forwarded_at);
+        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. })
+            && let Some(work_started) = work_started
+        {
             let now = state.now();
-            lock(&state.stop_admission).record_completion(route, service, now.us_since(passed_on), now);
+            lock(&state.stop_admission).record_completion(route, service, now.us_since(work_started), now);
         }
         let reason = match outcome {
             AttemptOutcome::Answered(response) => {
@@ -174,6 +184,13 @@
     }
 }
 
+/// Waits until a request that is passed on now could no longer be completed before this node ends.
+async fn wait_until_request_too_late(state: &MeshState, request: &AdmittedRequest) {
+    let AdmittedRequest { route, service, deadline, .. } = request;
+    let latest_start = |stop| lock(&state.stop_admission).latest_start(route, service, *deadline, stop);
+    wait_until_too_late(state.clock, state.gate.stop_receiver(), latest_start).await;
+}
+
 impl RequestProgress {
     /// Returns the refusal for a request that is not sent again, after the last one of a gate.
     fn give_up(&self) -> Refusal {
@@ -231,6 +248,7 @@
     request: &AdmittedRequest,
     progress: &RequestProgress,
     body: &mut ReplayBody,
+    upload_end: Option<&UploadEnd>,
 ) -> AttemptOutcome {
     let Some(&node) = progress.tried_nodes.last() else {
         return AttemptOutcome::Unknown { reason: Reason::NoTarget, crashed: false };
@@ -256,12 +274,19 @@
     let sent_at = state.now();
     let head = request.head(instance, noticed, is_retry, sent_at);
     let can_leave = request.repeatable && body.has_next_attempt() && progress.tried_nodes.len() < MAX_NODES_PER_REQUEST;
-    let ended = match exchange {
-        NodeExchange::Local => {
-            let running = state.gate.run(head, attempt_body);
-            let timed = tokio::time::timeout(state.clock.duration_until(request.deadline), running).await;
-            timed.map(Ok).map_err(|_| EarlyEnd::Deadline)
+    let withheld = async {
+        match upload_end {
+            Some(upload_end) => upload_end.wait_until_withheld(wait_until_request_too_late(state, request)).await,
+            None => std::future::pending().await,
         }
+    };
+    let ended = match exchange {
+        NodeExchange::Local => tokio::select! {
+            biased;
+            () = withheld => Err(EarlyEnd::Withheld),
+            result = state.gate.run(head, attempt_body) => Ok(Ok(result)),
+            () = tokio::time::sleep(state.clock.duration_until(request.deadline)) => Err(EarlyEnd::Deadline),
+        },
         NodeExchange::Peer(connection, stream) => {
             let leaving = async {
                 wait_until_lost(state, node, &connection, sent_at).await;
@@ -273,6 +298,7 @@
             };
             tokio::select! {
                 biased;
+                () = withheld => Err(EarlyEnd::Withheld),
                 result = stream.exchange(&head, attempt_body) => Ok(result),
                 () = tokio::time::sleep(state.clock.duration_until(request.deadline)) => Err(EarlyEnd::Deadline),
                 () = leaving => Err(EarlyEnd::Left),
@@ -282,6 +308,16 @@
     let now = state.now();
     state.metrics.observe_us("attempt", request.service.as_str(), now.us_since(started));
     match ended {
+        Err(EarlyEnd::Withheld) => {
+            let line = LogLine::new("upload_withheld")
+                .optional_text("request", request.request_id.as_deref())
+                .text("route", &request.route)
+                .text("node", node)
+                .number("passed_on_ms", now.ms_since(sent_at))
+                .number("left_ms", request.deadline.ms_since(now));
+            state.log(line);
+            AttemptOutcome::NotRun { refusal: STOPPING, reached_target: false }
+        }
         Err(EarlyEnd::Deadline) => AttemptOutcome::Unknown { reason: Reason::Deadline, crashed: false },
         Err(EarlyEnd::Left) => {
             state.metrics.increment("left", request.service.as_str());
@@ -301,6 +337,8 @@
 /// Why the exchange of an attempt ended before a response or an error.
 enum EarlyEnd {
     Deadline,
+    /// The end of the body was withheld, because this node stops.
+    Withheld,
     Left,
 }
 
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -12,7 +12,7 @@
 use fulmartrestle_policy::{ArrivedRequest, Origin, Rank, request_fingerprint};
 use fulmartrestle_transport::{
     BodyError, ByteBody, CallerResponse, CallerService, ForwardedHeaders, REPLAY_LIMIT_BYTES, ReplayBody,
-    TimeLimitedBody,
+    TimeLimitedBody, content_length,
 };
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use http::request::Parts;
@@ -25,6 +25,7 @@
 use crate::platform::CallerMetadata;
 use crate::state::{MeshState, NodePhase};
 use crate::tokens::take_token;
+use crate::upload_end::UploadEnd;
 use crate::zone_traffic::watch_transfer;
 use crate::{MeshConfig, Route, TenantConfig};
 
@@ -138,13 +139,31 @@
             is_child_call,
         };
         let request_bytes = request_body_bytes(&parts.headers, &body);
-        let response = send_request(state, &admitted, body).await?;
+        let (body, upload_end) = match body.is_streamed() {
+            true => self.hold_upload_end(body, announced_bytes, &admitted),
+            false => (body, None),
+        };
+        let response = send_request(state, &admitted, body, upload_end.as_ref()).await?;
         if content_length(&response.headers).is_none_or(|bytes| bytes > REPLAY_LIMIT_BYTES as u64) {
             lock(&state.large_routes).record_large_response(&admitted.route, state.now());
         }
         self.limit_large_response(watch_transfer(&self.state, &admitted, request_bytes, response))
     }
 
+    /// Holds the end of a body that is forwarded while it arrives, see [`UploadEnd`].
+    fn hold_upload_end(
+        &self,
+        body: ReplayBody,
+        announced_bytes: Option<u64>,
+        request: &AdmittedRequest,
+    ) -> (ReplayBody, Option<UploadEnd>) {
+        let (state, route, service) = (Arc::clone(&self.state), request.route.clone(), request.service.clone());
+        let deadline = request.deadline;
+        let may_end = move |now| lock(&state.stop_admission).can_complete(&route, &service, deadline, now);
+        let (body, upload_end) = UploadEnd::hold(body, announced_bytes, self.state.clock, may_end);
+        (body, Some(upload_end))
+    }
+
     /// Returns a response that is counted until it ends if it is large. The request has run if there are too many.
     fn limit_large_response(&self, response: TargetResponse) -> Result<TargetResponse, Refusal> {
         match self.state.large_responses.hold(content_length(&response.headers), response.body) {
@@ -351,10 +370,6 @@
     content_length(headers).unwrap_or(body.leading_bytes().len() as u64)
 }
 
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Returns the host of the request without its port, in lower case.
 fn request_host(headers: &HeaderMap, uri_host: Option<&str>) -> String {
     let header = headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -19,11 +19,11 @@
 use fulmartrestle_policy::{
     AttemptEnd, CallLoss, CrashTable, DemandReport, Origin, ProbeResult, ProcessorWork, StopTimes,
 };
-use fulmartrestle_transport::{ByteBody, ReplayBody};
+use fulmartrestle_transport::{ByteBody, ReplayBody, content_length};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderValue, Method, Request, Uri};
 use hyper::body::Body;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport};
 use crate::clock::BootClock;
@@ -32,7 +32,9 @@
 use crate::metrics::Metrics;
 use crate::node_start::NodeStart;
 use crate::platform::{TargetMetadata, WireProtocol};
+use crate::stop_watch::{StopReceiver, wait_until_too_late};
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
+use crate::upload_end::UploadEnd;
 
 use admission::{GateState, usable_slots};
 use watched_call::WatchedCall;
@@ -43,6 +45,9 @@
 /// Retry-After when the target itself refused a call, in milliseconds.
 const TARGET_REFUSED_RETRY_AFTER_MS: u64 = 200;
 
+/// Refusal of calls that can't be completed before a node ends.
+const STOPPING: Refusal = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
+
 /// Interval between checks whether a closed gate is idle, in milliseconds.
 const IDLE_POLL_MS: u64 = 20;
 
@@ -87,6 +92,8 @@
     end_counted: Notify,
     /// Notified when a run announces itself that must be verified.
     run_unverified: Notify,
+    /// The stop of this node once it begins.
+    stop: watch::Sender<Option<StopTimes>>,
 }
 
 impl Gate {
@@ -119,6 +126,7 @@
             is_probing: AtomicBool::new(false),
             end_counted: Notify::new(),
             run_unverified: Notify::new(),
+            stop: watch::Sender::new(None),
         }
     }
 
@@ -237,6 +245,12 @@
     /// Starts the stop of this node: calls that can't end before it does are refused.
     pub fn start_stop(&self, stop: StopTimes) {
         lock(&self.state).stop_admission.start_stop(stop);
+        self.stop.send_replace(Some(stop));
+    }
+
+    /// Returns the receiver of this node's stop.
+    pub fn stop_receiver(&self) -> StopReceiver {
+        self.stop.subscribe()
     }
 
     /// Refuses all further calls, because this node stops.
@@ -336,11 +350,11 @@
             Ok(admitted) => admitted,
             Err(refusal) => return self.refuse(&head, refusal, false),
         };
-        let body = match ReplayBody::read(body, u64::MAX).await.ok().and_then(|mut body| body.next_attempt()) {
-            Some(body) => body,
-            // The caller's node aborted the request before any of it reached the target.
-            None => return self.refuse(&head, Refusal::not_run(Reason::Cancelled, None), false),
-        };
+        // The caller's node aborted the request before any of it reached the target.
+        let aborted = Refusal::not_run(Reason::Cancelled, None);
+        let Ok(body) = ReplayBody::read(body, u64::MAX).await else { return self.refuse(&head, aborted, false) };
+        let (mut body, upload_end) = self.hold_upload_end(&head, body, deadline);
+        let Some(body) = body.next_attempt() else { return self.refuse(&head, aborted, false) };
         let call = admitted.slot.call();
         if let Err(refusal) = self.wait_until_sendable(call, deadline).await {
             return self.refuse(&head, refusal, false);
@@ -350,9 +364,8 @@
         let checked = {
             let (state, now) = (lock(&self.state), self.clock.now());
             let can_complete = state.stop_admission.can_complete(&head.route, &head.service, deadline, now);
-            let stopping = Refusal::not_run(Reason::Draining, Some(NO_TARGET_RETRY_AFTER_MS));
             let checked = state.check_target(&head.service, &admitted, now);
-            checked.and(if can_complete { Ok(()) } else { Err(stopping) })
+            checked.and(if can_complete { Ok(()) } else { Err(STOPPING) })
         };
         if let Err(refusal) = checked {
             return self.refuse(&head, refusal, false);
@@ -368,10 +381,26 @@
         let may_send = || self.confirm_start(call);
         let watched = WatchedCall::start(Arc::clone(self), call, head.fingerprint, admitted.turn.is_some());
         let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started, may_send);
-        let sent = tokio::time::timeout(self.clock.duration_until(deadline), sending).await;
-        if matches!(sent, Ok(Ok(_)) | Err(_)) {
+        let sending = tokio::time::timeout(self.clock.duration_until(deadline), sending);
+        let sent = match &upload_end {
+            None => sending.await,
+            Some(upload_end) => tokio::select! {
+                biased;
+                () = upload_end.wait_until_withheld(self.wait_until_too_late(&head, deadline)) => {
+                    watched.cancel();
+                    self.log_target_event(&head, "upload_withheld", "the node stops");
+                    return self.refuse(&head, STOPPING, false);
+                }
+                sent = sending => sent,
+            },
+        };
+        let work_started = upload_end.as_ref().map_or(Some(started), UploadEnd::forwarded_at);
+        if matches!(sent, Ok(Ok(_)) | Err(_))
+            && let Some(work_started) = work_started
+        {
             let now = self.clock.now();
-            lock(&self.state).stop_admission.record_completion(&head.route, &head.service, now.us_since(started), now);
+            let took_us = now.us_since(work_started);
+            lock(&self.state).stop_admission.record_completion(&head.route, &head.service, took_us, now);
         }
         match sent {
             Err(_) => {
@@ -421,6 +450,30 @@
         }
     }
 
+    /// Holds the end of a body that is forwarded to the target while it arrives, see [`UploadEnd`].
+    fn hold_upload_end(
+        self: &Arc<Self>,
+        head: &CallRequestHead,
+        body: ReplayBody,
+        deadline: TimeUs,
+    ) -> (ReplayBody, Option<UploadEnd>) {
+        if !body.is_streamed() {
+            return (body, None);
+        }
+        let announced_bytes = content_length(&head.headers);
+        let (gate, route, service) = (Arc::clone(self), head.route.clone(), head.service.clone());
+        let may_end = move |now| lock(&gate.state).stop_admission.can_complete(&route, &service, deadline, now);
+        let (body, upload_end) = UploadEnd::hold(body, announced_bytes, self.clock, may_end);
+        (body, Some(upload_end))
+    }
+
+    /// Waits until a call that reaches the target now could no longer be completed before this node ends.
+    async fn wait_until_too_late(&self, head: &CallRequestHead, deadline: TimeUs) {
+        let latest_start =
+            |stop| lock(&self.state).stop_admission.latest_start(&head.route, &head.service, deadline, stop);
+        wait_until_too_late(self.clock, self.stop_receiver(), latest_start).await;
+    }
+
     fn record_attempt(&self, end: AttemptEnd) {
         lock(&self.state).failures.record_attempt(end, self.clock.now());
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -37,10 +37,12 @@
 mod state;
 mod status_exchange;
 mod status_message;
+mod stop_watch;
 mod store_polling;
 mod target_connection_pool;
 mod target_verification;
 mod tokens;
+mod upload_end;
 mod zone_traffic;
 
 pub use call_messages::{CallOutcome, CallRequestHead, CallResponseHead, GateReport, NoticedRun};
--- a/crates/policy/src/stop_admission.rs
+++ b/crates/policy/src/stop_admission.rs
@@ -90,19 +90,35 @@
         self.stop = Some(stop);
     }
 
-    /// Returns whether a request that is passed on at `now` can be completed before the node ends. One whose `deadline`
-    /// passes before is answered by then in any case. While callers still arrive, the usual time decides, and what is
-    /// not known is passed on; afterwards all must be expected to end.
+    /// Returns whether a request that is passed on at `now` can be completed before the node ends, see
+    /// [`StopAdmission::latest_start`].
     pub fn can_complete(&self, route: &RouteId, service: &Service, deadline: TimeUs, now: TimeUs) -> bool {
-        let Some(StopTimes { callers_left_at, end_at }) = self.stop else { return true };
-        let must_end_at = TimeUs(end_at.0.saturating_sub(RESPONSE_MARGIN_MS * 1_000));
+        self.stop.is_none_or(|stop| {
+            let latest_start = self.latest_start(route, service, deadline, stop);
+            latest_start.is_none_or(|latest_start| now <= latest_start)
+        })
+    }
+
+    /// Returns until when a request may be passed on so that it is completed before `stop` ends; `None` if it may be passed on at
+    /// any time, because its `deadline` passes before. While callers still arrive, the usual time decides, and what is not
+    /// known is passed on; afterwards all requests must be expected to end.
+    pub fn latest_start(
+        &self,
+        route: &RouteId,
+        service: &Service,
+        deadline: TimeUs,
+        stop: StopTimes,
+    ) -> Option<TimeUs> {
+        let must_end_at = TimeUs(stop.end_at.0.saturating_sub(RESPONSE_MARGIN_MS * 1_000));
         if deadline <= must_end_at {
-            return true;
-        }
-        let certain = now >= callers_left_at;
-        match self.routes.get(route).or_else(|| self.services.get(service)) {
-            Some(time) => now.plus_us(time.expected_us(certain)) <= must_end_at,
-            None => !certain,
+            return None;
         }
+        let last_with_callers = TimeUs(stop.callers_left_at.0.saturating_sub(1));
+        let Some(time) = self.routes.get(route).or_else(|| self.services.get(service)) else {
+            return Some(last_with_callers);
+        };
+        let latest_start = |certain| TimeUs(must_end_at.0.saturating_sub(time.expected_us(certain)));
+        let certain = latest_start(true);
+        Some(if certain > last_with_callers { certain } else { latest_start(false).min(last_with_callers) })
     }
 }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,6 +1,8 @@
 //! Request and response bodies, streamed with backpressure.
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Frame;
@@ -40,6 +42,11 @@
     body.map_err(|error| BodyError::Aborted(error.to_string())).boxed_unsync()
 }
 
+/// Returns the length that a message announces for its body, in bytes.
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Returns the data of a frame, or `None` for trailers, which are not forwarded.
 pub fn frame_data(frame: Frame<Bytes>) -> Option<Bytes> {
     frame.into_data().ok()
--- a/crates/transport/src/replay_body.rs
+++ b/crates/transport/src/replay_body.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body, Frame};
 
 use crate::body::{BodyError, ByteBody, frame_data, full_body};
+use crate::held_end_body::HeldEndBody;
 
 /// Maximum size of a body that is buffered for retries, in bytes. Buffering larger bodies would exhaust the
 /// memory budget of the node with a few hundred calls in flight; such calls get a single attempt.
@@ -65,6 +66,31 @@
         matches!(self, Self::Streamed { .. })
     }
 
+    /// Withholds the end of a body that is forwarded while it arrives until `may_end` returns true, see [`HeldEndBody`].
+    /// `announced_bytes` is the length of the whole body, if it is known. Returns the body as it is if it has arrived.
+    pub fn hold_end(
+        self,
+        announced_bytes: Option<u64>,
+        may_end: impl FnMut() -> bool + Send + Unpin + 'static,
+    ) -> Self {
+        match self {
+            Self::Streamed { head, rest: Some(rest) } if announced_bytes != Some(head.len() as u64) => {
+                let left_bytes = announced_bytes.map(|bytes| bytes.saturating_sub(head.len() as u64));
+                let rest = HeldEndBody::new(rest, left_bytes, may_end).boxed();
+                Self::Streamed { head, rest: Some(rest) }
+            }
+            body => body,
+        }
+    }
+
+    /// Returns whether the whole body has arrived, if it has `announced_bytes` bytes.
+    pub fn has_arrived(&self, announced_bytes: Option<u64>) -> bool {
+        match self {
+            Self::Buffered(_) => true,
+            Self::Streamed { head, .. } => announced_bytes == Some(head.len() as u64),
+        }
+    }
+
     /// Returns whether the body can be sent again.
     pub fn has_next_attempt(&self) -> bool {
         match self {
--- /dev/null
+++ b/tests/planned_stop_uploads.rs
@@ -0,0 +1,193 @@
+//! Planned stops of sidecar processes while uploads arrive slowly.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{SidecarFleet, TargetBehaviour};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Pieces in which an upload is sent.
+const PIECES: usize = 10;
+
+/// Uploads of each case, and uploads that tell the nodes before the stop how long the work takes.
+const UPLOADS: usize = 3;
+const EARLIER_UPLOADS: usize = 4;
+
+/// Deadline of all uploads. The time-out of the route is longer.
+const DEADLINE_MS: u64 = 6_000;
+
+/// Longest time that a caller waits for a response once its body is sent.
+const RESPONSE_LIMIT_MS: u64 = 8_000;
+
+fn config() -> Value {
+    json!({"version": "00000001",
+        "routes": [{"name": "photo", "host": "trips.example", "prefix": "/photo/", "kind": "upload", "timeout_ms": 15_000,
+            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true}],
+        "services": [{"name": "trips", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_000_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+        "tenants": []})
+}
+
+/// How an upload is sent.
+#[derive(Clone, Copy)]
+struct Upload {
+    bytes: usize,
+    /// Whether the body comes in chunks, without an announced length.
+    chunked: bool,
+    sending_ms: u64,
+}
+
+/// Sends an upload in pieces, and returns what the caller reads until the connection ends or the response is whole. A caller
+/// that can't send the rest still reads.
+async fn send_upload(address: SocketAddr, id: &str, upload: Upload) -> String {
+    let Upload { bytes, chunked, sending_ms } = upload;
+    let framing = if chunked { "transfer-encoding: chunked".to_owned() } else { format!("content-length: {bytes}") };
+    let head = format!(
+        "POST /photo/{id} HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {id}\r\ndeadline: {DEADLINE_MS}\r\n{framing}\r\n\r\n"
+    );
+    let mut caller = TcpStream::connect(address).await.expect("the node listens");
+    let (mut reader, mut writer) = caller.split();
+    let sending = async {
+        writer.write_all(head.as_bytes()).await?;
+        for _ in 0..PIECES {
+            let piece = vec![b'p'; bytes / PIECES];
+            if chunked {
+                writer.write_all(format!("{:x}\r\n", piece.len()).as_bytes()).await?;
+            }
+            writer.write_all(&piece).await?;
+            if chunked {
+                writer.write_all(b"\r\n").await?;
+            }
+            tokio::time::sleep(Duration::from_millis(sending_ms / PIECES as u64)).await;
+        }
+        writer.write_all(if chunked { b"0\r\n\r\n" } else { b"" }).await
+    };
+    // The write fails if the node has closed the connection, which the response shows.
+    let _ = sending.await;
+    let mut response = String::new();
+    let reading = async {
+        let mut buffer = vec![0; 4_096];
+        while !response.ends_with("whole") && !response.ends_with('}') {
+            match reader.read(&mut buffer).await {
+                Ok(read) if read > 0 => response.push_str(&String::from_utf8_lossy(&buffer[..read])),
+                _ => break,
+            }
+        }
+    };
+    // A response that is late is reported as incomplete.
+    let _ = tokio::time::timeout(Duration::from_millis(RESPONSE_LIMIT_MS), reading).await;
+    response
+}
+
+/// What becomes of the uploads of a case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expected {
+    /// All are answered by their target.
+    Served,
+    /// All are refused, and none has run.
+    Refused,
+}
+
+struct Case {
+    name: &'static str,
+    /// Services of the VMs. The first one takes the uploads.
+    services: &'static [&'static str],
+    /// VM that is stopped.
+    stopped: usize,
+    /// Time from SIGTERM to the first byte.
+    sent_after_ms: u64,
+    upload: Upload,
+    work_ms: u64,
+    expected: Expected,
+}
+
+async fn run_case(case: &Case) {
+    let mut fleet = SidecarFleet::start(case.services, &config()).await;
+    for vm in &fleet.vms {
+        *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(case.work_ms);
+        vm.target.slots.store(100, Ordering::Relaxed);
+    }
+    let address = fleet.vms[0].caller_address;
+    let name = case.name;
+    let is_whole = |response: &str| response.starts_with("HTTP/1.1 200") && response.ends_with("whole");
+    let quick = Upload { sending_ms: 0, ..case.upload };
+    while !is_whole(&send_upload(address, "first", quick).await) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for number in 0..EARLIER_UPLOADS {
+        let response = send_upload(address, &format!("earlier-{number}"), quick).await;
+        assert_that!(is_whole(&response), eq(true), "{name}: {response:?}");
+    }
+    fleet.vms[case.stopped].node.send_sigterm();
+    tokio::time::sleep(Duration::from_millis(case.sent_after_ms)).await;
+    let uploads = (0..UPLOADS).map(|number| async move {
+        let id = format!("late-{number}");
+        let response = send_upload(address, &id, case.upload).await;
+        (id, response)
+    });
+    for (id, response) in join_all(uploads).await {
+        let ran = fleet
+            .vms
+            .iter()
+            .any(|vm| vm.target.runs.lock().expect("not poisoned").iter().any(|run| run.request_id == id));
+        match case.expected {
+            Expected::Served => expect_that!(is_whole(&response), eq(true), "{name}: {response:?}"),
+            Expected::Refused => {
+                let is_refused = response.starts_with("HTTP/1.1 503") && response.contains("retry-after");
+                expect_that!((is_refused, ran), eq((true, false)), "{name}: {response:?}");
+            }
+        }
+    }
+    expect_that!(tokio::task::block_in_place(|| fleet.vms[case.stopped].node.terminate()), some(eq(0)), "{name}");
+}
+
+/// Guards against uploads that are passed on while they arrive although their work can't end before the node does: they ran
+/// and were cut off without an answer.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_that_arrive_too_slowly_for_a_stopping_node_are_cut_off() {
+    const SLOW: Upload = Upload { bytes: 300_000, chunked: false, sending_ms: 1_600 };
+    const LONG: Upload = Upload { sending_ms: 4_800, ..SLOW };
+    const ENTRY: &[&str] = &["front", "trips"];
+    let late = Case {
+        name: "announced length",
+        services: ENTRY,
+        stopped: 0,
+        sent_after_ms: 2_000,
+        upload: Upload { sending_ms: 2_700, ..SLOW },
+        work_ms: 1_200,
+        expected: Expected::Refused,
+    };
+    let cases = [
+        Case { name: "chunks", upload: Upload { chunked: true, ..late.upload }, ..late },
+        Case { name: "long body", upload: Upload { bytes: 2_000_000, ..late.upload }, ..late },
+        Case {
+            name: "body that began early",
+            sent_after_ms: 100,
+            upload: Upload { sending_ms: 5_000, ..SLOW },
+            ..late
+        },
+        Case { name: "the node beside the target stops", stopped: 1, sent_after_ms: 300, upload: LONG, ..late },
+        Case { name: "its own target", services: &["trips"], sent_after_ms: 300, upload: LONG, ..late },
+        Case { name: "in time", sent_after_ms: 1_300, upload: SLOW, expected: Expected::Served, ..late },
+        Case {
+            name: "in time, beside the target",
+            stopped: 1,
+            sent_after_ms: 300,
+            upload: SLOW,
+            expected: Expected::Served,
+            ..late
+        },
+        late,
+    ];
+    // One fleet after the other would take too long.
+    join_all(cases.iter().map(run_case)).await;
+}
