--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
 use crate::state::MeshState;
+use crate::stop_notice::stop_headers;
 use crate::stop_watch::wait_until_too_late;
 use crate::upload_end::UploadEnd;
 use crate::zone_traffic::count_zone_call;
@@ -284,7 +285,7 @@
         NodeExchange::Local => tokio::select! {
             biased;
             () = withheld => Err(EarlyEnd::Withheld),
-            result = state.gate.run(head, attempt_body) => Ok(Ok(result)),
+            result = state.gate.run(head, attempt_body, None) => Ok(Ok(result)),
             () = tokio::time::sleep(state.clock.duration_until(request.deadline)) => Err(EarlyEnd::Deadline),
         },
         NodeExchange::Peer(connection, stream) => {
@@ -360,7 +361,8 @@
     let limit_ms = (left_ms / OPEN_TIME_SHARE).clamp(MIN_OPEN_TIME_MS, MAX_OPEN_TIME_MS).min(left_ms);
     let opening = async {
         let connection = state.peer_connections.connection(address).await?;
-        let stream = connection.open(RUN_PATH).await?;
+        let headers = stop_headers(*state.gate.stop_receiver().borrow(), state.now());
+        let stream = connection.open(RUN_PATH, headers).await?;
         Ok(NodeExchange::Peer(connection, stream))
     };
     let opened = tokio::time::timeout(Duration::from_millis(limit_ms), opening).await;
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -36,7 +36,7 @@
 use crate::target_connection_pool::{TargetConnectionPool, TargetError};
 use crate::upload_end::UploadEnd;
 
-use admission::{GateState, usable_slots};
+use admission::{AdmittedCall, GateState, usable_slots};
 use watched_call::WatchedCall;
 
 /// Retry-After when the target is gone, in milliseconds. By then other targets are known.
@@ -73,6 +73,14 @@
     pub first_start: bool,
 }
 
+/// A call that may be sent to the target.
+struct PreparedCall {
+    admitted: AdmittedCall,
+    request: Request<ByteBody>,
+    /// The end of a body that is still arriving.
+    upload_end: Option<UploadEnd>,
+}
+
 /// The admission gate of one node.
 pub struct Gate {
     clock: BootClock,
@@ -343,42 +351,32 @@
         self.pool.close_expired(self.clock.now());
     }
 
-    /// Runs one call on the target, or refuses it. Dropping the future cancels the call.
-    pub async fn run(self: &Arc<Self>, head: CallRequestHead, body: ByteBody) -> (CallResponseHead, ByteBody) {
+    /// Runs one call on the target, or refuses it. Dropping the future cancels the call. `sender_stop` receives the stop of the
+    /// node that sent the call; `None` for calls of this node.
+    pub async fn run(
+        self: &Arc<Self>,
+        head: CallRequestHead,
+        body: ByteBody,
+        sender_stop: Option<StopReceiver>,
+    ) -> (CallResponseHead, ByteBody) {
         let deadline = self.clock.now().plus_us(head.deadline_left_us);
-        let admitted = match self.admit(&head, deadline).await {
-            Ok(admitted) => admitted,
-            Err(refusal) => return self.refuse(&head, refusal, false),
-        };
-        // The caller's node aborted the request before any of it reached the target.
-        let aborted = Refusal::not_run(Reason::Cancelled, None);
-        let Ok(body) = ReplayBody::read(body, u64::MAX).await else { return self.refuse(&head, aborted, false) };
-        let (mut body, upload_end) = self.hold_upload_end(&head, body, deadline);
-        let Some(body) = body.next_attempt() else { return self.refuse(&head, aborted, false) };
-        let call = admitted.slot.call();
-        if let Err(refusal) = self.wait_until_sendable(call, deadline).await {
-            return self.refuse(&head, refusal, false);
-        }
-        // While the body was read or the process was paused, the zone may have been evacuated or the target have left.
-        self.wait_after_pause().await;
-        let checked = {
-            let (state, now) = (lock(&self.state), self.clock.now());
-            let can_complete = state.stop_admission.can_complete(&head.route, &head.service, deadline, now);
-            let checked = state.check_target(&head.service, &admitted, now);
-            checked.and(if can_complete { Ok(()) } else { Err(STOPPING) })
+        let too_late = || self.wait_until_too_late(&head, deadline, sender_stop.clone());
+        let prepared = tokio::select! {
+            biased;
+            prepared = self.prepare(&head, body, deadline, sender_stop.as_ref()) => prepared,
+            () = too_late() => Err(STOPPING),
         };
-        if let Err(refusal) = checked {
-            return self.refuse(&head, refusal, false);
-        }
-        let request = match self.build_request(&head, &admitted.instance, body, deadline) {
-            Ok(request) => request,
+        let PreparedCall { admitted, request, upload_end } = match prepared {
+            Ok(prepared) => prepared,
             Err(refusal) => return self.refuse(&head, refusal, false),
         };
+        let call = admitted.slot.call();
         let started = self.clock.now();
         let origin = head.origin.clone();
         let left_ms = deadline.ms_since(started);
         lock(&self.state).parents.insert(deadline, call, head.route.clone(), origin, started);
-        let may_send = || self.confirm_start(call);
+        let may_send =
+            || self.can_complete(&head, deadline, sender_stop.as_ref(), self.clock.now()) && self.confirm_start(call);
         let watched = WatchedCall::start(Arc::clone(self), call, head.fingerprint, admitted.turn.is_some());
         let sending = self.pool.send(self.address, request, head.repeatable, left_ms, started, may_send);
         let sending = tokio::time::timeout(self.clock.duration_until(deadline), sending);
@@ -386,7 +384,7 @@
             None => sending.await,
             Some(upload_end) => tokio::select! {
                 biased;
-                () = upload_end.wait_until_withheld(self.wait_until_too_late(&head, deadline)) => {
+                () = upload_end.wait_until_withheld(too_late()) => {
                     watched.cancel();
                     self.log_target_event(&head, "upload_withheld", "the node stops");
                     return self.refuse(&head, STOPPING, false);
@@ -450,28 +448,80 @@
         }
     }
 
+    /// Admits a call and reads its body, of which a long one may still be arriving.
+    async fn prepare(
+        self: &Arc<Self>,
+        head: &CallRequestHead,
+        body: ByteBody,
+        deadline: TimeUs,
+        sender_stop: Option<&StopReceiver>,
+    ) -> Result<PreparedCall, Refusal> {
+        let admitted = self.admit(head, deadline).await?;
+        // The caller's node aborted the request before any of it reached the target.
+        let aborted = Refusal::not_run(Reason::Cancelled, None);
+        let body = ReplayBody::read(body, u64::MAX).await.map_err(|_| aborted)?;
+        let (mut body, upload_end) = self.hold_upload_end(head, body, deadline, sender_stop);
+        let body = body.next_attempt().ok_or(aborted)?;
+        self.wait_until_sendable(admitted.slot.call(), deadline).await?;
+        // While the body was read or the process was paused, the zone may have been evacuated or the target have left.
+        self.wait_after_pause().await;
+        let now = self.clock.now();
+        lock(&self.state).check_target(&head.service, &admitted, now)?;
+        if !self.can_complete(head, deadline, sender_stop, now) {
+            return Err(STOPPING);
+        }
+        let request = self.build_request(head, &admitted.instance, body, deadline)?;
+        Ok(PreparedCall { admitted, request, upload_end })
+    }
+
     /// Holds the end of a body that is forwarded to the target while it arrives, see [`UploadEnd`].
     fn hold_upload_end(
         self: &Arc<Self>,
         head: &CallRequestHead,
         body: ReplayBody,
         deadline: TimeUs,
+        sender_stop: Option<&StopReceiver>,
     ) -> (ReplayBody, Option<UploadEnd>) {
         if !body.is_streamed() {
             return (body, None);
         }
         let announced_bytes = content_length(&head.headers);
-        let (gate, route, service) = (Arc::clone(self), head.route.clone(), head.service.clone());
-        let may_end = move |now| lock(&gate.state).stop_admission.can_complete(&route, &service, deadline, now);
+        let (gate, head, sender_stop) = (Arc::clone(self), head.clone(), sender_stop.cloned());
+        let may_end = move |now| gate.can_complete(&head, deadline, sender_stop.as_ref(), now);
         let (body, upload_end) = UploadEnd::hold(body, announced_bytes, self.clock, may_end);
         (body, Some(upload_end))
     }
 
-    /// Waits until a call that reaches the target now could no longer be completed before this node ends.
-    async fn wait_until_too_late(&self, head: &CallRequestHead, deadline: TimeUs) {
+    /// Returns whether a call that reaches the target at `now` can be completed before this node or its sender ends.
+    fn can_complete(
+        &self,
+        head: &CallRequestHead,
+        deadline: TimeUs,
+        sender_stop: Option<&StopReceiver>,
+        now: TimeUs,
+    ) -> bool {
+        let sender_stop = sender_stop.and_then(|stop| *stop.borrow());
+        let stops = self.stop.borrow().into_iter().chain(sender_stop);
+        let state = lock(&self.state);
+        stops
+            .filter_map(|stop| state.stop_admission.latest_start(&head.route, &head.service, deadline, stop))
+            .all(|latest_start| now <= latest_start)
+    }
+
+    /// Waits until a call that reaches the target now could no longer be completed before this node or its sender ends.
+    async fn wait_until_too_late(&self, head: &CallRequestHead, deadline: TimeUs, sender_stop: Option<StopReceiver>) {
         let latest_start =
             |stop| lock(&self.state).stop_admission.latest_start(&head.route, &head.service, deadline, stop);
-        wait_until_too_late(self.clock, self.stop_receiver(), latest_start).await;
+        let sender_ends = async {
+            match sender_stop {
+                Some(sender_stop) => wait_until_too_late(self.clock, sender_stop, latest_start).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = wait_until_too_late(self.clock, self.stop_receiver(), latest_start) => {}
+            () = sender_ends => {}
+        }
     }
 
     fn record_attempt(&self, end: AttemptEnd) {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -37,6 +37,7 @@
 mod state;
 mod status_exchange;
 mod status_message;
+mod stop_notice;
 mod stop_watch;
 mod store_polling;
 mod target_connection_pool;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -10,7 +10,8 @@
 use fulmartrestle_policy::{CapacityAdmission, CrashTable, LoadBalancer, RetryBudgets, StopSchedule};
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::{
-    ListenerLimits, PeerConnectionPool, StartError, listen, listen_for_datagrams, serve_callers, serve_streams,
+    ListenerLimits, PeerConnectionPool, StartError, StreamHandler, listen, listen_for_datagrams, serve_callers,
+    serve_streams,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,6 +41,7 @@
 use crate::settings::MeshSettings;
 use crate::state::{ActiveConfig, MeshState, NodePhase};
 use crate::status_exchange::{receive_status, send_status};
+use crate::stop_notice::notify_peers;
 use crate::target_verification::verify_target;
 use crate::zone_traffic::update_zone_traffic;
 
@@ -115,8 +117,12 @@
             move || listener_limits(&state)
         };
         let handler = Arc::new(CallerHandler::new(Arc::clone(&state)));
+        let new_handler = {
+            let state = Arc::clone(&state);
+            move || -> Arc<dyn StreamHandler> { Arc::new(PeerStreamHandler::new(Arc::clone(&state))) }
+        };
         tasks.spawn(serve_callers(callers, handler, limits, state.caller_connections.semaphore(), stopped));
-        tasks.spawn(serve_streams(peers, Arc::new(PeerStreamHandler::new(Arc::clone(&state)))));
+        tasks.spawn(serve_streams(peers, new_handler));
         let datagrams = Arc::new(datagrams);
         tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
         tasks.spawn(send_status(Arc::clone(&state), datagrams));
@@ -167,6 +173,7 @@
         let schedule = StopSchedule::new(grace_ms, started);
         lock(&state.stop_admission).start_stop(schedule.times());
         state.gate.start_stop(schedule.times());
+        notify_peers(state, schedule.times());
         let sleep_until = |time| tokio::time::sleep(state.clock.duration_until(time));
         sleep_until(schedule.leaving_at).await;
         state.gate.start_draining();
--- a/crates/mesh/src/peer_streams.rs
+++ b/crates/mesh/src/peer_streams.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use fulmartrestle_policy::StopTimes;
 use fulmartrestle_transport::{
     PeerError, StreamHandler, encode, encode_head, receive_head, send_head_and_body, send_initial_data, stream_body,
     stream_error,
@@ -14,12 +15,14 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
+use tokio::sync::watch;
 
 use crate::call_messages::CallRequestHead;
 use crate::crash_marks::crash_marks_response;
 use crate::left_runs::left_runs_response;
 use crate::node_messages::{ConfigResponse, TokenRequest};
 use crate::state::MeshState;
+use crate::stop_notice::{STOPPING_PATH, stop_from_headers};
 use crate::tokens::answer_token_request;
 
 /// Path of streams that carry a call.
@@ -40,15 +43,17 @@
 /// Largest token request, in bytes: a tenant's name, with room to spare.
 const MAX_TOKEN_REQUEST_BYTES: usize = 4_096;
 
-/// Handles the streams of other nodes.
+/// Handles the streams on one connection of another node.
 pub struct PeerStreamHandler {
     state: Arc<MeshState>,
+    /// The stop of the other node once it has told it.
+    sender_stop: watch::Sender<Option<StopTimes>>,
 }
 
 impl PeerStreamHandler {
-    /// Returns the handler of the node with the given state.
+    /// Returns the handler of a new connection to the node with the given state.
     pub fn new(state: Arc<MeshState>) -> Self {
-        Self { state }
+        Self { state, sender_stop: watch::Sender::new(None) }
     }
 
     /// Runs a call until it ends or the other node resets the stream, which cancels the call.
@@ -56,7 +61,7 @@
         self.state.handled.count_target_call();
         let (head, body) = receive_head::<CallRequestHead>(body).await?;
         let (response_head, body) = tokio::select! {
-            response = self.state.gate.run(head, body) => response,
+            response = self.state.gate.run(head, body, Some(self.sender_stop.subscribe())) => response,
             _ = poll_fn(|context| respond.poll_reset(context)) => return Ok(()),
         };
         let head = encode_head(&response_head)?;
@@ -75,7 +80,12 @@
 #[async_trait]
 impl StreamHandler for PeerStreamHandler {
     async fn handle(&self, request: Request<RecvStream>, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+        if let Some(stop) = stop_from_headers(request.headers(), self.state.now()) {
+            // Later notices tell the same stop, and arrive later.
+            self.sender_stop.send_if_modified(|known| known.is_none() && known.replace(stop).is_none());
+        }
         match request.uri().path() {
+            STOPPING_PATH => respond.send_response(Response::new(()), true).map(|_| ()).map_err(stream_error),
             RUN_PATH => self.run_call(request.into_body(), respond).await,
             TOKENS_PATH => self.grant_tokens(request.into_body(), respond).await,
             CONFIG_PATH => {
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -52,7 +52,8 @@
 
 /// Accepts connections from peers until the task is aborted.
 pub async fn serve_peers(listener: TcpListener, service: Arc<dyn PeerService>) {
-    serve_streams(listener, Arc::new(PeerStreamHandler { service })).await;
+    let handler: Arc<dyn StreamHandler> = Arc::new(PeerStreamHandler { service });
+    serve_streams(listener, || Arc::clone(&handler)).await;
 }
 
 /// Dispatches the streams of peers to the service by their path.
--- a/crates/transport/src/peer_connection.rs
+++ b/crates/transport/src/peer_connection.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use h2::SendStream;
 use h2::client::{ResponseFuture, SendRequest};
-use http::Request;
+use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -137,13 +137,13 @@
         self.ping_due.notify_one();
     }
 
-    /// Opens a stream to `path`. The peer has received nothing before [`PeerStream::exchange`].
+    /// Opens a stream to `path` with these headers. The peer has received no message before [`PeerStream::exchange`].
     ///
     /// # Errors
     ///
     /// Returns [`PeerError::NotSent`] when the connection is closed.
-    pub async fn open(&self, path: &str) -> Result<PeerStream, PeerError> {
-        let (response, stream) = self.open_stream(path).await?;
+    pub async fn open(&self, path: &str, headers: HeaderMap) -> Result<PeerStream, PeerError> {
+        let (response, stream) = self.open_stream(path, headers).await?;
         Ok(PeerStream { response, stream })
     }
 
@@ -159,7 +159,18 @@
         head: &Q,
         body: ByteBody,
     ) -> Result<(A, ByteBody), PeerError> {
-        self.open(path).await?.exchange(head, body).await
+        self.open(path, HeaderMap::new()).await?.exchange(head, body).await
+    }
+
+    /// Sends headers without a message, and waits for the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no response arrived.
+    pub async fn notify(&self, path: &str, headers: HeaderMap) -> Result<http::StatusCode, PeerError> {
+        let (response, mut stream) = self.open_stream(path, headers).await?;
+        send_initial_data(&mut stream, Bytes::new(), true)?;
+        Ok(response.await.map_err(stream_error)?.status())
     }
 
     /// Sends a message and returns the status of the response.
@@ -168,7 +179,7 @@
     ///
     /// Returns [`PeerError`] when no response arrived.
     pub async fn post(&self, path: &str, message: Bytes) -> Result<http::StatusCode, PeerError> {
-        let (response, mut stream) = self.open_stream(path).await?;
+        let (response, mut stream) = self.open_stream(path, HeaderMap::new()).await?;
         send_initial_data(&mut stream, message, true)?;
         Ok(response.await.map_err(stream_error)?.status())
     }
@@ -184,7 +195,7 @@
         message: Bytes,
         limit_bytes: usize,
     ) -> Result<T, PeerError> {
-        let (response, mut stream) = self.open_stream(path).await?;
+        let (response, mut stream) = self.open_stream(path, HeaderMap::new()).await?;
         send_initial_data(&mut stream, message, true)?;
         let response = response.await.map_err(stream_error)?;
         let body = Limited::new(stream_body(response.into_body()), limit_bytes).collect().await;
@@ -192,12 +203,17 @@
         Ok(decode_exact(&bytes)?)
     }
 
-    async fn open_stream(&self, path: &str) -> Result<(ResponseFuture, SendStream<Bytes>), PeerError> {
+    async fn open_stream(
+        &self,
+        path: &str,
+        headers: HeaderMap,
+    ) -> Result<(ResponseFuture, SendStream<Bytes>), PeerError> {
         let not_sent = |error: h2::Error| PeerError::NotSent(error.to_string());
         let mut sender = self.sender.clone().ready().await.map_err(not_sent)?;
-        let request = Request::post(format!("http://peer{path}"))
+        let mut request = Request::post(format!("http://peer{path}"))
             .body(())
             .map_err(|error| PeerError::NotSent(error.to_string()))?;
+        *request.headers_mut() = headers;
         sender.send_request(request, false).map_err(not_sent)
     }
 }
--- a/crates/transport/src/peer_connection_pool.rs
+++ b/crates/transport/src/peer_connection_pool.rs
@@ -41,6 +41,13 @@
         Ok(connection)
     }
 
+    /// Returns the connections that are open. One that is being established is left out.
+    pub fn open_connections(&self) -> Vec<PeerConnection> {
+        let connections = self.lock_connections();
+        let open = connections.values().filter_map(|pooled| pooled.connection.try_lock().ok()?.clone());
+        open.filter(|connection| !connection.is_closed()).collect()
+    }
+
     /// Removes the connections to peers that are no longer members. They close once no call uses them.
     pub fn retain(&self, is_member: impl Fn(&SocketAddr) -> bool) {
         self.lock_connections().retain(|address, _| is_member(address));
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -41,12 +41,12 @@
     async fn handle(&self, request: Request<RecvStream>, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError>;
 }
 
-/// Accepts connections from peers until the task is aborted.
-pub async fn serve_streams(listener: TcpListener, handler: Arc<dyn StreamHandler>) {
+/// Accepts connections from peers until the task is aborted. `new_handler` returns the handler of a connection's streams.
+pub async fn serve_streams(listener: TcpListener, new_handler: impl Fn() -> Arc<dyn StreamHandler>) {
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                tokio::spawn(serve_peer(tcp, Arc::clone(&handler)));
+                tokio::spawn(serve_peer(tcp, new_handler()));
             }
             Err(error) => {
                 log::warn!("peer: accept failed: {error}");
