--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -6,12 +6,13 @@
 mod health;
 mod load_metrics;
 mod notices;
+mod open_call;
 mod responses;
 mod slot_guard;
 mod watched_call;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +38,7 @@
 use crate::upload_end::UploadEnd;
 
 use admission::{AdmittedCall, GateState, usable_slots};
+use open_call::OpenCall;
 use watched_call::WatchedCall;
 
 /// Retry-After when the target is gone, in milliseconds. By then other targets are known.
@@ -100,6 +102,8 @@
     end_counted: Notify,
     /// Notified when a run announces itself that must be verified.
     run_unverified: Notify,
+    /// Calls of other nodes whose responses have not been sent.
+    open_calls: Arc<AtomicUsize>,
     /// The stop of this node once it begins.
     stop: watch::Sender<Option<StopTimes>>,
 }
@@ -134,6 +138,7 @@
             is_probing: AtomicBool::new(false),
             end_counted: Notify::new(),
             run_unverified: Notify::new(),
+            open_calls: Arc::default(),
             stop: watch::Sender::new(None),
         }
     }
@@ -312,9 +317,14 @@
         lock(&self.state).target.may_hear_late_announcements(now)
     }
 
+    /// Counts a call of another node as running until the guard is dropped, so that its response is sent before the node ends.
+    pub fn hold_open(&self) -> OpenCall {
+        OpenCall::new(&self.open_calls)
+    }
+
     /// Returns whether no call is running or waiting.
     pub fn is_idle(&self) -> bool {
-        lock(&self.state).slots.is_idle()
+        OpenCall::count(&self.open_calls) == 0 && lock(&self.state).slots.is_idle()
     }
 
     /// Waits until no call is running or waiting.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -67,6 +67,9 @@
 /// process for longer.
 const WITHDRAWAL_TIMEOUT_MS: u64 = 250;
 
+/// Time for the last responses to other nodes to leave and their connections to close, in milliseconds.
+const PEER_CLOSE_MS: u64 = 300;
+
 /// Interval between checks whether all callers' connections are closed, in milliseconds.
 const CLOSE_POLL_MS: u64 = 20;
 
@@ -93,6 +96,9 @@
     state: Arc<MeshState>,
     settings_path: Option<PathBuf>,
     stopping: watch::Sender<bool>,
+    /// Closes the connections of other nodes, and the task that serves them.
+    closing_peers: watch::Sender<bool>,
+    peer_server: JoinSet<()>,
     tasks: JoinSet<()>,
     store: Arc<dyn PlatformLog>,
     nodes_stream: StreamName,
@@ -111,6 +117,7 @@
         let state = Arc::new(build_state(settings, &options));
         state.apply_cold_limit();
         let (stopping, stopped) = watch::channel(false);
+        let (closing_peers, closing) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let limits = {
             let state = Arc::clone(&state);
@@ -122,7 +129,8 @@
             move || -> Arc<dyn StreamHandler> { Arc::new(PeerStreamHandler::new(Arc::clone(&state))) }
         };
         tasks.spawn(serve_callers(callers, handler, limits, state.caller_connections.semaphore(), stopped));
-        tasks.spawn(serve_streams(peers, new_handler));
+        let mut peer_server = JoinSet::new();
+        peer_server.spawn(serve_streams(peers, new_handler, closing));
         let datagrams = Arc::new(datagrams);
         tasks.spawn(receive_status(Arc::clone(&state), Arc::clone(&datagrams)));
         tasks.spawn(send_status(Arc::clone(&state), datagrams));
@@ -145,7 +153,7 @@
             .flag("first_start", settings.first_start);
         state.log(line);
         let settings_path = options.settings_path;
-        Ok(Self { state, settings_path, stopping, tasks, store, nodes_stream })
+        Ok(Self { state, settings_path, stopping, closing_peers, peer_server, tasks, store, nodes_stream })
     }
 
     /// Returns the state that the node's tasks share.
@@ -188,6 +196,11 @@
         // Sending fails only if the listener's task has already ended.
         let _ = self.stopping.send(true);
         let closed = tokio::time::timeout(state.clock.duration_until(schedule.end_at), self.wait_until_closed()).await;
+        let calls_ended = state.gate.is_idle();
+        self.closing_peers.send_replace(true);
+        let peers_closed_by = schedule.end_at.min(state.now().plus_ms(PEER_CLOSE_MS));
+        // A node that does not answer any more can't confirm the end of its connection.
+        let _ = tokio::time::timeout(state.clock.duration_until(peers_closed_by), self.peer_server.join_next()).await;
         // A VM that is taken away loses its target first; one that is only restarted keeps it.
         if state.gate.has_lost_target() {
             let withdrawal = withdraw_registration(state, self.store.as_ref(), &self.nodes_stream);
@@ -200,14 +213,17 @@
         let line = LogLine::new("stopped")
             .flag("target_idle", idle.is_ok())
             .flag("callers_closed", closed.is_ok())
+            .flag("calls_ended", calls_ended)
             .number("took_ms", state.now().ms_since(started));
         state.log(line);
         state.event_log.flush(state.now());
+        self.peer_server.shutdown().await;
         self.tasks.shutdown().await;
     }
 
+    /// Waits until all callers' connections are closed and the target has no call left, also of other nodes.
     async fn wait_until_closed(&self) {
-        while self.state.caller_connections.open_connections() > 0 {
+        while self.state.caller_connections.open_connections() > 0 || !self.state.gate.is_idle() {
             tokio::time::sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
         }
     }
--- a/crates/mesh/src/peer_streams.rs
+++ b/crates/mesh/src/peer_streams.rs
@@ -59,6 +59,7 @@
     /// Runs a call until it ends or the other node resets the stream, which cancels the call.
     async fn run_call(&self, body: RecvStream, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
         self.state.handled.count_target_call();
+        let _open_call = self.state.gate.hold_open();
         let (head, body) = receive_head::<CallRequestHead>(body).await?;
         let (response_head, body) = tokio::select! {
             response = self.state.gate.run(head, body, Some(self.sender_stop.subscribe())) => response,
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -17,6 +17,7 @@
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::PeerError;
 use super::client::PeerResponse;
@@ -53,7 +54,8 @@
 /// Accepts connections from peers until the task is aborted.
 pub async fn serve_peers(listener: TcpListener, service: Arc<dyn PeerService>) {
     let handler: Arc<dyn StreamHandler> = Arc::new(PeerStreamHandler { service });
-    serve_streams(listener, || Arc::clone(&handler)).await;
+    let (_never_closing, closing) = watch::channel(false);
+    serve_streams(listener, || Arc::clone(&handler), closing).await;
 }
 
 /// Dispatches the streams of peers to the service by their path.
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -9,6 +9,8 @@
 use h2::{Reason, RecvStream};
 use http::Request;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::{PeerError, set_tcp_timeouts};
 
@@ -41,22 +43,39 @@
     async fn handle(&self, request: Request<RecvStream>, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError>;
 }
 
-/// Accepts connections from peers until the task is aborted. `new_handler` returns the handler of a connection's streams.
-pub async fn serve_streams(listener: TcpListener, new_handler: impl Fn() -> Arc<dyn StreamHandler>) {
+/// Accepts connections from peers until `closing` becomes true, and returns once all streams have ended and what was sent on
+/// them has left. `new_handler` returns the handler of a connection's streams.
+pub async fn serve_streams(
+    listener: TcpListener,
+    new_handler: impl Fn() -> Arc<dyn StreamHandler>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let is_closing = closing.clone();
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
-            Ok((tcp, _)) => {
-                tokio::spawn(serve_peer(tcp, new_handler()));
-            }
-            Err(error) => {
-                log::warn!("peer: accept failed: {error}");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
-            }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((tcp, _)) => drop(connections.spawn(serve_peer(tcp, new_handler(), is_closing.clone()))),
+                Err(error) => {
+                    log::warn!("peer: accept failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = wait_until_closing(&mut closing) => break,
         }
     }
+    while connections.join_next().await.is_some() {}
+}
+
+/// Waits until `closing` becomes true. Does not return if its sender is gone before.
+async fn wait_until_closing(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending().await
+    }
 }
 
-async fn serve_peer(tcp: TcpStream, handler: Arc<dyn StreamHandler>) {
+async fn serve_peer(tcp: TcpStream, handler: Arc<dyn StreamHandler>, mut closing: watch::Receiver<bool>) {
     // Without TCP_NODELAY, small heads wait for the delayed acknowledgement of the peer. A failure to set it only
     // adds latency.
     let _ = tcp.set_nodelay(true);
@@ -75,7 +94,18 @@
             return;
         }
     };
-    while let Some(accepted) = connection.accept().await {
+    let mut is_closing = false;
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = wait_until_closing(&mut closing), if !is_closing => {
+                // Streams that the peer has opened by now are still served.
+                connection.graceful_shutdown();
+                is_closing = true;
+                continue;
+            }
+        };
+        let Some(accepted) = accepted else { return };
         match accepted {
             Ok((request, respond)) => {
                 tokio::spawn(serve_stream(request, respond, Arc::clone(&handler)));
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -329,3 +329,58 @@
         expect_that!(tokio::task::block_in_place(|| fleet.vms[0].node.terminate()), some(eq(0)), "{name}");
     }
 }
+
+/// Guards against a stopping node without callers that ends while its target runs calls of other nodes: the calls were cut off
+/// although they would have ended within the grace period.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_node_ends_before_the_calls_that_its_target_runs() {
+    const USUAL_MS: u64 = 100;
+    struct Case {
+        name: &'static str,
+        /// Time from SIGTERM of the node beside the target to the calls, and their work.
+        sent_ms: u64,
+        work_ms: u64,
+        calls: usize,
+        /// Time from that SIGTERM to the one of the node that sends the calls.
+        sender_stops_ms: Option<u64>,
+    }
+    let cases = [
+        Case { name: "the sender serves on", sent_ms: 1_250, work_ms: 3_700, calls: 12, sender_stops_ms: None },
+        Case { name: "both stop in turn", sent_ms: 1_250, work_ms: 3_700, calls: 12, sender_stops_ms: Some(1_300) },
+        Case { name: "one call", sent_ms: 1_250, work_ms: 3_700, calls: 1, sender_stops_ms: None },
+        Case { name: "sent before the stop", sent_ms: 0, work_ms: 5_000, calls: 4, sender_stops_ms: None },
+    ];
+    let run_case = async |case: &Case| {
+        let Case { name, sent_ms, work_ms, calls, sender_stops_ms } = *case;
+        let mut fleet = start_fleet().await;
+        let set_work = |ms| {
+            *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(ms);
+        };
+        fleet.vms[1].target.slots.store(100, Ordering::Relaxed);
+        set_work(USUAL_MS);
+        for number in 0..20 {
+            fleet.wait_for_status(0, &booking(&format!("earlier-{number}"), 5_000), 200).await;
+        }
+        set_work(work_ms);
+        fleet.vms[1].node.send_sigterm();
+        let bookings: Vec<_> = (0..calls).map(|number| booking(&format!("long-{number}"), 6_000)).collect();
+        let sending = async {
+            tokio::time::sleep(Duration::from_millis(sent_ms)).await;
+            join_all(bookings.iter().map(|request| fleet.try_send(0, request))).await
+        };
+        let stopping = async {
+            if let Some(sender_stops_ms) = sender_stops_ms {
+                tokio::time::sleep(Duration::from_millis(sender_stops_ms)).await;
+                fleet.vms[0].node.send_sigterm();
+            }
+        };
+        let (responses, ()) = tokio::join!(sending, stopping);
+        for response in responses {
+            let status = response.as_ref().map(|response| response.status);
+            expect_that!(status, ok(eq(200)), "{name}: {response:?}");
+        }
+        expect_that!(tokio::task::block_in_place(|| fleet.vms[1].node.terminate()), some(eq(0)), "{name}");
+    };
+    join_all(cases.iter().map(run_case)).await;
+}
