Requests that are unanswered when a stop ends get a truthful answer

Callers got a closed connection at the end of a stop, also for requests that had certainly not run: MeshNode::stop aborts what is left, and no wait of a request knew of the end.

requests_that_are_unanswered_at_the_end_of_a_stop_get_a_truthful_answer: both connections were closed without an answer before.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -8,7 +8,7 @@
 use fulmartrestle_transport::{ByteBody, PeerConnection, PeerError, PeerStream, ReplayBody};
 
 use crate::call_messages::{CallOutcome, CallResponseHead, NoticedRun};
-use crate::caller_handler::{AdmittedRequest, TargetResponse};
+use crate::caller_handler::{AdmittedRequest, OutcomeGuard, TargetResponse};
 use crate::contact_watch::{wait_until_lost, watch_body};
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
@@ -88,7 +88,7 @@
 }
 
 /// Sends a request to targets until one responds, retries are not allowed any more, or the deadline has passed. `upload_end`
-/// is the end of a body that is still arriving.
+/// is the end of a body that is still arriving; `outcome` is kept up to date about whether a target may have run the request.
 ///
 /// # Errors
 ///
@@ -98,6 +98,7 @@
     request: &AdmittedRequest,
     mut body: ReplayBody,
     upload_end: Option<&UploadEnd>,
+    outcome: &mut OutcomeGuard<'_>,
 ) -> Result<TargetResponse, Refusal> {
     let mut progress = RequestProgress::default();
     match lock(&state.crashes).check(request.fingerprint, state.now()) {
@@ -121,15 +122,16 @@
             return Err(progress.final_refusal(STOPPING));
         }
         progress.tried_nodes.push(node);
-        let outcome = run_attempt(state, request, &progress, &mut body, upload_end).await;
+        outcome.set_may_have_run(true);
+        let attempt = run_attempt(state, request, &progress, &mut body, upload_end).await;
         let work_started = upload_end.map_or(Some(passed_on), UploadEnd::forwarded_at);
-        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. })
+        if matches!(attempt, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. })
             && let Some(work_started) = work_started
         {
             let now = state.now();
             lock(&state.stop_admission).record_completion(route, service, now.us_since(work_started), now);
         }
-        let reason = match outcome {
+        let reason = match attempt {
             AttemptOutcome::Answered(response) => {
                 credit_retry_budgets(state, request);
                 return Ok(response);
@@ -139,6 +141,7 @@
                     return Err(progress.final_refusal(refusal));
                 }
                 progress.refusal = Some(refusal);
+                outcome.set_may_have_run(progress.unknown.is_some());
                 if !body.has_next_attempt() {
                     return Err(progress.give_up());
                 }
--- a/crates/mesh/src/caller_handler.rs
+++ b/crates/mesh/src/caller_handler.rs
@@ -31,7 +31,7 @@
 
 pub use admitted_request::AdmittedRequest;
 use deadline::{body_limit_ms, response_deadline};
-use outcome_guard::OutcomeGuard;
+pub use outcome_guard::OutcomeGuard;
 
 /// Retry-After while this node has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 400;
@@ -143,7 +143,7 @@
             true => self.hold_upload_end(body, announced_bytes, &admitted),
             false => (body, None),
         };
-        let response = send_request(state, &admitted, body, upload_end.as_ref()).await?;
+        let response = send_request(state, &admitted, body, upload_end.as_ref(), outcome).await?;
         if content_length(&response.headers).is_none_or(|bytes| bytes > REPLAY_LIMIT_BYTES as u64) {
             lock(&state.large_routes).record_large_response(&admitted.route, state.now());
         }
@@ -338,7 +338,12 @@
         let arrived = self.state.now();
         let metadata = self.state.wire_protocol.parse_caller_metadata(request.headers());
         let mut outcome = OutcomeGuard::new(&self.state, arrived);
-        let result = self.process_request(request, &metadata, arrived, &mut outcome).await;
+        let result = tokio::select! {
+            biased;
+            result = self.process_request(request, &metadata, arrived, &mut outcome) => Some(result),
+            () = self.state.wait_for_last_answers() => None,
+        };
+        let result = result.unwrap_or_else(|| Err(outcome.last_answer()));
         outcome.end(&result);
         self.record_outcome(&metadata, &result, self.state.now().us_since(arrived));
         // A refused caller retries on a new connection.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -181,6 +181,7 @@
         let schedule = StopSchedule::new(grace_ms, started);
         lock(&state.stop_admission).start_stop(schedule.times());
         state.gate.start_stop(schedule.times());
+        state.stop.send_replace(Some(schedule));
         notify_peers(state, schedule.times());
         let sleep_until = |time| tokio::time::sleep(state.clock.duration_until(time));
         sleep_until(schedule.leaving_at).await;
@@ -298,6 +299,7 @@
         handled: HandledCounts::default(),
         large_routes: Mutex::default(),
         stop_admission: Mutex::default(),
+        stop: watch::Sender::new(None),
         left_runs_due: Notify::new(),
         saved_left_runs: watch::Sender::new(None),
     }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -6,7 +6,7 @@
 use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
     ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LargeRoutes, LoadBalancer, RetryBudgets, StopAdmission,
-    TenantDivision,
+    StopSchedule, TenantDivision,
 };
 use fulmartrestle_quota::{IssuingRight, TokenPool};
 use fulmartrestle_transport::PeerConnectionPool;
@@ -129,6 +129,8 @@
     pub large_routes: Mutex<LargeRoutes>,
     /// Decides which requests are passed on while this node stops.
     pub stop_admission: Mutex<StopAdmission>,
+    /// The stop of this node once it begins.
+    pub stop: watch::Sender<Option<StopSchedule>>,
     /// Wakes the writer of the runs of the target that have left.
     pub left_runs_due: Notify,
     /// The runs of the target that have left, as the store holds them; `None` while that is not known.
@@ -185,6 +187,17 @@
         self.gate.set_cold_limit(limit);
     }
 
+    /// Waits until requests that are still unanswered must be answered because this node ends.
+    pub async fn wait_for_last_answers(&self) {
+        let mut stop = self.stop.subscribe();
+        let schedule = stop.wait_for(Option::is_some).await.map(|schedule| *schedule);
+        match schedule {
+            Ok(Some(schedule)) => tokio::time::sleep(self.clock.duration_until(schedule.last_answers_at)).await,
+            // The sender lives as long as this state.
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Returns whether the platform should route callers to this node.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == NodePhase::Serving && self.config().is_some()
--- a/tests/planned_stop_waiting.rs
+++ b/tests/planned_stop_waiting.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,8 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use support::{CallerRequest, SidecarFleet, TargetBehaviour};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Slots that the target announces, and those of them that are used.
 const SLOTS: u64 = 4;
@@ -133,3 +136,39 @@
     ];
     join_all(cases.iter().map(run_case)).await;
 }
+
+/// Sends the first part of a booking, and returns the status of the response, if one comes.
+async fn send_half(address: SocketAddr, request_id: &str) -> Option<u16> {
+    let mut caller = TcpStream::connect(address).await.expect("the node listens");
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {request_id}\r\ndeadline: {DEADLINE_MS}\r\n\
+        content-length: 20\r\n\r\nhalf-"
+    );
+    caller.write_all(head.as_bytes()).await.expect("the node reads");
+    let mut response = Vec::new();
+    // Ends when the node closes the connection.
+    let _ = caller.read_to_end(&mut response).await;
+    String::from_utf8_lossy(&response).split(' ').nth(1)?.parse().ok()
+}
+
+/// Guards against connections that a stopping node closes at its end without an answer: to requests that are still at work
+/// elsewhere, and to those whose bodies have not arrived.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_are_unanswered_at_the_end_of_a_stop_get_a_truthful_answer() {
+    let mut fleet = SidecarFleet::start(&["front", "trips"], &config()).await;
+    fleet.wait_for_status(0, &booking("first".to_owned()), 200).await;
+    *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(8_000);
+    let at_work = booking("at-work".to_owned());
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        fleet.vms[0].node.send_sigterm();
+    };
+    let half = send_half(fleet.vms[0].caller_address, "half");
+    let (at_work, half, ()) = tokio::join!(fleet.try_send(0, &at_work), half, stopping);
+    expect_that!(at_work.as_ref().map(|response| response.status), ok(eq(502)), "{at_work:?}");
+    expect_that!(half, some(eq(503)));
+    let runs = fleet.vms[1].target.runs.lock().expect("not poisoned").clone();
+    expect_that!(runs.iter().any(|run| run.request_id == "half"), eq(false));
+    expect_that!(tokio::task::block_in_place(|| fleet.vms[0].node.terminate()), some(eq(0)));
+}
