--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -9,6 +9,7 @@
 
 use crate::call_messages::{CallOutcome, CallResponseHead, NoticedRun};
 use crate::caller_handler::{AdmittedRequest, OutcomeGuard, TargetResponse};
+use crate::completion_watcher::watch_completion;
 use crate::contact_watch::{wait_until_lost, watch_body};
 use crate::event_log::LogLine;
 use crate::peer_streams::RUN_PATH;
@@ -125,8 +126,7 @@
         outcome.set_may_have_run(true);
         let attempt = run_attempt(state, request, &progress, &mut body, upload_end).await;
         let work_started = upload_end.map_or(Some(passed_on), UploadEnd::forwarded_at);
-        if matches!(attempt, AttemptOutcome::Answered(_) | AttemptOutcome::Unknown { reason: Reason::Deadline, .. })
-            && let Some(work_started) = work_started
+        if let (AttemptOutcome::Unknown { reason: Reason::Deadline, .. }, Some(work_started)) = (&attempt, work_started)
         {
             let now = state.now();
             lock(&state.stop_admission).record_completion(route, service, now.us_since(work_started), now);
@@ -134,7 +134,10 @@
         let reason = match attempt {
             AttemptOutcome::Answered(response) => {
                 credit_retry_budgets(state, request);
-                return Ok(response);
+                return Ok(match work_started {
+                    Some(work_started) => watch_completion(state, request, work_started, response),
+                    None => response,
+                });
             }
             AttemptOutcome::NotRun { refusal, reached_target } => {
                 if refusal.reason == Reason::Blocked {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -403,15 +403,16 @@
             },
         };
         let work_started = upload_end.as_ref().map_or(Some(started), UploadEnd::forwarded_at);
-        if matches!(sent, Ok(Ok(_)) | Err(_))
-            && let Some(work_started) = work_started
-        {
-            let now = self.clock.now();
-            let took_us = now.us_since(work_started);
-            lock(&self.state).stop_admission.record_completion(&head.route, &head.service, took_us, now);
-        }
+        let record_completion = || {
+            if let Some(work_started) = work_started {
+                let now = self.clock.now();
+                let took_us = now.us_since(work_started);
+                lock(&self.state).stop_admission.record_completion(&head.route, &head.service, took_us, now);
+            }
+        };
         match sent {
             Err(_) => {
+                record_completion();
                 let mut watched = watched;
                 watched.record_loss(CallLoss::Unobserved);
                 self.report_unknown(&head, Reason::Deadline, false)
@@ -451,6 +452,10 @@
                 let reply = self.handle_response(&head, admitted, watched, connection, response, deadline).await;
                 self.record_attempt(attempt_end(&reply.0.outcome));
                 if let CallOutcome::Answered { .. } = reply.0.outcome {
+                    // The time of a response that is forwarded while it arrives is known at its end.
+                    if reply.1.size_hint().exact().is_some() {
+                        record_completion();
+                    }
                     lock(&self.state).demand.record_hold_time(&head.route, self.clock.now().us_since(started));
                 }
                 reply
@@ -534,6 +539,12 @@
         }
     }
 
+    /// Records the end of a response that was forwarded while it arrived, to a call that was sent at `started`.
+    fn record_streamed(&self, route: &RouteId, service: &Service, started: TimeUs) {
+        let now = self.clock.now();
+        lock(&self.state).stop_admission.record_streamed(route, service, now.us_since(started), now);
+    }
+
     fn record_attempt(&self, end: AttemptEnd) {
         lock(&self.state).failures.record_attempt(end, self.clock.now());
     }
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -85,9 +85,10 @@
                 // The response to HEAD states the length of a body that it does not have.
                 let is_head = head.method == Method::HEAD.as_str();
                 let length = if is_head { parts.headers.get(CONTENT_LENGTH).cloned() } else { measured_length };
-                let head = (parts.status, &parts.headers);
-                let call = AnsweredCall { admitted, watched, connection };
-                self.forward_response(call, head, body, is_identified, length)
+                let response_head = (parts.status, &parts.headers);
+                let (route, service) = (head.route.clone(), head.service.clone());
+                let call = AnsweredCall { admitted, watched, connection, route, service };
+                self.forward_response(call, response_head, body, is_identified, length)
             }
             ResponseClass::NotRun | ResponseClass::WrongInstance | ResponseClass::Invalid => {
                 watched.cancel();
--- a/crates/mesh/src/gate/slot_guard.rs
+++ b/crates/mesh/src/gate/slot_guard.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fulmartrestle_core::{CallId, TimeUs};
+use fulmartrestle_core::{CallId, RouteId, Service, TimeUs};
 use fulmartrestle_transport::BodyWatcher;
 
 use super::Gate;
@@ -50,6 +50,9 @@
     pub watched: WatchedCall,
     /// Closes when it is dropped.
     pub connection: TargetConnection,
+    /// Route and service of the call, which tell how long its response may take.
+    pub route: RouteId,
+    pub service: Service,
 }
 
 /// A call whose response body is still being forwarded. It is dropped when the body ends or is dropped.
@@ -67,7 +70,8 @@
 
 impl BodyWatcher for StreamingSlotGuard {
     fn on_end(&mut self, complete: bool) {
-        if let Some(AnsweredCall { watched, .. }) = self.held.take() {
+        if let Some(AnsweredCall { admitted, watched, route, service, .. }) = self.held.take() {
+            admitted.slot.gate.record_streamed(&route, &service, watched.started());
             watched.end_stream(self.status, complete);
         }
     }
--- a/crates/mesh/src/gate/watched_call.rs
+++ b/crates/mesh/src/gate/watched_call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fulmartrestle_core::{CallId, Fingerprint, lock};
+use fulmartrestle_core::{CallId, Fingerprint, TimeUs, lock};
 use fulmartrestle_policy::{CallLoss, LossVerdict};
 
 use super::Gate;
@@ -17,6 +17,7 @@
     fingerprint: Fingerprint,
     is_trial: bool,
     is_over: bool,
+    started: TimeUs,
 }
 
 impl WatchedCall {
@@ -28,7 +29,12 @@
             lock(&gate.crashes).record_trial(fingerprint, gate.node_id, call, now);
             gate.status_due.notify_one();
         }
-        Self { gate, call, fingerprint, is_trial, is_over: false }
+        Self { gate, call, fingerprint, is_trial, is_over: false, started: now }
+    }
+
+    /// Returns when the call was handed to the target.
+    pub fn started(&self) -> TimeUs {
+        self.started
     }
 
     /// Records a complete response with this status.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_connection_limit;
 mod caller_handler;
 mod clock;
+mod completion_watcher;
 mod config;
 mod config_follower;
 mod config_freshness;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -298,7 +298,7 @@
         tenant_division: Mutex::default(),
         handled: HandledCounts::default(),
         large_routes: Mutex::default(),
-        stop_admission: Mutex::default(),
+        stop_admission: Arc::default(),
         stop: watch::Sender::new(None),
         left_runs_due: Notify::new(),
         saved_left_runs: watch::Sender::new(None),
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -128,7 +128,7 @@
     /// Routes whose responses are forwarded while they arrive.
     pub large_routes: Mutex<LargeRoutes>,
     /// Decides which requests are passed on while this node stops.
-    pub stop_admission: Mutex<StopAdmission>,
+    pub stop_admission: Arc<Mutex<StopAdmission>>,
     /// The stop of this node once it begins.
     pub stop: watch::Sender<Option<StopSchedule>>,
     /// Wakes the writer of the runs of the target that have left.
--- a/crates/policy/src/stop_admission.rs
+++ b/crates/policy/src/stop_admission.rs
@@ -36,12 +36,14 @@
     longest_us: u64,
     longest_before_us: u64,
     window_started_at: TimeUs,
+    /// Whether responses are forwarded while they arrive, which may go on after the deadline of the request.
+    is_streamed: bool,
 }
 
 impl CompletionTime {
     fn new(took_us: u64, now: TimeUs) -> Self {
         let typical_us = took_us as f64;
-        Self { typical_us, longest_us: took_us, longest_before_us: 0, window_started_at: now }
+        Self { typical_us, longest_us: took_us, longest_before_us: 0, window_started_at: now, is_streamed: false }
     }
 
     fn record(&mut self, took_us: u64, now: TimeUs) {
@@ -71,6 +73,15 @@
 }
 
 impl StopAdmission {
+    /// Records that a response ended which was forwarded while it arrived, to a request that was passed on `took_us` ago. Its
+    /// deadline does not limit such a response.
+    pub fn record_streamed(&mut self, route: &RouteId, service: &Service, took_us: u64, now: TimeUs) {
+        self.record_completion(route, service, took_us, now);
+        if let Some(time) = self.routes.get_mut(route) {
+            time.is_streamed = true;
+        }
+    }
+
     /// Records that a request which was passed on `took_us` ago was answered, or has passed its deadline.
     pub fn record_completion(&mut self, route: &RouteId, service: &Service, took_us: u64, now: TimeUs) {
         let new_time = || CompletionTime::new(took_us, now);
@@ -100,7 +111,7 @@
     }
 
     /// Returns until when a request may be passed on so that it is completed before `stop` ends; `None` if it may be passed on at
-    /// any time, because its `deadline` passes before. While callers still arrive, the usual time decides, and what is not
+    /// any time, because its `deadline` passes before and limits its response. While callers still arrive, the usual time decides, and what is not
     /// known is passed on; afterwards all requests must be expected to end.
     pub fn latest_start(
         &self,
@@ -110,7 +121,8 @@
         stop: StopTimes,
     ) -> Option<TimeUs> {
         let must_end_at = TimeUs(stop.end_at.0.saturating_sub(RESPONSE_MARGIN_MS * 1_000));
-        if deadline <= must_end_at {
+        let is_streamed = self.routes.get(route).is_some_and(|time| time.is_streamed);
+        if deadline <= must_end_at && !is_streamed {
             return None;
         }
         let last_with_callers = TimeUs(stop.callers_left_at.0.saturating_sub(1));
--- a/crates/policy/tests/stop_admission.rs
+++ b/crates/policy/tests/stop_admission.rs
@@ -15,6 +15,34 @@
     name.parse().expect("a valid name")
 }
 
+/// Guards against large responses that are cut off because only the time to their heads was known, or because they may go on
+/// after the deadline of their request.
+#[gtest]
+fn responses_that_take_long_to_forward_are_expected_to_end() {
+    struct Case {
+        name: &'static str,
+        deadline_ms: u64,
+        at_ms: u64,
+        passed_on: bool,
+    }
+    let cases = [
+        Case { name: "time enough", deadline_ms: 9_000, at_ms: 1_300, passed_on: true },
+        Case { name: "callers still arrive", deadline_ms: 9_000, at_ms: 2_599, passed_on: true },
+        Case { name: "no time", deadline_ms: 9_000, at_ms: 2_601, passed_on: false },
+        Case { name: "goes on after its deadline", deadline_ms: 4_500, at_ms: 3_000, passed_on: false },
+    ];
+    let (book, trips) = (route("book"), service("trips"));
+    let mut admission = StopAdmission::default();
+    for at_s in [80, 90] {
+        admission.record_streamed(&book, &trips, 2_600_000, TimeUs::from_s(at_s));
+    }
+    admission.start_stop(StopTimes { callers_left_at: STOPPED.plus_ms(2_600), end_at: STOPPED.plus_ms(5_500) });
+    for Case { name, deadline_ms, at_ms, passed_on } in cases {
+        let (deadline, now) = (STOPPED.plus_ms(deadline_ms), STOPPED.plus_ms(at_ms));
+        expect_that!(admission.can_complete(&book, &trips, deadline, now), eq(passed_on), "{name}");
+    }
+}
+
 /// Guards against requests that are passed on late in the grace period and cut off at its end, and against refusing those
 /// that have time enough.
 #[gtest]
--- a/tests/planned_stop_uploads.rs
+++ b/tests/planned_stop_bodies.rs
@@ -1,4 +1,4 @@
-//! Planned stops of sidecar processes while uploads arrive slowly.
+//! Planned stops of sidecar processes while large bodies are on their way.
 
 mod support;
 
@@ -27,9 +27,12 @@
 const RESPONSE_LIMIT_MS: u64 = 8_000;
 
 fn config() -> Value {
+    let route = |name: &str, kind: &str| {
+        json!({"name": name, "host": "trips.example", "prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 15_000,
+            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true})
+    };
     json!({"version": "00000001",
-        "routes": [{"name": "photo", "host": "trips.example", "prefix": "/photo/", "kind": "upload", "timeout_ms": 15_000,
-            "slo_ms": 500, "priority": 1, "service": "trips", "attempts": 2, "public": true}],
+        "routes": [route("photo", "upload"), route("file", "download")],
         "services": [{"name": "trips", "max_conns": 100}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_000_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
@@ -191,3 +194,70 @@
     // One fleet after the other would take too long.
     join_all(cases.iter().map(run_case)).await;
 }
+
+/// Downloads a file, and returns the status and how many bytes of the body arrived. The status is 0 if none came.
+async fn download(address: SocketAddr, id: &str) -> (u16, usize) {
+    let head = format!(
+        "GET /file/{id} HTTP/1.1\r\nhost: trips.example\r\nrequest-id: {id}\r\ndeadline: {DEADLINE_MS}\r\nconnection: close\r\n\r\n"
+    );
+    let Ok(mut caller) = TcpStream::connect(address).await else { return (REFUSED_CONNECTION, 0) };
+    let mut response = Vec::new();
+    // What arrives before the connection breaks off is counted.
+    let _ = caller.write_all(head.as_bytes()).await;
+    let _ = caller.read_to_end(&mut response).await;
+    let text = String::from_utf8_lossy(&response);
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default();
+    (status, text.split_once("\r\n\r\n").map_or(0, |(_, body)| body.len()))
+}
+
+/// Stands for the status of a download whose connection was refused.
+const REFUSED_CONNECTION: u16 = 1;
+
+/// Guards against downloads that are passed on late in a planned stop and cut off in the middle of their bodies, because only
+/// the time to the heads of their responses was known.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn downloads_that_begin_late_in_a_stop_are_cut_off() {
+    const FILE_BYTES: usize = 200_000;
+    const SENDING_MS: u64 = 2_600;
+    const INTERVAL_MS: u64 = 200;
+    const LAST_MS: u64 = 4_600;
+    struct Case {
+        name: &'static str,
+        services: &'static [&'static str],
+        stopped: usize,
+    }
+    let cases = [
+        // While its own target works, the node takes downloads for the other one.
+        Case { name: "the entry stops", services: &["trips", "trips"], stopped: 0 },
+        Case { name: "the node beside the target stops", services: &["front", "trips"], stopped: 1 },
+        Case { name: "its own target", services: &["trips"], stopped: 0 },
+    ];
+    let run_case = async |case: &Case| {
+        let Case { name, services, stopped } = *case;
+        let fleet = SidecarFleet::start(services, &config()).await;
+        for vm in &fleet.vms {
+            *vm.target.behaviour.lock().expect("not poisoned") =
+                TargetBehaviour::SlowResponse { bytes: FILE_BYTES, sending_ms: SENDING_MS };
+            vm.target.slots.store(100, Ordering::Relaxed);
+        }
+        let address = fleet.vms[0].caller_address;
+        while download(address, "first").await.0 != 200 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        fleet.vms[stopped].node.send_sigterm();
+        let downloads = (0..=LAST_MS / INTERVAL_MS).map(|number| async move {
+            tokio::time::sleep(Duration::from_millis(number * INTERVAL_MS)).await;
+            (number, download(address, &format!("late-{number}")).await)
+        });
+        let mut served = 0;
+        for (number, (status, bytes)) in join_all(downloads).await {
+            let is_whole = status == 200 && bytes >= FILE_BYTES;
+            served += usize::from(is_whole);
+            let case = format!("{name}, {} ms after SIGTERM: {status}, {bytes} bytes", number * INTERVAL_MS);
+            expect_that!(is_whole || status == 503 || status == REFUSED_CONNECTION, eq(true), "{case}");
+        }
+        expect_that!(served, gt(4), "{name}");
+    };
+    join_all(cases.iter().map(run_case)).await;
+}
--- a/tests/support/sidecar.rs
+++ b/tests/support/sidecar.rs
@@ -67,6 +67,8 @@
     CutResponse { sent_bytes: usize, announced: Announced },
     /// Responds with a body of this many bytes.
     LargeResponse(usize),
+    /// Responds with a body of this many bytes, and takes this many milliseconds to send it.
+    SlowResponse { bytes: usize, sending_ms: u64 },
     /// Makes calls on this path through its node, one after the other, and responds with 500 if one of them fails.
     MakeCalls { path: &'static str, count: usize },
 }
@@ -802,7 +804,8 @@
         TargetBehaviour::Respond
         | TargetBehaviour::Refuse
         | TargetBehaviour::CutResponse { .. }
-        | TargetBehaviour::LargeResponse(_) => {}
+        | TargetBehaviour::LargeResponse(_)
+        | TargetBehaviour::SlowResponse { .. } => {}
     }
     let mut response =
         hyper::Response::builder().status(status).header("request-id", request_id).header("response-stamp", "stamp");
@@ -817,6 +820,14 @@
             streamed_body(sent_bytes, true)
         }
         TargetBehaviour::LargeResponse(bytes) => streamed_body(bytes, false),
+        TargetBehaviour::SlowResponse { bytes, sending_ms } => {
+            let pause = Duration::from_millis(sending_ms / bytes.div_ceil(FRAME_BYTES) as u64);
+            let paced = streamed_body(bytes, false).into_data_stream().then(move |data| async move {
+                tokio::time::sleep(pause).await;
+                data.map(Frame::data)
+            });
+            StreamBody::new(paced).boxed_unsync()
+        }
         _ => small_body("whole"),
     };
     Ok(response.body(body).expect("a valid response"))
