Callers that still send can read their refusal

A caller that was refused before its body had arrived saw a broken pipe in place of the 503 and could not know that its upload has not run: hyper closes the connection behind a request whose body it has not read, and the kernel resets a connection that is closed while bytes arrive. The rest of such a body is now read and dropped until it ends, for 2 s at most; nothing is kept.

--- a/crates/transport/src/callers.rs
+++ b/crates/transport/src/callers.rs
@@ -53,6 +53,9 @@
 /// Smallest HTTP/1.1 read buffer that `hyper` accepts, in bytes.
 const HYPER_MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Longest time for which the rest of a body is read whose request was answered before, in milliseconds.
+const DISCARD_MS: u64 = 2_000;
+
 /// Time that connections have to send a first request when the server stops, in milliseconds. It covers what waits unread
 /// in the kernel, and requests that callers send before they learn that the connection closes.
 const LAST_REQUEST_MS: u64 = 200;
@@ -229,17 +232,23 @@
     builder.max_buf_size(limits.max_header_bytes.max(HYPER_MIN_BUFFER_BYTES));
     let connection = builder.serve_connection(TokioIo::new(PipelinedIo::new(pipeline.clone(), writer)), handler);
     let serving = async {
-        tokio::pin!(connection);
-        let stopped = async {
-            wait_for_last_request(stopping).await;
-            pipeline.stop().await;
-        };
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = stopped => connection.as_mut().graceful_shutdown(),
+        {
+            tokio::pin!(connection);
+            let stopped = async {
+                wait_for_last_request(stopping).await;
+                pipeline.stop().await;
+            };
+            let closed = tokio::select! {
+                _ = connection.as_mut() => true,
+                () = stopped => false,
+            };
+            if !closed {
+                connection.as_mut().graceful_shutdown();
+                // An error means that the caller closed the connection or violated the protocol.
+                let _ = connection.await;
+            }
         }
-        // An error means that the caller closed the connection or violated the protocol.
-        let _ = connection.await;
+        let _ = tokio::time::timeout(Duration::from_millis(DISCARD_MS), pipeline.discard_rest_of_body()).await;
     };
     tokio::select! {
         biased;
--- a/crates/transport/src/callers/pipeline.rs
+++ b/crates/transport/src/callers/pipeline.rs
@@ -142,6 +142,10 @@
     /// Number of requests that must not be overtaken.
     barriers: Arc<AtomicUsize>,
     stopped: bool,
+    /// Whether the body of the last request has not arrived to its end.
+    is_within_body: bool,
+    /// Whether what arrives is dropped, because all responses have been sent.
+    discards: bool,
 }
 
 impl PipelineState {
@@ -198,6 +202,7 @@
         let has_unanswered = {
             let mut state = lock(&self.state);
             state.ended = true;
+            self.progress.notify_waiters();
             if let Some(reader) = state.reader.take() {
                 reader.wake();
             }
@@ -224,6 +229,13 @@
         let mut buffer = ReadBuf::uninit(&mut space);
         ready!(Pin::new(reader).poll_read(context, &mut buffer))?;
         let read = buffer.filled().len();
+        if state.discards {
+            // Requests behind the body are not answered either, as after any response that closes its connection.
+            scanner.scan(buffer.filled());
+            state.is_within_body = scanner.is_within_body();
+            self.progress.notify_waiters();
+            return Poll::Ready(Ok(read));
+        }
         state.unread.extend_from_slice(buffer.filled());
         for request in scanner.scan(&state.unread[known_bytes..]) {
             state.unanswered += 1;
@@ -245,6 +257,7 @@
             };
             state.requests.push_back(request);
         }
+        state.is_within_body = scanner.is_within_body();
         if let Some(reader) = state.reader.take() {
             reader.wake();
         }
@@ -271,6 +284,29 @@
         }
     }
 
+    /// Drops what the caller still sends of a body whose request has been answered, until the body or the connection ends. A
+    /// connection that is closed while bytes arrive is reset, and the caller may never read the answer.
+    pub async fn discard_rest_of_body(&self) {
+        {
+            let mut state = lock(&self.state);
+            state.discards = true;
+            state.unread = BytesMut::new();
+        }
+        // Lets the connection be read again.
+        self.progress.notify_waiters();
+        loop {
+            let progress = self.progress.notified();
+            let is_over = {
+                let state = lock(&self.state);
+                !state.is_within_body || state.ended
+            };
+            if is_over {
+                return;
+            }
+            progress.await;
+        }
+    }
+
     /// Starts no further requests, and waits until `hyper` has reached all that were started.
     pub async fn stop(&self) {
         lock(&self.state).stopped = true;
--- a/crates/transport/src/callers/request_scanner.rs
+++ b/crates/transport/src/callers/request_scanner.rs
@@ -61,6 +61,11 @@
         Self { position: Position::Head, partial: Vec::new(), max_head_bytes }
     }
 
+    /// Returns whether a body has begun and not ended.
+    pub fn is_within_body(&self) -> bool {
+        matches!(self.position, Position::Body(_) | Position::ChunkSize | Position::ChunkData(_) | Position::Trailers)
+    }
+
     /// Reads the next bytes of the connection, and returns the requests whose heads end in them.
     pub fn scan(&mut self, mut bytes: &[u8]) -> Vec<ScannedRequest> {
         let mut requests = Vec::new();
--- a/tests/planned_stop_bodies.rs
+++ b/tests/planned_stop_bodies.rs
@@ -49,7 +49,7 @@
 }
 
 /// Sends an upload in pieces, and returns what the caller reads until the connection ends or the response is whole. A caller
-/// that can't send the rest still reads.
+/// that can't send the rest does not read.
 async fn send_upload(address: SocketAddr, id: &str, upload: Upload) -> String {
     let Upload { bytes, chunked, sending_ms } = upload;
     let framing = if chunked { "transfer-encoding: chunked".to_owned() } else { format!("content-length: {bytes}") };
@@ -73,8 +73,9 @@
         }
         writer.write_all(if chunked { b"0\r\n\r\n" } else { b"" }).await
     };
-    // The write fails if the node has closed the connection, which the response shows.
-    let _ = sending.await;
+    if let Err(error) = sending.await {
+        return format!("not sent: {error}");
+    }
     let mut response = String::new();
     let reading = async {
         let mut buffer = vec![0; 4_096];
@@ -153,7 +154,8 @@
 }
 
 /// Guards against uploads that are passed on while they arrive although their work can't end before the node does: they ran
-/// and were cut off without an answer.
+/// and were cut off without an answer. Also against refusals that their callers can't read, because the connection was closed
+/// while they were still sending.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn uploads_that_arrive_too_slowly_for_a_stopping_node_are_cut_off() {
@@ -180,6 +182,7 @@
         },
         Case { name: "the node beside the target stops", stopped: 1, sent_after_ms: 300, upload: LONG, ..late },
         Case { name: "its own target", services: &["trips"], sent_after_ms: 300, upload: LONG, ..late },
+        Case { name: "refused at its first part", sent_after_ms: 2_000, work_ms: 3_200, ..late },
         Case { name: "in time", sent_after_ms: 1_300, upload: SLOW, expected: Expected::Served, ..late },
         Case {
             name: "in time, beside the target",
