--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -311,12 +311,6 @@
         self.run_unverified.notified().await;
     }
 
-    /// Returns whether announcements that arrive now may have been sent before this node started.
-    pub fn may_hear_late_announcements(&self) -> bool {
-        let now = self.clock.now();
-        lock(&self.state).target.may_hear_late_announcements(now)
-    }
-
     /// Counts a call of another node as running until the guard is dropped, so that its response is sent before the node ends.
     pub fn hold_open(&self) -> OpenCall {
         OpenCall::new(&self.open_calls)
--- a/crates/mesh/src/gate/health.rs
+++ b/crates/mesh/src/gate/health.rs
@@ -31,12 +31,21 @@
             .text("answer", answer)
             .number("took_us", now.us_since(started));
         self.event_log.write(line, now);
-        if status == HealthStatus::Serving && lock(&self.state).target.set_verified(run) {
-            self.status_due.notify_one();
+        match status {
+            HealthStatus::Serving if lock(&self.state).target.set_verified(run) => self.status_due.notify_one(),
+            HealthStatus::Unknown => self.use_unverifiable_run(run),
+            HealthStatus::Serving | HealthStatus::NotServing => {}
         }
         status
     }
 
+    /// Uses a run that can't be asked whether it serves, if its announcements are not from before the start of this node.
+    pub fn use_unverifiable_run(&self, run: &TargetRun) {
+        if lock(&self.state).target.set_unverifiable(run) {
+            self.status_due.notify_one();
+        }
+    }
+
     async fn ask_health(&self, run: &TargetRun, path: &Uri) -> (HealthStatus, String) {
         let mut request = Request::new(empty_body());
         *request.uri_mut() = path.clone();
--- a/crates/mesh/src/local_target.rs
+++ b/crates/mesh/src/local_target.rs
@@ -157,7 +157,7 @@
         }
         let cold_until = Some(now.plus_ms(announcement.cold_left_ms));
         let start_ms = announcement.started_unix_ms;
-        let is_verified = self.node_start.is_none_or(|start| !start.allows_earlier_leaving(start_ms, now));
+        let is_verified = self.node_start.is_none_or(|start| !start.allows_earlier_leaving(start_ms));
         let is_silent = self.is_silent(now);
         if let Some(target) = &mut self.target {
             let known = &target.announcement;
@@ -267,9 +267,15 @@
         target.map(|target| target.is_verified = true).is_some()
     }
 
-    /// Returns whether an announcement that arrives at `now` may have been sent before this node started.
-    pub fn may_hear_late_announcements(&self, now: TimeUs) -> bool {
-        self.node_start.is_some_and(|start| start.may_hear_late_announcements(now))
+    /// Records that `run` can't be asked whether it serves. It counts as serving if its last announcement was most likely
+    /// sent after this node started. Returns whether it does.
+    pub fn set_unverifiable(&mut self, run: &TargetRun) -> bool {
+        let start = self.node_start;
+        let target = self.target.as_mut().filter(|target| target.announcement.run() == *run);
+        target.is_some_and(|target| {
+            target.is_verified |= start.is_none_or(|start| !start.is_usual_delay(target.last_announced));
+            target.is_verified
+        })
     }
 
     /// Returns whether the target announced itself once and has stopped.
--- a/crates/mesh/src/node_start.rs
+++ b/crates/mesh/src/node_start.rs
@@ -6,8 +6,8 @@
 use fulmartrestle_core::TimeUs;
 use fulmartrestle_derive::value;
 
-/// Longest delay of an announcement, in milliseconds. One that arrives later after the start was sent after it.
-const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 5_000;
+/// Delay that announcements seldom exceed, in milliseconds. There is no longest one.
+const USUAL_ANNOUNCEMENT_DELAY_MS: u64 = 5_000;
 
 /// Difference between the clocks of a node and its target that is allowed for, in milliseconds.
 const CLOCK_TOLERANCE_MS: i64 = 500;
@@ -22,15 +22,14 @@
 }
 
 impl NodeStart {
-    /// Returns whether a run of the target that started at `started_unix_ms` and whose announcement arrives at `now` may
-    /// have left before this node started: an earlier run of the node may have acknowledged that, and the announcement
-    /// may have been sent before.
-    pub fn allows_earlier_leaving(self, started_unix_ms: i64, now: TimeUs) -> bool {
-        started_unix_ms < self.unix_ms + CLOCK_TOLERANCE_MS && self.may_hear_late_announcements(now)
+    /// Returns whether a run of the target that started at `started_unix_ms` may have left before this node started: an
+    /// earlier run of the node may have acknowledged that, and announcements that arrive now may have been sent before.
+    pub fn allows_earlier_leaving(self, started_unix_ms: i64) -> bool {
+        started_unix_ms < self.unix_ms + CLOCK_TOLERANCE_MS
     }
 
-    /// Returns whether an announcement that arrives at `now` may have been sent before this node started.
-    pub fn may_hear_late_announcements(self, now: TimeUs) -> bool {
-        now.ms_since(self.at) < MAX_ANNOUNCEMENT_DELAY_MS
+    /// Returns whether an announcement that arrived at `announced_at` was most likely sent before this node started.
+    pub fn is_usual_delay(self, announced_at: TimeUs) -> bool {
+        announced_at.ms_since(self.at) < USUAL_ANNOUNCEMENT_DELAY_MS
     }
 }
--- a/crates/mesh/tests/local_state.rs
+++ b/crates/mesh/tests/local_state.rs
@@ -159,12 +159,16 @@
         Verify {
             started_unix_ms: i64,
         },
+        /// The run with this start can't be asked.
+        NoAnswer {
+            started_unix_ms: i64,
+        },
         Withdraw,
         Pass {
             ms: u64,
         },
     }
-    use Step::{Announce, Pass, Verify, Withdraw};
+    use Step::{Announce, NoAnswer, Pass, Verify, Withdraw};
     struct Case {
         name: &'static str,
         is_first_start: bool,
@@ -184,7 +188,33 @@
         case("verified, then withdrawn", vec![old(1), Verify { started_unix_ms: 5 }, Withdraw], false, false),
         case("withdrawn, then verified", vec![old(1), Withdraw, Verify { started_unix_ms: 5 }], false, false),
         case("not announced again", vec![old(1), Pass { ms: 4_999 }], false, true),
-        case("announced when none can be late", vec![old(1), Pass { ms: 5_000 }, old(2)], true, false),
+        case("announced late", vec![old(1), Pass { ms: 5_000 }, old(2)], false, true),
+        case("announced for the first time late", vec![Pass { ms: 9_000 }, old(1)], false, true),
+        case(
+            "announced late, then verified",
+            vec![Pass { ms: 9_000 }, old(1), Verify { started_unix_ms: 5 }],
+            true,
+            false,
+        ),
+        case("can't be asked", vec![old(1), Pass { ms: 5_000 }, old(2), NoAnswer { started_unix_ms: 5 }], true, false),
+        case(
+            "can't be asked soon",
+            vec![old(1), Pass { ms: 4_999 }, old(2), NoAnswer { started_unix_ms: 5 }],
+            false,
+            true,
+        ),
+        case(
+            "can't be asked, not announced",
+            vec![old(1), Pass { ms: 9_000 }, NoAnswer { started_unix_ms: 5 }],
+            false,
+            true,
+        ),
+        case(
+            "another run can't be asked",
+            vec![Pass { ms: 9_000 }, old(1), NoAnswer { started_unix_ms: 4 }],
+            false,
+            true,
+        ),
         case("started later", vec![Announce { started_unix_ms: START_UNIX_MS + 500, seq: 1 }], true, false),
         case("started about then", vec![Announce { started_unix_ms: START_UNIX_MS + 499, seq: 1 }], false, true),
         case("next run", vec![old(1), Announce { started_unix_ms: START_UNIX_MS + 3_000, seq: 1 }], true, false),
@@ -201,6 +231,9 @@
                 Verify { started_unix_ms } => {
                     target.set_verified(&TargetRun { instance: "a".to_owned(), started_unix_ms });
                 }
+                NoAnswer { started_unix_ms } => {
+                    target.set_unverifiable(&TargetRun { instance: "a".to_owned(), started_unix_ms });
+                }
                 Withdraw => {
                     target.apply_withdrawal("a", None, START_UNIX_MS);
                 }
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -259,7 +259,8 @@
 }
 
 /// Guards against a target that is used again because its leaving was acknowledged while the store was down, and every node
-/// that knew of it was killed, and against targets that are kept waiting for that without need.
+/// that knew of it was killed, however late its heartbeats come, and against targets that are kept waiting for that without
+/// need.
 #[googletest::test]
 #[tokio::test]
 async fn target_that_left_while_the_store_was_down_is_not_used_after_all_nodes_were_killed() {
@@ -269,17 +270,33 @@
         leaving: Option<Leaving>,
         /// Whether the target answers health checks.
         answers: bool,
+        /// Time from the start of the nodes to the first late heartbeat.
+        late_ms: u64,
         late_heartbeats: &'static [u64],
     }
-    let case = |name, leaving, late_heartbeats| Case { name, leaving: Some(leaving), answers: true, late_heartbeats };
+    let case = |name, leaving, late_heartbeats| Case {
+        name,
+        leaving: Some(leaving),
+        answers: true,
+        late_ms: 0,
+        late_heartbeats,
+    };
     let cases = [
         case("deregistered", Leaving::Deregistered, &[2_000_000]),
         case("draining", Leaving::Draining, &[2_000_000]),
         case("two late heartbeats", Leaving::Deregistered, &[2_000_000, 2_000_001]),
         Case { answers: false, ..case("no health check", Leaving::Deregistered, &[2_000_000, 2_000_001]) },
-        Case { name: "serving", leaving: None, answers: true, late_heartbeats: &[2_000_000] },
+        Case { late_ms: 5_300, ..case("very late", Leaving::Deregistered, &[2_000_000, 2_000_001]) },
+        Case { name: "serving", leaving: None, answers: true, late_ms: 0, late_heartbeats: &[2_000_000] },
+        Case {
+            name: "serving, very late",
+            leaving: None,
+            answers: true,
+            late_ms: 5_300,
+            late_heartbeats: &[2_000_000],
+        },
     ];
-    for Case { name, leaving, answers, late_heartbeats } in cases {
+    for Case { name, leaving, answers, late_ms, late_heartbeats } in cases {
         let mut fleet = start_fleet().await;
         let instance = fleet.vms[1].target.instance_id.clone();
         if !answers {
@@ -296,6 +313,7 @@
         fleet.kill_all_nodes();
         fleet.set_store_down(false).await;
         fleet.start_killed_nodes().await;
+        tokio::time::sleep(Duration::from_millis(late_ms)).await;
         for seq in late_heartbeats {
             let body = fleet.heartbeat_body(1, FIRST_START_UNIX_MS, "ready", *seq);
             assert_eq!(fleet.send_heartbeat(1, &instance, body).await, 200);
