--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -11,6 +11,7 @@
 use crate::evacuation::{apply_evacuation_listing, apply_evacuation_records};
 use crate::event_log::LogLine;
 use crate::platform::{DecodedConfig, StoreLayout};
+use crate::settled_era::settled_era_record;
 use crate::state::{ActiveConfig, MeshState};
 use crate::store_polling::{ReadReason, StoreBackoff, StoreRole, StoreStep, StoreView};
 
@@ -23,12 +24,14 @@
 /// Follows the configuration and the evacuated zones until the task is aborted.
 pub async fn follow_config(state: Arc<MeshState>, store: Arc<dyn PlatformLog>, layout: StoreLayout) {
     let draw = state.random_unit();
+    let position = ConfigPosition::new(state.settings().first_start);
     let mut follower = ConfigFollower {
         state,
         store,
         stream: layout.operator_stream,
         config_key: layout.config_key,
-        position: ConfigPosition::default(),
+        position,
+        nodes_stream: layout.nodes_stream,
         last_read_at: None,
         last_role: None,
         draw,
@@ -124,6 +127,8 @@
     /// Spreads the reads of nodes that miss a confirmation at the same time.
     draw: f64,
     evacuation_key_prefix: String,
+    /// Stream that holds the settled era.
+    nodes_stream: StreamName,
 }
 
 impl ConfigFollower {
@@ -136,6 +141,9 @@
                 self.record_reason(view, reason);
                 let confirms_for_others = view.role == StoreRole::Confirming || reason == ReadReason::Unconfirmed;
                 let result = self.read_next(wait_ms, view, confirms_for_others, now).await;
+                if view.role == StoreRole::Confirming && result.is_ok() {
+                    self.save_settled_era(now).await;
+                }
                 if !matches!(result, Ok(StepOutcome::NotRead)) {
                     self.last_read_at = Some(self.state.now());
                 }
@@ -228,6 +236,23 @@
         Ok(StepOutcome::Read)
     }
 
+    /// Writes the present era to the store once the configuration was confirmed in it by a read that started at `started`, for
+    /// nodes that start later.
+    async fn save_settled_era(&self, started: TimeUs) {
+        let state = &self.state;
+        let Some(era) = self.store.era() else { return };
+        let is_confirmed = lock(&state.freshness).is_confirmed_since(started);
+        if !is_confirmed || *lock(&state.settled_era) == Some(era) {
+            return;
+        }
+        match self.store.append(&self.nodes_stream, vec![settled_era_record(era)]).await {
+            // The record may be lost again if the era changed meanwhile.
+            Ok(_) if self.store.era() == Some(era) => *lock(&state.settled_era) = Some(era),
+            Ok(_) => {}
+            Err(error) => state.log(LogLine::new("settled_era_not_saved").number("era", era.0).text("detail", error)),
+        }
+    }
+
     /// Waits until the last confirmation is so old that this node must read without waiting, or until another node
     /// has a newer version.
     async fn wait_until_due(&self, view: StoreView) {
@@ -273,8 +298,12 @@
         };
         let own = self.state.config().map_or(Version(0), |config| config.version());
         let versions = KnownVersions { own, peers };
+        if let Some(era) = *lock(&self.state.settled_era) {
+            self.position.set_settled(era);
+        }
+        let proves_newest = at_end && self.position.proves_newest(versions, now);
         // A node that has just started can't tell whether the store came back from an older copy before.
-        if all_valid && at_end && knows_versions && self.position.proves_newest(versions, now) {
+        if all_valid && knows_versions && proves_newest {
             lock(&self.state.freshness).record_confirmation(started);
             if confirms_for_others {
                 self.state.status_due.notify_one();
--- a/crates/mesh/src/config_freshness.rs
+++ b/crates/mesh/src/config_freshness.rs
@@ -22,6 +22,11 @@
         self.estimated_at = self.estimated_at.max(Some(started));
     }
 
+    /// Returns whether a read or a peer has confirmed the configuration as of `moment` or later.
+    pub fn is_confirmed_since(&self, moment: TimeUs) -> bool {
+        self.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= moment)
+    }
+
     /// Records the confirmation of a peer. The peer sent it after it had received the stamp that this node sent
     /// at `stamped_at`; at that time the peer's last confirmation was `age_ms` milliseconds old. It arrived at `now`. It
     /// counts only if this node has at least the peer's version.
--- a/crates/mesh/src/config_position.rs
+++ b/crates/mesh/src/config_position.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: the store was away for a moment and comes back from a copy that is some seconds old. Its latest
 //! records are gone until their writers write them again, and their offsets are assigned again. A reader that
-//! continued at its old offset would miss the records below it.
+//! continued at its old offset would miss the records below it. One that starts after the store's return has not seen the
+//! change: the store names the last era that is known to be complete (`docs/FORMATS.md`, "settled-era").
 
 use fulmartrestle_core::{LogEra, LogOffset, TimeUs, Version};
 
@@ -15,12 +16,15 @@
     era: Option<LogEra>,
     next_offset: Option<LogOffset>,
     rewrite: Option<Rewrite>,
+    /// Whether the store may have come back from an older copy before the first read.
+    doubts_first_era: bool,
 }
 
 /// A new era, in which records of the last one may still be missing.
 #[derive(Clone, Copy, Debug)]
 struct Rewrite {
-    noticed_at: TimeUs,
+    /// When the era was noticed, or when it was first read if that was the reader's first one.
+    noticed_at: Option<TimeUs>,
     /// End of the stream at the first read. Later records were written in the new era.
     first_end: Option<LogOffset>,
 }
@@ -35,12 +39,27 @@
 }
 
 impl ConfigPosition {
+    /// Returns the position of a reader that has not read yet. Unless the deployment `is_first_start`, the store may have
+    /// come back from an older copy shortly before.
+    pub fn new(is_first_start: bool) -> Self {
+        Self { doubts_first_era: !is_first_start, ..Self::default() }
+    }
+
+    /// Records that the store holds all that was written again in `era`.
+    pub fn set_settled(&mut self, era: LogEra) {
+        if self.doubts_first_era && self.era == Some(era) {
+            self.doubts_first_era = false;
+            self.rewrite = None;
+        }
+    }
+
     /// Returns the offset of the next read in `era`, which is `None` before the store has named one. Returns `None` if
     /// the latest records must be read.
     pub fn next_offset(&mut self, era: Option<LogEra>, now: TimeUs) -> Option<LogOffset> {
         if self.era.is_some() && self.era != era {
             self.next_offset = None;
-            self.rewrite = Some(Rewrite { noticed_at: now, first_end: None });
+            self.rewrite = Some(Rewrite { noticed_at: Some(now), first_end: None });
+            self.doubts_first_era = false;
         }
         self.era = era;
         self.next_offset
@@ -59,10 +78,13 @@
         }
         self.era = era;
         self.next_offset = Some(next_offset);
+        if self.doubts_first_era && era.is_some() {
+            self.rewrite.get_or_insert(Rewrite { noticed_at: None, first_end: None });
+        }
         if let Some(rewrite) = &mut self.rewrite {
             let first_end = *rewrite.first_end.get_or_insert(next_offset);
             if last_config.is_some_and(|offset| offset >= first_end) {
-                self.rewrite = None;
+                self.end_rewrite();
             }
         }
         true
@@ -72,9 +94,16 @@
     /// not while versions of an earlier era may be missing: until a version was written in this era or the time to
     /// do so has passed, and as long as another node has a newer one.
     pub fn proves_newest(&mut self, versions: KnownVersions, now: TimeUs) -> bool {
-        if self.rewrite.is_some_and(|rewrite| now.ms_since(rewrite.noticed_at) >= REWRITE_TIME_MS) {
-            self.rewrite = None;
+        if let Some(rewrite) = &mut self.rewrite
+            && now.ms_since(*rewrite.noticed_at.get_or_insert(now)) >= REWRITE_TIME_MS
+        {
+            self.end_rewrite();
         }
         self.rewrite.is_none() && versions.own >= versions.peers
     }
+
+    fn end_rewrite(&mut self) {
+        self.rewrite = None;
+        self.doubts_first_era = false;
+    }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -35,6 +35,7 @@
 mod processor_watch;
 mod registry;
 mod settings;
+mod settled_era;
 mod state;
 mod status_exchange;
 mod status_message;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -290,6 +290,7 @@
         metrics,
         phase: watch::Sender::new(NodePhase::Serving),
         status_due,
+        settled_era: Mutex::default(),
         store_due: Notify::new(),
         reaches_store: AtomicBool::new(false),
         fetches_config: AtomicBool::new(false),
--- a/crates/mesh/src/registry.rs
+++ b/crates/mesh/src/registry.rs
@@ -7,6 +7,7 @@
 use crate::event_log::LogLine;
 use crate::left_runs::apply_stored_left_runs;
 use crate::peer_table::Registration;
+use crate::settled_era::apply_settled_era;
 use crate::state::MeshState;
 use crate::store_polling::StoreBackoff;
 use fulmartrestle_core::lock;
@@ -62,6 +63,7 @@
     let own_address = settings.peer_address;
     let page = store.read_latest(stream).await?;
     apply_stored_left_runs(state, &page.records);
+    apply_settled_era(state, &page.records);
     let mut registrations = decode_registrations(&page.records);
     let registered = registrations.iter().any(|registration| registration.address == own_address);
     if !registered {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use fulmartrestle_core::{RateMilliPerS, TimeUs, VmId, lock};
+use fulmartrestle_core::{LogEra, RateMilliPerS, TimeUs, VmId, lock};
 use fulmartrestle_policy::{
     ArrivalMeter, CapacityAdmission, ColdLimit, CrashTable, LargeRoutes, LoadBalancer, RetryBudgets, StopAdmission,
     StopSchedule, TenantDivision,
@@ -111,6 +111,8 @@
     pub phase: watch::Sender<NodePhase>,
     /// Wakes the sender of status messages before its interval has passed.
     pub status_due: Arc<Notify>,
+    /// The last era of the store that is known to be settled.
+    pub settled_era: Mutex<Option<LogEra>>,
     /// Wakes the reader of the configuration, because another node has a newer version.
     pub store_due: Notify,
     /// Whether the last call to the store succeeded.
--- a/crates/mesh/tests/config_position.rs
+++ b/crates/mesh/tests/config_position.rs
@@ -32,6 +32,8 @@
     /// Acknowledged versions, with the time of the first acknowledgement.
     acknowledged: BTreeMap<u64, u64>,
     rewrite_at_ms: Option<u64>,
+    /// Settled eras that readers have written, with the time at which each was written.
+    settled: Vec<(u64, u64)>,
 }
 
 impl Store {
@@ -47,6 +49,7 @@
     /// Returns from a copy that is `age_ms` old.
     fn restore(&mut self, now_ms: u64, age_ms: u64, rewrite_after_ms: u64) {
         self.records.retain(|(_, written_ms)| *written_ms + age_ms <= now_ms || *written_ms == 0);
+        self.settled.retain(|(_, written_ms)| *written_ms + age_ms <= now_ms);
         self.era += 1;
         self.rewrite_at_ms = Some(now_ms + rewrite_after_ms);
     }
@@ -60,7 +63,21 @@
     confirmed_ms: Option<u64>,
 }
 
+/// A fault of the followers of a game.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// They keep their offset through a new era.
+    KeepsOffset,
+    /// They take the first era that they see after a restart for an old one.
+    TrustsFirstEra,
+}
+
 impl Reader {
+    fn restarted(fault: Fault) -> Self {
+        Self { position: ConfigPosition::new(fault == Fault::TrustsFirstEra), ..Self::default() }
+    }
+
     fn read(&mut self, store: &Store, peers: u64, now_ms: u64) {
         let now = TimeUs::from_ms(now_ms);
         let era = Some(LogEra(store.era));
@@ -79,7 +96,13 @@
             last_config = Some(LogOffset(offset as u64));
         }
         let versions = KnownVersions { own: Version(self.version), peers: Version(peers) };
-        if self.position.advance(era, LogOffset(end), last_config) && self.position.proves_newest(versions, now) {
+        if !self.position.advance(era, LogOffset(end), last_config) {
+            return;
+        }
+        if let Some((era, _)) = store.settled.last() {
+            self.position.set_settled(LogEra(*era));
+        }
+        if self.position.proves_newest(versions, now) {
             self.confirmed_ms = Some(now_ms);
         }
     }
@@ -87,7 +110,7 @@
 
 /// Plays versions, restored copies and restarts of readers. Returns the number of moments at which a reader with a
 /// recent confirmation lacked a version that had been acknowledged for longer than [`REVOKE_MS`].
-fn play(seed: u64, broken_position: bool) -> u32 {
+fn play(seed: u64, fault: Fault) -> u32 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut store = Store::default();
     store.append(1, 0);
@@ -111,18 +134,23 @@
                 store.append(newest, now_ms);
             }
         }
+        if rng.random::<f64>() < 0.000_5 {
+            readers.fill_with(|| Reader::restarted(fault));
+        }
         for index in 0..readers.len() {
             let peers = readers.iter().map(|reader| reader.version).max().unwrap_or_default();
             let reader = &mut readers[index];
             if rng.random::<f64>() < 0.000_5 {
-                *reader = Reader::default();
+                *reader = Reader::restarted(fault);
             }
             if (now_ms + index as u64 * 300) % READ_INTERVAL_MS < STEP_MS {
-                if broken_position {
-                    // A follower that keeps its offset through a new era.
-                    reader.read(&Store { era: 0, ..store.clone() }, 0, now_ms);
-                } else {
-                    reader.read(&store, peers, now_ms);
+                match fault {
+                    Fault::KeepsOffset => reader.read(&Store { era: 0, ..store.clone() }, 0, now_ms),
+                    Fault::None | Fault::TrustsFirstEra => reader.read(&store, peers, now_ms),
+                }
+                if reader.confirmed_ms == Some(now_ms) && store.settled.last().is_none_or(|(era, _)| *era != store.era)
+                {
+                    store.settled.push((store.era, now_ms));
                 }
             }
             let accepts_keys = reader.confirmed_ms.is_some_and(|confirmed_ms| now_ms - confirmed_ms < REVOKE_MS);
@@ -143,10 +171,12 @@
 fn acknowledged_versions_are_in_force_through_restored_copies() {
     let first = number_from_env("FULMARTRESTLE_SEED", 0);
     for seed in first..first + number_from_env("FULMARTRESTLE_SEEDS", 30) {
-        expect_that!(play(seed, false), eq(0), "seed {seed}");
+        expect_that!(play(seed, Fault::None), eq(0), "seed {seed}");
+    }
+    for fault in [Fault::KeepsOffset, Fault::TrustsFirstEra] {
+        let noticed = (0..30).filter(|seed| play(*seed, fault) > 0).count();
+        expect_that!(noticed, gt(0), "{fault:?} is not noticed");
     }
-    let noticed = (0..30).filter(|seed| play(*seed, true) > 0).count();
-    assert_that!(noticed, gt(0), "a follower that keeps its offset is not noticed");
 }
 
 const START: TimeUs = TimeUs::from_s(100);
@@ -173,6 +203,51 @@
     assert_that!(position.next_offset(Some(LogEra(3)), START), some(eq(LogOffset(9))));
 }
 
+/// Guards against a node that starts after the store has come back from an older copy, and takes what it holds for the newest.
+#[gtest]
+fn first_read_after_a_restart_proves_the_newest_version_in_a_settled_era() {
+    struct Case {
+        name: &'static str,
+        settled: Option<u64>,
+        /// Time from the first read to the second one, which shows a configuration at this offset.
+        after_ms: u64,
+        config_offset: Option<LogOffset>,
+        proves_newest: (bool, bool),
+    }
+    let case = |name, settled, after_ms, config_offset, proves_newest| Case {
+        name,
+        settled,
+        after_ms,
+        config_offset,
+        proves_newest,
+    };
+    let cases = [
+        case("settled", Some(3), 250, None, (true, true)),
+        case("an earlier era is settled", Some(2), 2_400, None, (false, false)),
+        case("an earlier era is settled, later", Some(2), 2_600, None, (false, true)),
+        case("nothing is known", None, 2_400, None, (false, false)),
+        case("nothing is known, later", None, 2_600, None, (false, true)),
+        case("written in this era", Some(2), 250, Some(LogOffset(9)), (false, true)),
+        case("read again", Some(2), 250, Some(LogOffset(8)), (false, false)),
+    ];
+    for Case { name, settled, after_ms, config_offset, proves_newest } in cases {
+        let era = Some(LogEra(3));
+        let mut position = ConfigPosition::new(false);
+        let mut read = |now, next_offset, config_offset| {
+            position.next_offset(era, now);
+            assert_that!(position.advance(era, LogOffset(next_offset), config_offset), eq(true));
+            if let Some(settled) = settled {
+                position.set_settled(LogEra(settled));
+            }
+            position.proves_newest(versions(2, 0), now)
+        };
+        // The store may have been away for long before the first read.
+        let first = read(START, 9, Some(LogOffset(4)));
+        let second = read(START.plus_ms(after_ms), 10, config_offset);
+        expect_that!((first, second), eq(proves_newest), "{name}");
+    }
+}
+
 #[gtest]
 fn new_era_voids_the_position() {
     let mut position = position_in_first_era();
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -38,6 +38,9 @@
     fleet
 }
 
+/// Time from the return of an older store until the operator has written its configuration again, in milliseconds.
+const REWRITTEN_AFTER_MS: u64 = 1_900;
+
 /// Which nodes start again.
 #[derive(Clone, Copy, Debug)]
 enum Restart {
@@ -53,7 +56,7 @@
 }
 
 /// Guards against a node that starts while the store is back from an older copy, and takes the version there for the
-/// newest one although other nodes have a newer one. The store has no newer one if all nodes start again.
+/// newest one although other nodes have a newer one, or although its operator has not written it again yet.
 #[googletest::test]
 #[tokio::test]
 async fn revoked_key_is_refused_after_a_restart() {
@@ -69,6 +72,7 @@
         case("one node", Restart::One),
         case("all nodes", Restart::All),
         Case { older_store: true, ..case("one node, older store", Restart::One) },
+        Case { older_store: true, ..case("all nodes, older store", Restart::All) },
         Case { last_tenant: true, ..case("the last tenant, one node", Restart::One) },
         Case { last_tenant: true, ..case("the last tenant, all nodes", Restart::All) },
     ];
@@ -84,15 +88,31 @@
         for vm in 0..3 {
             fleet.wait_for_status(vm, &request("key-1", format!("revoked-{vm}")), 401).await;
         }
-        if case.older_store {
-            fleet.restore_store_copy(published.elapsed().as_millis() as u64 + 500).await;
+        let older_ms = published.elapsed().as_millis() as u64 + 500;
+        let restored = Instant::now();
+        match (case.older_store, case.nodes) {
+            // No node sees the change of the era.
+            (true, Restart::All) => {
+                fleet.kill_all_nodes();
+                fleet.restore_store_copy(older_ms).await;
+                fleet.start_killed_nodes().await;
+            }
+            (true, Restart::One) => {
+                fleet.restore_store_copy(older_ms).await;
+                restart(&mut fleet, case.nodes).await;
+            }
+            (false, _) => restart(&mut fleet, case.nodes).await,
         }
-        restart(&mut fleet, case.nodes).await;
+        let mut written_again = !case.older_store;
         let until = Instant::now() + Duration::from_millis(WATCH_MS);
         let mut statuses = Vec::new();
         while Instant::now() < until {
             let response = fleet.try_send(1, &request("key-1", format!("old-{}", statuses.len()))).await;
             statuses.extend(response.map(|response| response.status));
+            if !written_again && restored.elapsed() > Duration::from_millis(REWRITTEN_AFTER_MS) {
+                fleet.publish_config(&next).await;
+                written_again = true;
+            }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         let served = statuses.iter().filter(|status| **status == 200).count();
