--- a/crates/mesh/src/config_follower.rs
+++ b/crates/mesh/src/config_follower.rs
@@ -242,7 +242,8 @@
         let state = &self.state;
         let Some(era) = self.store.era() else { return };
         let is_confirmed = lock(&state.freshness).is_confirmed_since(started);
-        if !is_confirmed || *lock(&state.settled_era) == Some(era) {
+        // The era may have changed after the read, or a peer may have confirmed the last one.
+        if !is_confirmed || !self.position.is_settled_in(era) || *lock(&state.settled_era) == Some(era) {
             return;
         }
         match self.store.append(&self.nodes_stream, vec![settled_era_record(era)]).await {
--- a/crates/mesh/src/config_position.rs
+++ b/crates/mesh/src/config_position.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether reads in `era` have shown that its records are complete.
+    pub fn is_settled_in(&self, era: LogEra) -> bool {
+        self.era == Some(era) && self.rewrite.is_none() && !self.doubts_first_era
+    }
+
     /// Returns the offset of the next read in `era`, which is `None` before the store has named one. Returns `None` if
     /// the latest records must be read.
     pub fn next_offset(&mut self, era: Option<LogEra>, now: TimeUs) -> Option<LogOffset> {
--- a/crates/mesh/tests/config_position.rs
+++ b/crates/mesh/tests/config_position.rs
@@ -239,7 +239,10 @@
             if let Some(settled) = settled {
                 position.set_settled(LogEra(settled));
             }
-            position.proves_newest(versions(2, 0), now)
+            let proves_newest = position.proves_newest(versions(2, 0), now);
+            expect_that!(position.is_settled_in(LogEra(3)), eq(proves_newest), "{name}");
+            expect_that!(position.is_settled_in(LogEra(4)), eq(false), "{name}");
+            proves_newest
         };
         // The store may have been away for long before the first read.
         let first = read(START, 9, Some(LogOffset(4)));
--- a/crates/policy/src/stop_admission.rs
+++ b/crates/policy/src/stop_admission.rs
@@ -8,7 +8,8 @@
 use fulmartrestle_derive::value;
 use rustc_hash::FxHashMap;
 
-/// Length of the windows in which the longest completion is kept, in milliseconds. The last two windows count.
+/// Length of the windows in which the longest completion is kept, and whether responses were forwarded while they arrived, in
+/// milliseconds. The last two windows count.
 const WINDOW_MS: u64 = 30_000;
 
 /// Factor for completions that take longer than all recent ones.
@@ -36,20 +37,29 @@
     longest_us: u64,
     longest_before_us: u64,
     window_started_at: TimeUs,
-    /// Whether responses are forwarded while they arrive, which may go on after the deadline of the request.
+    /// Whether responses were forwarded while they arrived, which may go on after the deadline of the request.
     is_streamed: bool,
+    was_streamed_before: bool,
 }
 
 impl CompletionTime {
     fn new(took_us: u64, now: TimeUs) -> Self {
         let typical_us = took_us as f64;
-        Self { typical_us, longest_us: took_us, longest_before_us: 0, window_started_at: now, is_streamed: false }
+        Self {
+            typical_us,
+            longest_us: took_us,
+            longest_before_us: 0,
+            window_started_at: now,
+            is_streamed: false,
+            was_streamed_before: false,
+        }
     }
 
     fn record(&mut self, took_us: u64, now: TimeUs) {
         self.typical_us += (took_us as f64 - self.typical_us) * TYPICAL_WEIGHT;
         if now.ms_since(self.window_started_at) >= WINDOW_MS {
             self.longest_before_us = std::mem::take(&mut self.longest_us);
+            self.was_streamed_before = std::mem::take(&mut self.is_streamed);
             self.window_started_at = now;
         }
         self.longest_us = self.longest_us.max(took_us);
@@ -121,7 +131,7 @@
         stop: StopTimes,
     ) -> Option<TimeUs> {
         let must_end_at = TimeUs(stop.end_at.0.saturating_sub(RESPONSE_MARGIN_MS * 1_000));
-        let is_streamed = self.routes.get(route).is_some_and(|time| time.is_streamed);
+        let is_streamed = self.routes.get(route).is_some_and(|time| time.is_streamed || time.was_streamed_before);
         if deadline <= must_end_at && !is_streamed {
             return None;
         }
--- a/crates/policy/tests/stop_admission.rs
+++ b/crates/policy/tests/stop_admission.rs
@@ -36,11 +36,19 @@
     for at_s in [80, 90] {
         admission.record_streamed(&book, &trips, 2_600_000, TimeUs::from_s(at_s));
     }
+    // Two windows later all responses are short, and the deadline limits them.
+    let view = route("view");
+    admission.record_streamed(&view, &trips, 2_600_000, TimeUs::from_s(20));
+    for at_s in [51, 82] {
+        admission.record_completion(&view, &trips, 2_600_000, TimeUs::from_s(at_s));
+    }
     admission.start_stop(StopTimes { callers_left_at: STOPPED.plus_ms(2_600), end_at: STOPPED.plus_ms(5_500) });
     for Case { name, deadline_ms, at_ms, passed_on } in cases {
         let (deadline, now) = (STOPPED.plus_ms(deadline_ms), STOPPED.plus_ms(at_ms));
         expect_that!(admission.can_complete(&book, &trips, deadline, now), eq(passed_on), "{name}");
     }
+    let (deadline, now) = (STOPPED.plus_ms(4_500), STOPPED.plus_ms(3_000));
+    expect_that!(admission.can_complete(&view, &trips, deadline, now), eq(true));
 }
 
 /// Guards against requests that are passed on late in the grace period and cut off at its end, and against refusing those
