Tests of planned stops start their fleets one after the other

Seven fleets started at once on one task, and starting a process blocks it, so that the first call to the first store waited for the start of the last process and timed out; no node was asked anything. The fleets now start one after the other, and only the cases run at once. No assertion changed.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -351,9 +351,8 @@
         Case { name: "one call", sent_ms: 1_250, work_ms: 3_700, calls: 1, sender_stops_ms: None },
         Case { name: "sent before the stop", sent_ms: 0, work_ms: 5_000, calls: 4, sender_stops_ms: None },
     ];
-    let run_case = async |case: &Case| {
+    let run_case = async |case: &Case, mut fleet: SidecarFleet| {
         let Case { name, sent_ms, work_ms, calls, sender_stops_ms } = *case;
-        let mut fleet = start_fleet().await;
         let set_work = |ms| {
             *fleet.vms[1].target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(ms);
         };
@@ -382,5 +381,10 @@
         }
         expect_that!(tokio::task::block_in_place(|| fleet.vms[1].node.terminate()), some(eq(0)), "{name}");
     };
-    join_all(cases.iter().map(run_case)).await;
+    let mut runs = Vec::new();
+    for case in &cases {
+        // Starting a process blocks the thread, so that fleets which start at once wait for each other.
+        runs.push(run_case(case, start_fleet().await));
+    }
+    join_all(runs).await;
 }
--- a/tests/planned_stop_bodies.rs
+++ b/tests/planned_stop_bodies.rs
@@ -113,8 +113,7 @@
     expected: Expected,
 }
 
-async fn run_case(case: &Case) {
-    let mut fleet = SidecarFleet::start(case.services, &config()).await;
+async fn run_case(case: &Case, mut fleet: SidecarFleet) {
     for vm in &fleet.vms {
         *vm.target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(case.work_ms);
         vm.target.slots.store(100, Ordering::Relaxed);
@@ -173,6 +172,8 @@
     };
     let cases = [
         Case { name: "chunks", upload: Upload { chunked: true, ..late.upload }, ..late },
+        Case { name: "less than is buffered", upload: Upload { bytes: 65_530, ..late.upload }, ..late },
+        Case { name: "a little more than is buffered", upload: Upload { bytes: 65_540, ..late.upload }, ..late },
         Case { name: "long body", upload: Upload { bytes: 2_000_000, ..late.upload }, ..late },
         Case {
             name: "body that began early",
@@ -194,8 +195,12 @@
         },
         late,
     ];
-    // One fleet after the other would take too long.
-    join_all(cases.iter().map(run_case)).await;
+    let mut runs = Vec::new();
+    for case in &cases {
+        // Starting a process blocks the thread, so that fleets which start at once wait for each other.
+        runs.push(run_case(case, SidecarFleet::start(case.services, &config()).await));
+    }
+    join_all(runs).await;
 }
 
 /// Downloads a file, and returns the status and how many bytes of the body arrived. The status is 0 if none came.
@@ -236,9 +241,8 @@
         Case { name: "the node beside the target stops", services: &["front", "trips"], stopped: 1 },
         Case { name: "its own target", services: &["trips"], stopped: 0 },
     ];
-    let run_case = async |case: &Case| {
-        let Case { name, services, stopped } = *case;
-        let fleet = SidecarFleet::start(services, &config()).await;
+    let run_case = async |case: &Case, fleet: SidecarFleet| {
+        let Case { name, services: _, stopped } = *case;
         for vm in &fleet.vms {
             *vm.target.behaviour.lock().expect("not poisoned") =
                 TargetBehaviour::SlowResponse { bytes: FILE_BYTES, sending_ms: SENDING_MS };
@@ -262,5 +266,9 @@
         }
         expect_that!(served, gt(4), "{name}");
     };
-    join_all(cases.iter().map(run_case)).await;
+    let mut runs = Vec::new();
+    for case in &cases {
+        runs.push(run_case(case, SidecarFleet::start(case.services, &config()).await));
+    }
+    join_all(runs).await;
 }
--- a/tests/planned_stop_waiting.rs
+++ b/tests/planned_stop_waiting.rs
@@ -64,9 +64,8 @@
     is_served: bool,
 }
 
-async fn run_case(case: &Case) {
-    let Case { name, services, sender, stopped, sent_ms, waiting, long_ms, is_served } = *case;
-    let fleet = SidecarFleet::start(services, &config()).await;
+async fn run_case(case: &Case, fleet: SidecarFleet) {
+    let Case { name, services: _, sender, stopped, sent_ms, waiting, long_ms, is_served } = *case;
     let last = fleet.vms.len() - 1;
     let target = &fleet.vms[last].target;
     let set_work = |ms| *target.behaviour.lock().expect("not poisoned") = TargetBehaviour::RespondAfterMs(ms);
@@ -134,7 +133,12 @@
         Case { name: "a slot becomes free in time", long_ms: 3_500, is_served: true, ..before },
         before,
     ];
-    join_all(cases.iter().map(run_case)).await;
+    let mut runs = Vec::new();
+    for case in &cases {
+        // Starting a process blocks the thread, so that fleets which start at once wait for each other.
+        runs.push(run_case(case, SidecarFleet::start(case.services, &config()).await));
+    }
+    join_all(runs).await;
 }
 
 /// Sends the first part of a booking, and returns the status of the response, if one comes.
